--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,138 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// pairs are the path=value pairs of a CONFIGURE line.
+type pairs struct {
+	values map[string]string
+	err    error
+}
+
+func parseSettings(text string) (policy.Settings, *schema, error) {
+	p := &pairs{values: map[string]string{}}
+	for _, f := range strings.Fields(text) {
+		k, v, ok := strings.Cut(f, "=")
+		if !ok {
+			return policy.Settings{}, nil, fmt.Errorf("bad setting %q", clip(f))
+		}
+		if v != "-" {
+			p.values[k] = v
+		}
+	}
+	set := policy.Settings{
+		Senders:        p.integer("fleet_size"),
+		Slots:          p.integer("extra.call_slots"),
+		MaxHeld:        p.integer("bounds.open_cap"),
+		MaxAttempts:    p.integer("bounds.send_cap"),
+		RoughWeights:   p.values["weight_kind"] == "rough",
+		NoWeights:      p.values["weight_kind"] == "none",
+		AskList:        p.values["membership_mode"] == "ask",
+		ColdShare:      p.number("rules.cold_from"),
+		WarmWithin:     p.ms("rules.warm_within_ms"),
+		OverloadFactor: p.number("rules.overload_factor"),
+		OverloadWindow: p.ms("rules.fall_ms"),
+		OrderPause:     p.ms("rules.order_pause_ms"),
+	}
+	if p.boolean("bounds.retry_after") {
+		set.MaxRetryAfter = p.ms("bounds.max_retry_after_ms")
+	}
+	for _, x := range p.list("extra.carriage") {
+		set.Carriage = append(set.Carriage, p.parse("extra.carriage", x))
+	}
+	for i := range p.count("services") {
+		set.Classes = append(set.Classes, p.class(fmt.Sprintf("services.%d.", i)))
+	}
+	for i := range p.count("realms") {
+		set.Customers = append(set.Customers, policy.Customer{
+			Quota: p.number(fmt.Sprintf("realms.%d.quota_per_s", i)),
+		})
+	}
+	per, apart := p.list("extra.per_call"), p.list("extra.separate_routes")
+	for i := range max(len(p.list("kinds")), len(per), len(apart)) {
+		k := policy.Kind{PerCall: 1}
+		if i < len(per) {
+			k.PerCall = int(p.parse("extra.per_call", per[i]))
+		}
+		if i < len(apart) {
+			k.Separate = apart[i] == "true"
+		}
+		set.Kinds = append(set.Kinds, k)
+	}
+	return set, p.schema(), p.err
+}
+
+func (p *pairs) class(at string) policy.Class {
+	c := policy.Class{
+		GroupAll: p.values[at+"group"] == "all",
+		Window:   p.ms(at + "repeat_window_ms"),
+		Ordered:  p.boolean(at + "by_arrival"),
+		Aim:      p.ms(at + "goal_time_ms"),
+		GiveUp:   p.ms(at + "give_up_ms"),
+		Value:    1,
+	}
+	if _, ok := p.values[at+"value"]; ok {
+		c.Value = p.number(at + "value")
+	}
+	switch p.values[at+"semantics"] {
+	case "read_like":
+		c.Effect = policy.Safe
+	case "idempotency_key":
+		c.Effect = policy.Keyed
+	default: // what is not known to bear a repeat bears none
+		c.Effect = policy.Unsafe
+	}
+	return c
+}
+
+// schema finds which reported values tell of a limit.
+func (p *pairs) schema() *schema {
+	sc := &schema{}
+	for _, name := range p.list("stats.fields") {
+		switch name {
+		case "x0":
+			sc.left = name
+		case "x1":
+			sc.limit = name
+		}
+	}
+	return sc
+}
+
+func (p *pairs) parse(key, value string) float64 {
+	x, err := strconv.ParseFloat(value, 64)
+	if err != nil && p.err == nil {
+		p.err = fmt.Errorf("bad setting %s", key)
+	}
+	return x
+}
+
+func (p *pairs) number(key string) float64 {
+	if v, ok := p.values[key]; ok {
+		return p.parse(key, v)
+	}
+	return 0
+}
+
+func (p *pairs) integer(key string) int { return int(p.number(key)) }
+
+func (p *pairs) count(path string) int { return min(1000, p.integer(path+".count")) }
+
+func (p *pairs) ms(key string) time.Duration {
+	return time.Duration(p.number(key)*1000) * time.Microsecond
+}
+
+func (p *pairs) boolean(key string) bool { return p.values[key] == "true" || p.values[key] == "1" }
+
+func (p *pairs) list(key string) []string {
+	if p.values[key] == "" {
+		return nil
+	}
+	return strings.Split(p.values[key], ",")
+}
--- /dev/null
+++ b/policy/bench_test.go
@@ -0,0 +1,51 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkStep is one message taken and delivered by a sender of 400 destinations and 1,000 routes; with
+// backlog, 200 more wait at destinations that none of their routes takes.
+func BenchmarkStep(b *testing.B) {
+	for _, backlog := range []int{0, 200} {
+		b.Run(fmt.Sprintf("backlog=%d", backlog), func(b *testing.B) { benchmarkStep(b, backlog) })
+	}
+}
+
+func benchmarkStep(b *testing.B, backlog int) {
+	set := settings()
+	set.Senders, set.Slots, set.MaxHeld = 400, 8, 1000
+	s, err := New(set, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var list []Listing
+	for i := range 1000 {
+		list = append(list, Listing{Route: fmt.Sprint("r", i), Destination: i % 400, Kind: i % 2, Weight: 50,
+			InService: i%400 < 200})
+	}
+	now := time.Minute
+	evs := []Event{{Kind: ListWhole, List: list}}
+	for i := range backlog {
+		evs = append(evs, Event{Kind: Taken, ID: uint32(1e9) + uint32(i), Destination: 200 + i, Left: time.Hour})
+	}
+	s.Step(now, evs)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += 10 * ms
+		id := uint32(i)
+		route := ""
+		for _, a := range s.Step(now, []Event{{Kind: Taken, ID: id, Destination: i % 200, Left: time.Minute}}) {
+			if a.Kind == Send {
+				route = a.Route
+			}
+		}
+		if route == "" {
+			b.Fatalf("message %d was not sent", i)
+		}
+		now += 10 * ms
+		s.Step(now, []Event{{Kind: Finished, ID: id, Route: route, Outcome: OK, Took: 10 * ms, Ended: true}})
+	}
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,781 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// desk drives one Sender with an explicit clock.
+type desk struct {
+	t     *testing.T
+	s     *Sender
+	now   time.Duration
+	tries map[uint32]int
+}
+
+func settings() Settings {
+	return Settings{
+		Classes: []Class{
+			{Effect: Safe, Aim: 2 * time.Second, GiveUp: 60 * time.Second, Value: 1},
+			{Effect: Keyed, Window: 10 * time.Second, Aim: 2 * time.Second, GiveUp: 60 * time.Second, Value: 1},
+			{Effect: Unsafe, Ordered: true, Aim: 2 * time.Second, GiveUp: 60 * time.Second, Value: 1},
+		},
+		Kinds:   []Kind{{PerCall: 1}, {Separate: true, PerCall: 1}, {PerCall: 3}},
+		Senders: 1, ColdShare: 0.2, WarmWithin: 10 * time.Second, OverloadFactor: 2,
+		OverloadWindow: 2 * time.Second, OrderPause: 100 * ms,
+	}
+}
+
+func newDesk(t *testing.T, set Settings, list ...Listing) *desk {
+	t.Helper()
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &desk{t: t, s: s, now: time.Minute, tries: map[uint32]int{}}
+	for i := range list {
+		list[i].InService = true
+	}
+	d.step(Event{Kind: ListWhole, List: list})
+	return d
+}
+
+// step gives events at the present time and keeps the actions other than wakes.
+func (d *desk) step(evs ...Event) []Action {
+	var acts []Action
+	for _, a := range d.s.Step(d.now, evs) {
+		if a.Kind != Wake {
+			acts = append(acts, a)
+		}
+	}
+	return acts
+}
+
+func (d *desk) take(id uint32, class int) []Action {
+	return d.step(Event{Kind: Taken, ID: id, Class: class, Left: 60 * time.Second})
+}
+
+func (d *desk) end(id uint32, route string, o Outcome, after, wait time.Duration) []Action {
+	d.now += after
+	n := d.tries[id]
+	d.tries[id]++
+	return d.step(Event{Kind: Finished, ID: id, Attempt: n, Route: route, Outcome: o, Took: after, Wait: wait,
+		Ended: o == OK})
+}
+
+// wake lets time pass and wakes the Sender.
+func (d *desk) wake(after time.Duration) []Action {
+	d.now += after
+	return d.step(Event{Kind: Woken})
+}
+
+// goesTo tells where the first Send of the actions goes; "" if none.
+func goesTo(acts []Action) string {
+	for _, a := range acts {
+		if a.Kind == Send {
+			return a.Route
+		}
+	}
+	return ""
+}
+
+func has(acts []Action, k ActionKind) bool {
+	return slices.ContainsFunc(acts, func(a Action) bool { return a.Kind == k })
+}
+
+func TestRoutesGoByWeightFeeAndLot(t *testing.T) {
+	set := settings()
+	set.Carriage = []float64{0, 0.03}
+	d := newDesk(t, set, Listing{Route: "a", Kind: 1, Zone: 1, Weight: 5}, Listing{Route: "c", Kind: 1, Weight: 5},
+		Listing{Route: "b", Kind: 1, Weight: 5}, Listing{Route: "z", Kind: 1, Zone: 1, Weight: 9})
+	var got []string
+	got = append(got, goesTo(d.take(1, 0)))
+	for range 3 {
+		got = append(got, goesTo(d.end(1, got[len(got)-1], Full, 10*ms, 0)))
+	}
+	// Each refusal leaves its gate a pace with nothing saved, so the message moves on.
+	slices.Sort(got[1:3]) // equal routes go by lot
+	if want := []string{"z", "b", "c", "a"}; !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
+
+// Hundreds of senders once loaded the first of several equal routes while the others idled.
+func TestSendersSpreadOverEqualRoutes(t *testing.T) {
+	first := map[string]int{}
+	for seed := range uint64(60) {
+		set := settings()
+		set.Senders = 60
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		acts := s.Step(time.Minute, []Event{
+			{Kind: ListWhole, List: []Listing{{Route: "a", InService: true}, {Route: "b", InService: true},
+				{Route: "c", InService: true}}},
+			{Kind: Taken, ID: 1, Left: 9 * time.Second}})
+		first[goesTo(acts)]++
+	}
+	if first["a"] < 10 || first["b"] < 10 || first["c"] < 10 {
+		t.Errorf("first choices of 60 senders: %v", first)
+	}
+}
+
+func TestFailureRules(t *testing.T) {
+	now := time.Minute
+	for _, c := range []struct {
+		rule string
+		r    route
+		o    sample
+		skip bool
+	}{
+		{"shut", route{}, sample{outcome: Full, wait: 5 * time.Second}, true},
+		{"shut", route{refusals: shutRefusals, refusedAt: now - shutSpan}, sample{outcome: Full}, true},
+		{"full", route{refusals: shutRefusals, refusedAt: now - shutSpan + 1}, sample{outcome: Full, wait: time.Second}, false},
+		{"trial failed", route{down: true}, sample{outcome: Error}, true},
+		{"crowded", route{streak: 1}, sample{outcome: ConnectFailed, tight: true}, false},
+		{"failed", route{streak: 1}, sample{outcome: ConnectFailed}, false},
+		{"in a row", route{streak: 3, okAt: now - time.Second}, sample{outcome: ConnectFailed}, true},
+		{"mostly failing", route{streak: 1, recent: 0b10111010}, sample{outcome: Error}, true},
+		{"failed", route{streak: 1, recent: 0b1011010}, sample{outcome: Error}, false},
+		{"failed", route{streak: 2}, sample{outcome: Timeout}, false},
+	} {
+		s := &Sender{now: now}
+		r := &c.r
+		i := slices.IndexFunc(failureRules, func(f rule) bool { return f.match(s, r, c.o) })
+		if i < 0 || failureRules[i].name != c.rule || failureRules[i].skip != c.skip {
+			t.Errorf("%+v, %+v: rule %d, want %q with skip %v", c.r, c.o, i, c.rule, c.skip)
+		}
+	}
+}
+
+func TestSkipExpires(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a", Kind: 1, Weight: 9}, Listing{Route: "b", Kind: 1, Weight: 5})
+	for id := range uint32(3) {
+		d.now += time.Second // the recovery budget of a route in doubt
+		if got := goesTo(d.take(id, 0)); got != "a" {
+			t.Fatalf("message %d to %q before the skip", id, got)
+		}
+		d.end(id, "a", Error, 10*ms, 0)
+		d.step(Event{Kind: Withdrawn, ID: id})
+	}
+	if got := goesTo(d.take(10, 0)); got != "b" {
+		t.Errorf("message to %q while a is skipped", got)
+	}
+	d.now += time.Duration(float64(skipFirst) * (1 + skipJitter))
+	if got := goesTo(d.take(11, 0)); got != "a" {
+		t.Errorf("message to %q after the skip", got)
+	}
+	if got := goesTo(d.take(12, 0)); got != "b" {
+		t.Errorf("second message to %q during the trial", got)
+	}
+	if got := goesTo(d.take(13, 2)); got != "b" {
+		t.Errorf("unsafe message to %q during the trial", got)
+	}
+}
+
+func TestPaceHalvesCreepsAndRestarts(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a", Kind: 1, Weight: 2})
+	for id := range uint32(8) {
+		d.take(id, 0)
+	}
+	g := d.s.routes["a"].gate
+	if g.pace != 0 {
+		t.Fatalf("the pace starts at %v, want free", g.pace)
+	}
+	d.end(0, "a", Full, 100*ms, 0)
+	if g.pace != 4 {
+		t.Errorf("pace %v after a refusal at 8 in the last second, want 4", g.pace)
+	}
+	d.end(1, "a", Full, ms, 0)
+	if g.pace != 4 {
+		t.Errorf("pace %v after a refusal of the same burst, want 4", g.pace)
+	}
+	d.end(2, "a", OK, ms, 0)
+	if want := 4 * (1 + paceCreep); g.pace != want {
+		t.Errorf("pace %v after a delivery, want %v", g.pace, want)
+	}
+	for id := uint32(3); id < 6; id++ {
+		d.end(id, "a", Error, ms, 0)
+	}
+	r := d.s.routes["a"]
+	if !r.down {
+		t.Fatal("three failures in a row did not skip the route")
+	}
+	d.s.learn(r, sample{outcome: OK, sent: d.now}, ms)
+	if want := paceRestart * (1 + paceCreep); r.down || g.pace != want {
+		t.Errorf("pace %v at the end of a skip, want %v", g.pace, want)
+	}
+}
+
+// Halving counts of few calls a second again and again starved gates whose limit was known.
+func TestPaceKeepsItsEvenPart(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a", Kind: 1, Weight: 20})
+	r := d.s.routes["a"]
+	for range 5 {
+		d.now += time.Second
+		d.s.now = d.now
+		d.s.halve(r, sample{outcome: Full, sent: d.now})
+	}
+	if want := 20 * paceSure; r.gate.pace != want {
+		t.Errorf("pace %v after five refusals, want %v", r.gate.pace, want)
+	}
+}
+
+func TestFinalAnswers(t *testing.T) {
+	for _, c := range []struct {
+		class   int
+		outcome Outcome
+		want    ActionKind
+	}{
+		{0, Timeout, Refuse}, // safe: the client may come again
+		{1, Full, Refuse},    // keyed, never ran
+		{1, Timeout, Fail},   // keyed, may have run
+		{2, ConnectFailed, Refuse},
+	} {
+		d := newDesk(t, settings(), Listing{Route: "a"})
+		d.take(1, c.class)
+		d.step(Event{Kind: ListChanges, List: []Listing{{Route: "a", Gone: true}}})
+		d.end(1, "a", c.outcome, time.Second, 0)
+		if acts := d.wake(58900 * ms); len(acts) != 0 {
+			t.Errorf("%+v: %+v before the deadline", c, acts)
+		}
+		if acts := d.wake(90 * ms); len(acts) != 1 || acts[0].Kind != c.want {
+			t.Errorf("%+v: %+v at the deadline", c, acts)
+		}
+	}
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	d.take(1, 2)
+	if acts := d.end(1, "a", Timeout, time.Second, 0); !has(acts, Fail) || has(acts, Send) {
+		t.Errorf("an unsafe message that may have run: %+v", acts)
+	}
+}
+
+func TestDrainedRouteTakesNothing(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	acts := d.step(Event{Kind: ListChanges, List: []Listing{{Route: "a"}}},
+		Event{Kind: Taken, ID: 1, Left: 9 * time.Second})
+	if has(acts, Send) {
+		t.Errorf("sent to a draining route: %+v", acts)
+	}
+}
+
+func TestToldWaitHoldsTheGate(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"}, Listing{Route: "b"})
+	d.take(1, 0)
+	d.end(1, "a", Full, 10*ms, 700*ms)
+	if acts := d.take(2, 0); has(acts, Send) {
+		t.Errorf("sent during a wait: %+v", acts)
+	}
+	if acts := d.wake(699 * ms); has(acts, Send) {
+		t.Errorf("sent during a wait: %+v", acts)
+	}
+	if acts := d.wake(2 * time.Second); !has(acts, Send) {
+		t.Error("nothing sent after the wait")
+	}
+}
+
+// A wait told to one message of a call whose others were delivered was once lost.
+func TestWaitOfAMixedCall(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a", Kind: 2})
+	d.step(Event{Kind: Taken, ID: 1, Left: 9 * time.Second}, Event{Kind: Taken, ID: 2, Left: 9 * time.Second})
+	d.step(Event{Kind: Finished, ID: 1, Route: "a", Outcome: OK, Ended: true},
+		Event{Kind: Finished, ID: 2, Route: "a", Outcome: Full, Wait: time.Second})
+	if got := d.s.routes["a"].gate.wait; got != d.now+time.Second {
+		t.Errorf("wait until %v, want %v", got, d.now+time.Second)
+	}
+}
+
+func TestRecoverySpacesCalls(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a", Kind: 1, Weight: 5})
+	r := d.s.routes["a"]
+	d.s.now = d.now
+	d.s.doubt(r)
+	r.gate.credit = 0
+	// 2/3 of what topples at the window's end, 2*0.36*5*2 calls, less half a call, in a window that lapses late.
+	rate := (toldShare*2*0.36*5*2 - 0.5) / (2 * (1 + lapseShare)) * (1 - ownPart)
+	if got, want := d.s.coldUntil(r), d.now+span(rate); got != want {
+		t.Errorf("next call at %v, want %v", got, want)
+	}
+	r.back, d.s.now = d.now, d.now+10*time.Second
+	if got := d.s.coldUntil(r); got != 0 || r.cold {
+		t.Errorf("after the warm-up: next call at %v", got)
+	}
+}
+
+// Senders told to wait until a destination opens once all called as it did: their budget had filled meanwhile.
+func TestWaitSavesNoBudgetUp(t *testing.T) {
+	set := settings()
+	set.Senders = 400
+	open := 0
+	for seed := range uint64(400) {
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Step(time.Minute, []Event{{Kind: ListWhole, List: []Listing{{Route: "a", Weight: 400, InService: true}}}})
+		r := s.routes["a"]
+		r.gate.wait = s.now + 10*time.Second
+		s.learn(r, sample{outcome: Full, wait: 10 * time.Second, sent: s.now}, ms)
+		s.coldUntil(r)
+		if s.now = r.gate.wait; s.coldUntil(r) <= s.now {
+			open++
+		}
+	}
+	if open > 4 {
+		t.Errorf("%d of 400 senders call at the end of the wait", open)
+	}
+}
+
+// A sender of hundreds may see one failure of an outage: that is enough to doubt, and one delivery to clear.
+func TestSparseSenderDoubtsOnOneFailure(t *testing.T) {
+	for _, c := range []struct {
+		senders int
+		cold    bool
+	}{{1, false}, {3, false}, {100, true}, {400, true}} {
+		set := settings()
+		set.Senders = c.senders
+		d := newDesk(t, set, Listing{Route: "a", Weight: 4})
+		r := d.s.routes["a"]
+		d.s.now = d.now
+		d.s.learn(r, sample{outcome: Timeout, sent: d.now}, time.Second)
+		if r.cold != c.cold {
+			t.Errorf("%d senders: in doubt %v after one failure", c.senders, r.cold)
+		}
+		d.s.learn(r, sample{outcome: OK, sent: d.now}, ms)
+		if r.cold {
+			t.Errorf("%d senders: in doubt after a delivery", c.senders)
+		}
+	}
+}
+
+// A shut destination was pushed over by hundreds of senders that it had refused twice each.
+func TestSparseSenderDoubtsOnTwoRefusals(t *testing.T) {
+	for _, c := range []struct {
+		senders   int
+		gap, wait time.Duration
+		cold      bool
+	}{
+		{20, shutSpan, 0, true},
+		{20, shutSpan - ms, 0, false},  // a clump: over by then
+		{20, shutSpan, 500 * ms, true}, // waits are told by shut destinations too
+		{10, shutSpan, 0, true},        // its part is more than a call in the span of a fall: a warm-up follows
+		{1, shutSpan, 0, false},
+	} {
+		set := settings()
+		set.Senders = c.senders
+		d := newDesk(t, set, Listing{Route: "a", Weight: 4})
+		r := d.s.routes["a"]
+		d.s.now = d.now
+		d.s.learn(r, sample{outcome: Full, sent: d.now, wait: c.wait}, ms)
+		d.s.now += c.gap
+		d.s.learn(r, sample{outcome: Full, sent: d.s.now, wait: c.wait}, ms)
+		if r.cold != c.cold {
+			t.Errorf("%+v: in doubt %v", c, r.cold)
+		}
+	}
+}
+
+// Hundreds of senders refused once by a shut destination, or told by one failed connection of a crashed one,
+// pushed it over together as it came back. Most of them doubt now; where each sees more of a route, none does yet.
+func TestHintsCastDoubtByChance(t *testing.T) {
+	for _, c := range []struct {
+		senders     int
+		outcome     Outcome
+		alive       bool
+		least, most int // in doubt, of 200
+	}{
+		{400, Full, false, 100, 140},
+		{400, ConnectFailed, false, 100, 140},
+		{400, Full, true, 0, 0}, // it answered within the last seconds
+		{3, Full, false, 0, 0},
+		{20, Full, false, 0, 0}, // its part is more than a call in a warm-up
+	} {
+		set := settings()
+		set.Senders = c.senders
+		n := 0
+		for seed := range uint64(200) {
+			s, err := New(set, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Step(time.Minute, []Event{{Kind: ListWhole, List: []Listing{{Route: "a", Weight: 4, InService: true}}}})
+			r := s.routes["a"]
+			s.scarce[0] = s.now + time.Minute
+			if c.alive {
+				s.delivered(r, s.now, ms)
+			}
+			s.learn(r, sample{outcome: c.outcome, sent: s.now}, ms)
+			if r.cold {
+				n++
+			}
+		}
+		if n < c.least || n > c.most {
+			t.Errorf("%+v: %d of 200 in doubt", c, n)
+		}
+	}
+}
+
+// Short-lived messages once had two tries of half their time each, both cut off before the answer.
+func TestShortTimeGoesToOneTry(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	for _, c := range []struct{ left, want time.Duration }{
+		{1200 * ms, 1200*ms - endMargin},
+		{8 * time.Second, 1600 * ms}, // what an answer not measured yet may take
+	} {
+		acts := d.step(Event{Kind: Taken, ID: uint32(c.left), Left: c.left})
+		if len(acts) != 1 || acts[0].Kind != Send || acts[0].At-d.now != c.want {
+			t.Errorf("%v left: %+v, want one try cut after %v", c.left, acts, c.want)
+		}
+	}
+}
+
+// Messages once waited to their deadlines at destinations that would open after them.
+func TestWhatWaitsForNothingIsRefused(t *testing.T) {
+	set := settings()
+	set.Senders = 400
+	d := newDesk(t, set, Listing{Route: "a", Weight: 4})
+	r := d.s.routes["a"]
+	d.s.now = d.now
+	d.s.doubt(r)
+	r.gate.credit = 0
+	if acts := d.take(1, 0); !has(acts, Refuse) {
+		t.Errorf("opens in %v: %+v, want a refusal", d.s.coldUntil(r)-d.now, acts)
+	}
+	if acts := d.take(2, 2); has(acts, Refuse) != d.s.mayRefuse(&message{class: &set.Classes[2]}) {
+		t.Errorf("unsafe, nothing sent: %+v", acts)
+	}
+	r.gate.credit = 1 - d.s.coldRate(r) // opens in a second
+	d.s.touch(r.gate.dest)
+	if acts := d.take(3, 0); has(acts, Refuse) {
+		t.Errorf("opens in a second: %+v, want it held", acts)
+	}
+}
+
+// Calls saved up by hundreds of senders through a long outage once went out together at its end.
+func TestDueCallsLapse(t *testing.T) {
+	set := settings()
+	d := newDesk(t, set, Listing{Route: "a", Kind: 1, Weight: 4})
+	r := d.s.routes["a"]
+	d.s.now = d.now
+	d.s.doubt(r)
+	r.gate.credit = 0
+	rate := d.s.coldRate(r)
+	open := 0
+	const steps = 10000
+	for range steps {
+		d.s.now += 10 * ms
+		if d.s.coldUntil(r) <= d.s.now {
+			open++
+		}
+	}
+	want := rate * lapseShare * set.OverloadWindow.Seconds()
+	if got := float64(open) / steps; math.Abs(got-want) > 0.1*want {
+		t.Errorf("a call is due %.3f of the time, want %.3f", got, want)
+	}
+}
+
+// A wake that came a fraction early was taken as still to come, and the message it was for had no answer.
+func TestEarlyWakeIsAskedForAgain(t *testing.T) {
+	d := newDesk(t, settings())
+	d.take(1, 0)
+	d.now += 1500 * ms
+	at := d.now
+	d.s.wake(at + 500*time.Nanosecond)
+	d.s.wakeAt, d.s.wantWake = d.s.wantWake, 0
+	acts := d.s.Step(at, []Event{{Kind: Woken}})
+	if !has(acts, Wake) {
+		t.Errorf("no wake asked for: %+v", acts)
+	}
+}
+
+// Idle connections of hundreds of senders once filled the tables of destinations.
+func TestScarceConnectionsAreClosedAfterUse(t *testing.T) {
+	for _, c := range []struct {
+		senders int
+		want    bool
+	}{{fewSenders, false}, {100, true}} {
+		set := settings()
+		set.Senders = c.senders
+		d := newDesk(t, set, Listing{Route: "a"}, Listing{Route: "b", Destination: 1})
+		d.take(1, 0)
+		d.end(1, "a", ConnectFailed, 10*ms, 0)
+		d.step(Event{Kind: Taken, ID: 2, Destination: 1, Left: 9 * time.Second})
+		if got := has(d.end(2, "b", OK, 10*ms, 0), CloseIdle); got != c.want {
+			t.Errorf("%d senders: closed %v after a failed connection of the kind", c.senders, got)
+		}
+	}
+}
+
+// Two failed connections at a full table once put a destination in doubt for its whole warm-up.
+func TestFullTableIsNoOutage(t *testing.T) {
+	for _, c := range []struct {
+		senders, fails int
+		took           time.Duration
+		cold           bool
+	}{
+		{20, 2, 10 * ms, false},             // a full table
+		{100, tightMost + 3, 10 * ms, true}, // an outage after all
+		{100, 3, time.Second, true},         // not at once: silence
+		{3, 3, 10 * ms, true},               // few senders fill no table
+	} {
+		set := settings()
+		set.Senders = c.senders
+		d := newDesk(t, set, Listing{Route: "a", Weight: 4}, Listing{Route: "b", Weight: 4})
+		d.s.now = d.now
+		d.s.scarce[0] = d.now + time.Minute
+		for range c.fails {
+			d.s.learn(d.s.routes["a"], sample{outcome: ConnectFailed, sent: d.now - c.took}, c.took)
+		}
+		if got := d.s.routes["a"].cold; got != c.cold {
+			t.Errorf("%+v: in doubt %v", c, got)
+		}
+	}
+}
+
+// At a call in some seconds a pace once recovered thirty times slower than at ten a second.
+func TestPaceRecoversWithTime(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a", Kind: 1})
+	g := d.s.routes["a"].gate
+	g.pace, g.halvedAt, g.tokensAt = 0.1, d.now, d.now
+	d.s.now = d.now + 4*time.Second
+	d.s.creep(g)
+	if want := 0.1 * math.Pow(1+paceCreep, 4); math.Abs(g.pace-want) > 1e-9 {
+		t.Errorf("pace %v after a success in 4 s, want %v", g.pace, want)
+	}
+}
+
+// A replacement listed during an outage was once sent to at full pace.
+func TestReplacementInheritsDoubt(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	for id := range uint32(3) {
+		d.take(id, 0)
+		d.end(id, "a", ConnectFailed, time.Second, 0)
+		d.step(Event{Kind: Withdrawn, ID: id})
+	}
+	d.step(Event{Kind: ListChanges, List: []Listing{{Route: "a", Gone: true}, {Route: "n", InService: true}}})
+	if d.s.coldUntil(d.s.routes["n"]) == 0 {
+		t.Error("the replacement of a failing route is not under the recovery budget")
+	}
+}
+
+func TestKeyTakesTurnsAndRests(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	d.step(Event{Kind: Taken, ID: 1, Key: "k", Class: 2, Left: 9 * time.Second},
+		Event{Kind: Taken, ID: 2, Key: "k", Class: 2, Left: 9 * time.Second})
+	if acts := d.end(1, "a", Timeout, time.Second, 0); has(acts, Send) {
+		t.Errorf("sent while the key rests: %+v", acts)
+	}
+	if acts := d.wake(99 * ms); has(acts, Send) {
+		t.Errorf("sent while the key rests: %+v", acts)
+	}
+	if acts := d.wake(ms); !has(acts, Send) {
+		t.Error("the next message of the key was not sent after the rest")
+	}
+}
+
+// Time-outs of calls that later ones overtook once skipped routes that lost single calls.
+func TestLostCallIsNoEvidence(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	r := d.s.routes["a"]
+	d.s.now = d.now
+	d.s.learn(r, sample{outcome: OK, sent: d.now}, ms)
+	for range 5 {
+		d.s.learn(r, sample{outcome: Timeout, sent: d.now - time.Second}, time.Second)
+	}
+	if r.down || r.cold || r.streak != 0 {
+		t.Errorf("down %v, cold %v, streak %d after lost calls", r.down, r.cold, r.streak)
+	}
+}
+
+// Scattered resets once put living routes under the recovery budget.
+func TestResetAtALivingRouteIsNoEvidence(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	r := d.s.routes["a"]
+	d.s.now = d.now
+	d.s.learn(r, sample{outcome: OK, sent: d.now}, ms)
+	d.s.learn(r, sample{outcome: Reset, sent: d.now + 1}, ms)
+	d.s.learn(r, sample{outcome: Reset, sent: d.now + 1}, ms)
+	if r.cold {
+		t.Error("in doubt after two resets within 3 s of an answer")
+	}
+	d.s.now += aliveSpan
+	for range 3 {
+		d.s.learn(r, sample{outcome: Reset, sent: d.now + 1}, ms)
+	}
+	if !r.down {
+		t.Error("not skipped after three resets in a row and no answer for 3 s")
+	}
+}
+
+// Under loss without resets, each time-out once restarted the warm-up of a route that went on answering.
+func TestTimeOutsBetweenAnswersKeepTheWarmUp(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	r := d.s.routes["a"]
+	d.s.now = d.now
+	d.s.doubt(r)
+	d.s.learn(r, sample{outcome: OK, sent: d.now}, ms)
+	back := r.back
+	for range 6 {
+		d.s.now += time.Second
+		d.s.learn(r, sample{outcome: Timeout, sent: d.s.now - ms}, time.Second)
+		d.s.learn(r, sample{outcome: OK, sent: d.s.now}, ms)
+	}
+	if back == 0 || r.back != back || r.down {
+		t.Errorf("back at %v, then %v, down %v", back, r.back, r.down)
+	}
+	d.s.now += time.Second
+	for range 2 {
+		d.s.learn(r, sample{outcome: Timeout, sent: d.s.now}, time.Second)
+	}
+	if r.back != 0 {
+		t.Error("two time-outs in a row did not restart the warm-up")
+	}
+}
+
+// Calls cut off after milliseconds once kept recovered routes skipped.
+func TestShortCallSkipsNothing(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"})
+	r := d.s.routes["a"]
+	d.s.now = d.now
+	for range 5 {
+		d.s.learn(r, sample{outcome: Timeout, sent: d.now, short: true}, ms)
+	}
+	if r.down || !r.cold {
+		t.Errorf("down %v, cold %v after short calls", r.down, r.cold)
+	}
+}
+
+// Calls of a route whose last call failed carry one message: ten once shared each failed trial.
+func TestBatches(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a", Kind: 2})
+	three := func(first uint32) int {
+		var evs []Event
+		for i := range uint32(3) {
+			evs = append(evs, Event{Kind: Taken, ID: first + i, Left: 9 * time.Second})
+		}
+		before := len(d.s.routes["a"].calls)
+		d.step(evs...)
+		return len(d.s.routes["a"].calls) - before
+	}
+	if n := three(1); n != 1 {
+		t.Errorf("three messages in %d calls, want 1", n)
+	}
+	d.s.routes["a"].streak = 1
+	if n := three(4); n != 3 {
+		t.Errorf("three messages in %d calls after a failure, want 3", n)
+	}
+}
+
+func TestOverdueCallsKeepSlotsFree(t *testing.T) {
+	set := settings()
+	set.Slots = 8
+	d := newDesk(t, set, Listing{Route: "a", Kind: 1})
+	d.take(1, 0)
+	d.take(2, 0)
+	d.now += 5 * time.Second
+	if acts := d.take(3, 0); has(acts, Send) {
+		t.Errorf("a third call to a silent route: %+v", acts)
+	}
+}
+
+func TestRoomIsMadeFromTheLongestQueue(t *testing.T) {
+	set := settings()
+	set.MaxHeld = 10
+	d := newDesk(t, set)
+	for id := range uint32(9) {
+		d.take(id, 0)
+	}
+	acts := d.step(Event{Kind: Taken, ID: 20, Destination: 4, Left: 60 * time.Second})
+	if len(acts) != 1 || acts[0].Kind != Refuse || acts[0].ID == 20 {
+		t.Errorf("with little room left: %+v", acts)
+	}
+}
+
+func TestLateMessagesGoAfterThoseInTime(t *testing.T) {
+	d := newDesk(t, settings())
+	d.take(1, 0)
+	d.wake(3 * time.Second)
+	d.take(2, 0)
+	acts := d.step(Event{Kind: ListChanges, List: []Listing{{Route: "a", InService: true}}})
+	if len(acts) != 2 || acts[0].ID != 2 || acts[1].ID != 1 {
+		t.Errorf("order of sends: %+v", acts)
+	}
+}
+
+func TestNewRefusesSettingsWithoutSense(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"no class":       func(s *Settings) { s.Classes = nil },
+		"negative slots": func(s *Settings) { s.Slots = -1 },
+		"negative aim":   func(s *Settings) { s.Classes[0].Aim = -1 },
+		"negative pause": func(s *Settings) { s.OrderPause = -1 },
+		"no number":      func(s *Settings) { s.ColdShare = math.NaN() },
+		"endless value":  func(s *Settings) { s.Classes[0].Value = math.Inf(1) },
+	} {
+		set := settings()
+		spoil(&set)
+		if _, err := New(set, 1); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// A message of no known class ends once, under the strictest rules; a weight that is no number tells nothing.
+func TestUnknownClassAndWeight(t *testing.T) {
+	for _, class := range []int{-1, 99} {
+		d := newDesk(t, settings(), Listing{Route: "a", Weight: math.NaN()}, Listing{Route: "b", Kind: 77})
+		if got := goesTo(d.take(1, class)); got == "" {
+			t.Fatalf("class %d: not sent", class)
+		}
+		if acts := d.end(1, "a", Timeout, time.Second, 0); !has(acts, Fail) || has(acts, Send) {
+			t.Errorf("class %d: %+v after a time-out", class, acts)
+		}
+	}
+}
+
+func TestSpanIsBounded(t *testing.T) {
+	if span(0) != time.Hour || span(1e-9) != time.Hour || span(math.Inf(1)) != 0 || span(4) != 250*ms {
+		t.Errorf("spans %v %v %v", span(0), span(1e-9), span(4))
+	}
+}
+
+// Turns were once kept for good when their rest outlasted their last message, and destinations always.
+func TestNothingIsHeldForWhatHasGone(t *testing.T) {
+	set := settings()
+	set.Slots, set.MaxHeld = 50, 100
+	d := newDesk(t, set)
+	for i := range 300 {
+		id, name := uint32(i), fmt.Sprint("r", i)
+		d.step(Event{Kind: ListChanges, List: []Listing{{Route: name, Destination: i, InService: true}}})
+		d.step(Event{Kind: Taken, ID: id, Key: name, Class: 2, Destination: i, Left: 9 * time.Second})
+		d.end(id, name, Timeout, time.Second, 0)
+		d.step(Event{Kind: ListChanges, List: []Listing{{Route: name, Destination: i, Gone: true}}})
+	}
+	d.now += time.Minute
+	d.step(Event{Kind: Woken}, Event{Kind: ListChanges})
+	s := d.s
+	if n := len(s.turns) + len(s.dests) + len(s.order) + len(s.routes) + len(s.msgs) + len(s.active) + len(s.bare); n != 0 {
+		t.Errorf("held: %d turns, %d destinations (%d in order), %d routes, %d messages, %d active, %d bare",
+			len(s.turns), len(s.dests), len(s.order), len(s.routes), len(s.msgs), len(s.active), len(s.bare))
+	}
+}
+
+// Destinations with nothing to do are not looked at: the next dispatch once walked them all.
+func TestOnlyTouchedDestinationsAreLookedAt(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a"}, Listing{Route: "b", Destination: 1})
+	d.take(1, 0)
+	d.end(1, "a", Full, ms, 5*time.Second)
+	if len(d.s.active) != 1 || d.s.active[0].opens <= d.now {
+		t.Fatalf("active %d, want the one destination that waits, closed", len(d.s.active))
+	}
+	opens := d.s.active[0].opens
+	d.step(Event{Kind: Taken, ID: 2, Destination: 1, Left: 9 * time.Second})
+	if len(d.s.active) != 1 || d.s.active[0].opens != opens {
+		t.Error("a message for another destination had the closed one looked at again")
+	}
+}
--- /dev/null
+++ b/policy/property_test.go
@@ -0,0 +1,467 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// The property test plays long random but legal event sequences against a Sender and judges its actions
+// by the six rules. The checker keeps its own books and shares nothing with the module's guards. To show
+// that it can fail, TestCheckerSeesMissingGuards blinds a Sender for one guard at a time.
+
+// blind changes what the Sender is told, as if one of its guards were taken out.
+type blind struct {
+	name     string
+	rule     int
+	settings func(*Settings)
+	event    func(*Event)
+}
+
+type trial struct {
+	route string
+	sent  time.Duration
+	out   bool // no outcome yet
+	ran   bool // may have run
+}
+
+type held struct {
+	id       uint32
+	class    Class
+	key      string
+	dest     int
+	deadline time.Duration
+	tries    []trial
+	ended    bool
+}
+
+type due struct {
+	at time.Duration
+	ev Event
+	c  *callOut
+}
+
+// callOut is one call of the world: messages to one route in one reply.
+type callOut struct{ left int }
+
+// world is the clients, the routes and the checker.
+type world struct {
+	rng      *rand.Rand
+	set      Settings
+	now      time.Duration
+	routes   []Listing
+	listed   map[string]Listing // as told
+	msgs     map[uint32]*held
+	keys     map[string][]*held
+	rest     map[string]time.Duration
+	waits    map[string]time.Duration   // by scope
+	outage   map[int][2]time.Duration   // by destination: from, to
+	told     map[string]int             // failures told in a row, by scope
+	sends    map[string][]time.Duration // by scope, since the return
+	pending  []due
+	nextID   uint32
+	slots    int
+	broken   map[int]string
+	answered int
+	ends     [3]int // sends, refusals, failures
+}
+
+func (w *world) fail(rule int, format string, args ...any) {
+	if w.broken[rule] == "" {
+		w.broken[rule] = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) scope(l Listing) string {
+	if w.set.Kinds[l.Kind].Separate {
+		return l.Route
+	}
+	return fmt.Sprint(l.Destination)
+}
+
+func randomSettings(rng *rand.Rand) Settings {
+	return Settings{
+		Classes: []Class{
+			{Effect: Safe, Aim: 2 * time.Second, GiveUp: 8 * time.Second, Value: 1},
+			{Effect: Keyed, Window: 4 * time.Second, Aim: 2 * time.Second, GiveUp: 9 * time.Second, Value: 2},
+			{Effect: Keyed, GroupAll: true, Window: 5 * time.Second, Aim: time.Second, GiveUp: 6 * time.Second},
+			{Effect: Unsafe, Ordered: true, Aim: 2 * time.Second, GiveUp: 10 * time.Second, Value: 4},
+			{Effect: Safe, Ordered: true, Aim: time.Second, GiveUp: 5 * time.Second, Value: 1},
+		},
+		Kinds:     []Kind{{Separate: false, PerCall: 1 + 3*rng.IntN(2)}, {Separate: true, PerCall: 1}},
+		Customers: []Customer{{Quota: 5}, {}},
+		Senders:   1, Slots: 3 + rng.IntN(12), MaxHeld: 30 + rng.IntN(200), MaxAttempts: 4 + rng.IntN(8),
+		MaxRetryAfter: 2 * time.Second,
+		ColdShare:     0.05, WarmWithin: 20 * time.Second, OverloadFactor: 1, OverloadWindow: 3 * time.Second,
+		OrderPause: 150 * time.Millisecond,
+	}
+}
+
+func newWorld(seed uint64) *world {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	w := &world{rng: rng, set: randomSettings(rng), now: time.Minute, broken: map[int]string{}, nextID: 1}
+	w.outage = map[int][2]time.Duration{}
+	for d := range 4 {
+		for i := range 1 + rng.IntN(3) {
+			w.routes = append(w.routes, Listing{
+				Route: fmt.Sprintf("r%d-%d", d, i), Destination: d, Kind: d % 2, Zone: i % 2, Weight: 6, InService: true,
+			})
+		}
+		from := w.now + time.Duration(5+rng.IntN(20))*time.Second
+		w.outage[d] = [2]time.Duration{from, from + time.Duration(6+rng.IntN(8))*time.Second}
+	}
+	w.forget()
+	return w
+}
+
+// forget starts the books anew, as for a fresh Sender.
+func (w *world) forget() {
+	w.listed, w.msgs, w.keys = map[string]Listing{}, map[uint32]*held{}, map[string][]*held{}
+	w.rest, w.waits, w.told = map[string]time.Duration{}, map[string]time.Duration{}, map[string]int{}
+	w.sends, w.pending, w.slots = map[string][]time.Duration{}, nil, 0
+}
+
+// due events up to now, and new ones by chance.
+func (w *world) events(quiet bool) []Event {
+	var evs []Event
+	slices.SortStableFunc(w.pending, func(a, b due) int { return int(a.at - b.at) })
+	for len(w.pending) > 0 && w.pending[0].at <= w.now {
+		p := w.pending[0]
+		w.pending = w.pending[1:]
+		if p.c != nil {
+			if p.c.left--; p.c.left == 0 {
+				w.slots--
+			}
+		}
+		if p.ev.Kind == Finished {
+			w.note(&p.ev)
+		}
+		evs = append(evs, p.ev)
+	}
+	if quiet {
+		return evs
+	}
+	for w.rng.IntN(4) == 0 {
+		c := w.rng.IntN(len(w.set.Classes))
+		key := ""
+		if w.set.Classes[c].Ordered {
+			key = fmt.Sprint("k", w.rng.IntN(5))
+		}
+		m := &held{id: w.nextID, class: w.set.Classes[c], key: key, dest: w.rng.IntN(5)}
+		left := m.class.GiveUp - time.Duration(w.rng.IntN(2000))*time.Millisecond
+		m.deadline = w.now + left
+		w.nextID++
+		w.msgs[m.id] = m
+		if key != "" {
+			w.keys[key] = append(w.keys[key], m)
+		}
+		evs = append(evs, Event{Kind: Taken, ID: m.id, Key: key, Class: c, Customer: w.rng.IntN(2),
+			Destination: m.dest, Left: left})
+	}
+	switch w.rng.IntN(400) {
+	case 0: // a route drains, or comes back
+		l := &w.routes[w.rng.IntN(len(w.routes))]
+		l.InService = !l.InService
+		w.listed[l.Route] = *l
+		evs = append(evs, Event{Kind: ListChanges, List: []Listing{*l}})
+	case 1: // a route goes for good and another takes its place
+		i := w.rng.IntN(len(w.routes))
+		old := w.routes[i]
+		old.Gone, old.InService = true, false
+		w.listed[old.Route] = old
+		w.routes[i].Route += "n"
+		w.routes[i].InService = true
+		w.listed[w.routes[i].Route] = w.routes[i]
+		evs = append(evs, Event{Kind: ListChanges, List: []Listing{old, w.routes[i]}})
+	case 2: // a client goes
+		for id := uint32(1); id < w.nextID; id++ {
+			if m := w.msgs[id]; m != nil && !m.ended {
+				m.ended = true
+				evs = append(evs, Event{Kind: Withdrawn, ID: id})
+				break
+			}
+		}
+	case 3: // events of messages never held
+		evs = append(evs, Event{Kind: Finished, ID: 4e9, Route: "nowhere", Outcome: Timeout},
+			Event{Kind: Withdrawn, ID: 4e9 + 1}, Event{Kind: Woken})
+	}
+	return evs
+}
+
+// note books an outcome before the Sender hears of it.
+func (w *world) note(e *Event) {
+	m := w.msgs[e.ID]
+	if m == nil {
+		return
+	}
+	t := &m.tries[e.Attempt]
+	t.out = false
+	t.ran = e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Moot
+	if e.Outcome == OK {
+		m.ended = true
+		w.answered++
+	}
+	e.Ended = m.ended
+	if e.Outcome == Timeout || e.Outcome == Reset || e.Outcome == Cancelled {
+		w.rest[m.key] = max(w.rest[m.key], w.now+w.set.OrderPause)
+	}
+	l := w.listed[e.Route]
+	if e.Wait > 0 {
+		w.waits[w.scope(l)] = max(w.waits[w.scope(l)], w.now+e.Wait)
+	}
+	switch e.Outcome {
+	case OK:
+		w.told[w.scope(l)] = 0
+	case Timeout, ConnectFailed, Error, Reset:
+		if span := w.outage[m.dest]; w.now-e.Took >= span[0] && w.now < span[1] {
+			w.told[w.scope(l)]++
+		}
+	}
+}
+
+func (w *world) act(acts []Action) {
+	calls := map[string]*callOut{}
+	for _, a := range acts {
+		m := w.msgs[a.ID]
+		if (a.Kind == Send || a.Kind == Refuse || a.Kind == Fail) && m == nil {
+			w.fail(1, "an action for unknown message %d", a.ID)
+			continue
+		}
+		switch a.Kind {
+		case Send:
+			w.ends[0]++
+			w.judgeSend(m, a)
+			w.call(m, a, calls)
+		case Refuse:
+			w.ends[1]++
+			free := m.class.Effect == Safe || m.class.Effect == Keyed && m.class.GroupAll
+			for _, t := range m.tries {
+				if (t.ran || t.out) && !free {
+					w.fail(2, "message %d refused though it may have run", m.id)
+				}
+			}
+			m.ended = true
+		case Fail:
+			w.ends[2]++
+			m.ended = true
+		case Wake:
+			w.pending = append(w.pending, due{at: w.now + a.Delay, ev: Event{Kind: Woken}})
+		}
+	}
+}
+
+func (w *world) judgeSend(m *held, a Action) {
+	l, known := w.listed[a.Route]
+	if m.ended || w.now >= m.deadline || len(m.tries) >= w.set.MaxAttempts {
+		w.fail(1, "message %d sent after its end", m.id)
+	}
+	for _, t := range m.tries {
+		if t.out {
+			w.fail(2, "message %d sent twice at once", m.id)
+		}
+	}
+	if i := slices.IndexFunc(m.tries, func(t trial) bool { return t.ran }); i >= 0 {
+		first := m.tries[i]
+		switch {
+		case m.class.Effect == Unsafe:
+			w.fail(2, "unsafe message %d sent again", m.id)
+		case m.class.Effect == Keyed && w.now >= first.sent+m.class.Window:
+			w.fail(2, "keyed message %d sent after its window", m.id)
+		case m.class.Effect == Keyed && !m.class.GroupAll && w.listed[first.route].Zone != l.Zone:
+			w.fail(2, "keyed message %d sent outside its group", m.id)
+		}
+	}
+	if !known || !l.InService || l.Gone || l.Destination != m.dest {
+		w.fail(3, "message %d sent to %s, which is not in service", m.id, a.Route)
+	}
+	if w.waits[w.scope(l)] > w.now {
+		w.fail(5, "message %d sent to %s during a wait", m.id, a.Route)
+	}
+	if m.key != "" {
+		for _, o := range w.keys[m.key] {
+			if o == m {
+				break
+			}
+			if !o.ended || slices.ContainsFunc(o.tries, func(t trial) bool { return t.out }) {
+				w.fail(6, "message %d sent before %d", m.id, o.id)
+			}
+		}
+		if len(m.tries) == 0 && w.rest[m.key] > w.now {
+			w.fail(6, "message %d sent while its key rests", m.id)
+		}
+	}
+}
+
+// judgeReturn checks the budget of a destination that came back cold: calls of any window since the
+// return, for a Sender told of its failures.
+func (w *world) judgeReturn(d string, back time.Duration) {
+	w.sends[d] = append(w.sends[d], w.now)
+	n := 0
+	for _, at := range w.sends[d] {
+		if at > w.now-w.set.OverloadWindow {
+			n++
+		}
+	}
+	share := w.set.ColdShare + (1-w.set.ColdShare)*float64(w.now-back)/float64(w.set.WarmWithin)
+	if share >= 1 {
+		return
+	}
+	most := w.set.OverloadFactor*share*6*w.set.OverloadWindow.Seconds() + 1.5 // 6: the listed weight
+	if float64(n) > most {
+		w.fail(4, "%d calls to %s in %v, %.1f at most", n, d, w.set.OverloadWindow, most)
+	}
+}
+
+// call plays an attempt: its outcome comes later, at its cut at the latest.
+func (w *world) call(m *held, a Action, calls map[string]*callOut) {
+	l := w.listed[a.Route]
+	e := Event{Kind: Finished, ID: m.id, Attempt: len(m.tries), Route: a.Route}
+	m.tries = append(m.tries, trial{route: a.Route, sent: w.now, out: true})
+	c := calls[a.Route]
+	if c == nil || c.left >= w.set.Kinds[l.Kind].PerCall {
+		c = &callOut{}
+		calls[a.Route] = c
+		if w.slots++; w.slots > w.set.Slots {
+			w.fail(1, "%d calls out, %d at most", w.slots, w.set.Slots)
+		}
+		span := w.outage[m.dest]
+		sc := w.scope(l)
+		if w.now >= span[1] && w.now < span[1]+w.set.WarmWithin && (w.told[sc] >= 3 || w.sends[sc] != nil) {
+			w.judgeReturn(sc, span[1])
+		}
+	}
+	c.left++
+	took := time.Duration(20+w.rng.IntN(400)) * time.Millisecond
+	down := w.now >= w.outage[m.dest][0] && w.now < w.outage[m.dest][1]
+	switch n := w.rng.IntN(40); {
+	case down && m.dest%3 == 0:
+		took = time.Hour // silent
+	case down && m.dest%3 == 1:
+		e.Outcome = ConnectFailed
+	case down:
+		e.Outcome = Error
+	case n < 4:
+		e.Outcome = Full
+		if n < 2 {
+			e.Wait = time.Duration(200+w.rng.IntN(900)) * time.Millisecond
+		}
+	case n == 4:
+		e.Outcome = []Outcome{Error, Reset, Cancelled, Moot}[w.rng.IntN(4)]
+	case n == 5:
+		took = time.Hour
+	}
+	if m.dest%3 == 2 && w.now >= w.outage[m.dest][0]-time.Second {
+		took = min(took, 300*time.Millisecond)
+	}
+	at := w.now + took
+	if cut := min(a.At, m.deadline); at > cut {
+		at, e.Outcome, e.Wait = max(cut, w.now+time.Millisecond), Timeout, 0
+	}
+	e.Took = at - w.now
+	w.pending = append(w.pending, due{at: at, ev: e, c: c})
+}
+
+// play runs one world and returns the rules broken.
+func play(t *testing.T, seed uint64, b blind) *world {
+	t.Helper()
+	w := newWorld(seed)
+	start := func() (*Sender, []Event) {
+		set := w.set
+		set.Classes = slices.Clone(set.Classes)
+		if b.settings != nil {
+			b.settings(&set)
+		}
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.forget()
+		for _, l := range w.routes {
+			w.listed[l.Route] = l
+		}
+		return s, []Event{{Kind: ListWhole, List: slices.Clone(w.routes)}}
+	}
+	s, first := start()
+	restart := w.now + time.Duration(30+w.rng.IntN(10))*time.Second
+	end := w.now + time.Minute
+	for w.now < end {
+		w.now += 5 * time.Millisecond
+		if restart > 0 && w.now >= restart {
+			s, first = start()
+			restart = 0
+		}
+		evs := append(first, w.events(w.now > end-15*time.Second)...)
+		first = nil
+		if b.event != nil {
+			for i := range evs {
+				b.event(&evs[i])
+			}
+		}
+		if len(evs) > 0 {
+			w.act(s.Step(w.now, evs))
+		}
+		for id, m := range w.msgs {
+			over := m.ended && !slices.ContainsFunc(m.tries, func(t trial) bool { return t.out })
+			if !m.ended && w.now > m.deadline+20*time.Millisecond {
+				w.fail(1, "message %d has no answer at its deadline", id)
+				m.ended = true
+			}
+			if over && m.key == "" {
+				delete(w.msgs, id)
+			}
+		}
+	}
+	return w
+}
+
+func TestSixRules(t *testing.T) {
+	for seed := range uint64(60) {
+		w := play(t, seed, blind{})
+		for rule := 1; rule <= 6; rule++ {
+			if w.broken[rule] != "" {
+				t.Errorf("seed %d, rule %d: %s", seed, rule, w.broken[rule])
+			}
+		}
+		if w.answered < 150 || w.ends[1] == 0 || w.ends[2] == 0 {
+			t.Errorf("seed %d: %d answered, %v sends, refusals, failures: the run shows too little",
+				seed, w.answered, w.ends)
+		}
+	}
+}
+
+func TestCheckerSeesMissingGuards(t *testing.T) {
+	for _, b := range []blind{
+		{name: "deadline", rule: 1, event: func(e *Event) { e.Left += time.Second }},
+		{name: "unsafe", rule: 2, settings: func(s *Settings) { s.Classes[3].Effect = Safe }},
+		{name: "group", rule: 2, settings: func(s *Settings) { s.Classes[1].GroupAll = true }},
+		{name: "window", rule: 2, settings: func(s *Settings) { s.Classes[1].Window = time.Hour }},
+		{name: "drain", rule: 3, event: func(e *Event) {
+			if e.Kind == ListChanges {
+				e.List = nil
+			}
+		}},
+		{name: "recovery", rule: 4, settings: func(s *Settings) { s.OverloadFactor = 1000 }},
+		{name: "wait", rule: 5, event: func(e *Event) { e.Wait = 0 }},
+		{name: "turn", rule: 6, settings: func(s *Settings) { s.Classes[3].Ordered, s.Classes[4].Ordered = false, false }},
+		{name: "rest", rule: 6, settings: func(s *Settings) { s.OrderPause = 0 }},
+	} {
+		t.Run(b.name, func(t *testing.T) {
+			for seed := range uint64(12) {
+				if play(t, seed, b).broken[b.rule] != "" {
+					return
+				}
+			}
+			t.Errorf("rule %d was broken by no run without its guard", b.rule)
+		})
+	}
+}
+
+// Equal events give equal actions.
+func TestDeterminism(t *testing.T) {
+	a, b := play(t, 3, blind{}), play(t, 3, blind{})
+	if a.ends != b.ends || a.answered != b.answered || a.nextID != b.nextID {
+		t.Errorf("two runs differ: %v %d, %v %d", a.ends, a.answered, b.ends, b.answered)
+	}
+}
