--- /dev/null
+++ b/internal/relay/config.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wire"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Config is all that a relay is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // address of discovery's agent
+	StateDir  string // the folder that outlasts the process
+	Seed      uint64
+	Limits    Limits
+	Known     List // hosts as this relay last had them; may be old or empty
+	Settings  policy.Settings
+
+	Classes   []string
+	Customers []string // empty: the site has none
+	Zones     []string
+	Kinds     []string
+
+	ConnectTimeout time.Duration
+	KeepAlive      time.Duration // hosts close a connection that stood idle for so long
+	Tick           time.Duration // the module is asked no more often than this
+	MayDuplicate   bool          // two attempts of a message may be out at once
+	Reports        []string      // fields of the hosts' load reports; empty: none are sent
+}
+
+// Limits are those of the relay's machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+	DiskMB   float64 `json:"disk_mb"`
+}
+
+// LoadConfig reads the file that ROUTER_CONFIG names; the other ROUTER_ variables go before it.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	data, err := os.ReadFile(getenv("ROUTER_CONFIG"))
+	if err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	c, err := parseConfig(data)
+	if err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	for name, field := range map[string]*string{
+		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_STATE": &c.StateDir,
+	} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	if c.Listen == "" || c.Discovery == "" || c.StateDir == "" {
+		return Config{}, errors.New("config: ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_STATE must be set")
+	}
+	return c, nil
+}
+
+func parseConfig(data []byte) (Config, error) {
+	var file struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     json.RawMessage `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(data, &file); err != nil {
+		return Config{}, err
+	}
+	// What the relay itself goes by; all decisions' settings are mapped by package wire.
+	var own struct {
+		Services []struct{ Name string }
+		Realms   []struct{ Name string }
+		Zones    []string
+		Kinds    []string
+		TickMS   float64 `json:"tick_ms"`
+		Stats    struct {
+			Fields []string
+			How    string
+		}
+		Bounds struct {
+			ConnectTimeoutMS float64 `json:"connect_timeout_ms"`
+			KeepAliveMS      float64 `json:"keepalive_ms"`
+			MayDuplicate     bool    `json:"may_duplicate"`
+		}
+	}
+	if err := json.Unmarshal(file.Settings, &own); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	var tree any
+	if err := json.Unmarshal(file.Settings, &tree); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	values := map[string]string{}
+	flatten(values, "", tree)
+	set, err := wire.Settings(values)
+	if err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	c := Config{
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Settings: set,
+		Zones: own.Zones, Kinds: own.Kinds, MayDuplicate: own.Bounds.MayDuplicate,
+		ConnectTimeout: millis(own.Bounds.ConnectTimeoutMS), KeepAlive: millis(own.Bounds.KeepAliveMS),
+		Tick: millis(own.TickMS),
+	}
+	// A seed that is no hexadecimal number still gives random numbers, the same at each start.
+	c.Seed, _ = strconv.ParseUint(file.Seed, 16, 64)
+	for _, s := range own.Services {
+		c.Classes = append(c.Classes, s.Name)
+	}
+	for _, r := range own.Realms {
+		c.Customers = append(c.Customers, r.Name)
+	}
+	if own.Stats.How == "answers" {
+		c.Reports = own.Stats.Fields
+	}
+	if len(file.Known) > 0 && string(file.Known) != "null" {
+		if c.Known, err = parseList(file.Known); err != nil {
+			return Config{}, fmt.Errorf("known: %w", err)
+		}
+	}
+	c.setDefaults()
+	return c, nil
+}
+
+// setDefaults fills in what a configuration may leave out.
+func (c *Config) setDefaults() {
+	setDefault(&c.ConnectTimeout, time.Second)
+	setDefault(&c.KeepAlive, 15*time.Second)
+	setDefault(&c.Limits.MemoryMB, 192)
+	setDefault(&c.Limits.Sockets, 1024)
+	setDefault(&c.Limits.DiskMB, 3)
+}
+
+func setDefault[T float64 | int | time.Duration](p *T, v T) {
+	if *p <= 0 {
+		*p = v
+	}
+}
+
+// flatten writes nested JSON as the paths and values of the simulator's wire.
+func flatten(values map[string]string, path string, x any) {
+	switch x := x.(type) {
+	case map[string]any:
+		for k, v := range x {
+			flatten(values, strings.TrimPrefix(path+"."+k, "."), v)
+		}
+	case []any:
+		plain := make([]string, 0, len(x))
+		for i, v := range x {
+			if _, nested := v.(map[string]any); nested {
+				flatten(values, fmt.Sprintf("%s.%d", path, i), v)
+				values[path+".count"] = strconv.Itoa(len(x))
+			} else {
+				plain = append(plain, scalar(v))
+			}
+		}
+		if len(plain) > 0 {
+			values[path] = strings.Join(plain, ",")
+		}
+	case nil:
+	default:
+		values[path] = scalar(x)
+	}
+}
+
+func scalar(x any) string {
+	if f, ok := x.(float64); ok {
+		return strconv.FormatFloat(f, 'f', -1, 64)
+	}
+	return fmt.Sprint(x)
+}
+
+func millis(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
+// List is discovery's list of hosts, whole or changes to it.
+type List struct {
+	Version int64
+	Full    bool
+	Entries []json.RawMessage // each is read by itself: one that cannot be read spoils no other
+}
+
+// member is one entry of the list.
+type member struct {
+	ID     string  `json:"id"`
+	Addr   string  `json:"addr"`
+	Zone   string  `json:"zone"`
+	Kind   string  `json:"kind"`
+	Cell   *int    `json:"cell"`
+	State  string  `json:"state"`
+	Weight float64 `json:"weight"`
+}
+
+func parseList(data []byte) (List, error) {
+	var l struct {
+		Version int64             `json:"version"`
+		Full    bool              `json:"full"`
+		Servers []json.RawMessage `json:"servers"`
+	}
+	if err := json.Unmarshal(data, &l); err != nil {
+		return List{}, err
+	}
+	return List{Version: l.Version, Full: l.Full, Entries: l.Servers}, nil
+}
+
+// listing reads one entry. Its id is returned also where the rest cannot be read.
+func (c *Config) listing(data json.RawMessage) (l policy.Listing, addr string, err error) {
+	var m member
+	if err := json.Unmarshal(data, &m); err != nil {
+		return policy.Listing{Route: m.ID}, "", err
+	}
+	l = policy.Listing{Route: m.ID, Zone: slices.Index(c.Zones, m.Zone), Kind: slices.Index(c.Kinds, m.Kind), Weight: m.Weight}
+	switch m.State {
+	case "ready":
+		l.InService = true
+	case "draining":
+	case "gone":
+		l.Gone = true
+	default:
+		return l, "", fmt.Errorf("unknown state %q", m.State)
+	}
+	switch {
+	case m.ID == "":
+		return l, "", errors.New("no id")
+	case l.Gone:
+		return l, "", nil
+	case m.Addr == "" || m.Cell == nil:
+		return l, "", errors.New("no address or no cell")
+	case l.Zone < 0 || l.Kind < 0:
+		return l, "", fmt.Errorf("unknown zone %q or kind %q", m.Zone, m.Kind)
+	}
+	l.Destination = *m.Cell
+	return l, m.Addr, nil
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,652 @@
+// Package relay carries out on real sockets what package policy decides: it takes messages from clients, calls
+// hosts, follows discovery's list, and keeps what it owes in a write-ahead log. It decides nothing itself.
+//
+// One goroutine, the loop, owns the decision module and the log. Everything that happens comes to it as an
+// event, so that no send leaves on a decision older than what the loop has learned.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+const (
+	eventRoom = 1024
+	batchMost = 512 // events in a step
+
+	// clockStart keeps the module's clock away from 0, which it takes for never.
+	clockStart = time.Second
+
+	// The parts of a planned end, from SIGTERM, after which SIGKILL comes no sooner than 3.7 s. New connections
+	// go on coming for up to 0.4 s.
+	acceptFor = 500 * time.Millisecond
+	answerFor = time.Second             // requests that were read by then have their answers
+	sendFor   = 2200 * time.Millisecond // no new calls after this: they would be cut off with no outcome
+	endBy     = 3300 * time.Millisecond
+)
+
+// The events of the loop, besides policy's own.
+type (
+	handIn struct {
+		m     *wal.Message
+		reply chan answer // takes one without waiting
+	}
+	withdrawal struct{ id uint32 }
+	callEnd    struct {
+		c       *call
+		results []result
+	}
+	cutOff    struct{ a *attempt }
+	clearance struct {
+		route string
+		reply chan bool
+	}
+	confirmed struct{ ids []uint32 } // their notices were taken
+	noSends   struct{}               // from here on only outcomes are noted
+)
+
+// message is a message that the relay has not done with.
+type message struct {
+	*wal.Message
+	sends int  // as the module counts them
+	out   int  // attempts without an outcome
+	ended bool // the module has done with it
+}
+
+// Relay is one relay.
+type Relay struct {
+	cfg    Config
+	log    *slog.Logger
+	hosts  *hosts
+	finals *finals
+	agent  *http.Client
+	events chan any
+	over   chan struct{} // closed when the loop has ended
+	idle   chan struct{} // closed when the relay is stopping and nothing is left to wait for
+	ready  atomic.Bool
+	calls  sync.WaitGroup
+
+	// Owned by the loop.
+	callCtx context.Context
+	started time.Time
+	sender  *policy.Sender
+	wal     *wal.Log
+	found   wal.Recovery // until it is taken up
+	msgs    map[uint32]*message
+	traces  map[string]*message
+	routes  map[string]target
+	held    int // messages that the module has not done with
+	out     int // calls
+	lastID  uint32
+	wakeAt  time.Time      // zero: none asked for
+	later   []policy.Event // for the next step
+	noSends bool
+	idled   bool
+}
+
+// target is what the relay keeps of a listed host.
+type target struct {
+	policy.Listing
+	addr string
+}
+
+// New returns a relay that has read what an earlier process left in the log.
+func New(cfg Config, log *slog.Logger) (*Relay, error) {
+	sender, err := policy.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	w, recovered, err := wal.Open(cfg.StateDir, int64(cfg.Limits.DiskMB*1e6))
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	r := &Relay{
+		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgentClient(),
+		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
+		started: time.Now().Add(-clockStart), sender: sender, wal: w,
+		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
+	}
+	r.finals = newFinals(log, r.agent, cfg.Discovery, func(ids []uint32) { r.post(confirmed{ids}) })
+	r.found = recovered
+	return r, nil
+}
+
+// Run serves until ctx ends, and then ends in order: see endBy.
+func (r *Relay) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", r.cfg.Listen)
+	if err != nil {
+		return errors.Join(fmt.Errorf("relay: %w", err), r.wal.Close())
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	callCtx, stopCalls := context.WithCancel(context.Background())
+	defer stopCalls()
+	r.callCtx = callCtx
+	r.recover() // before clients are told that the relay is ready
+	go r.loop(work)
+	go r.finals.run(work)
+	go watch(work, r.log, r.agent, r.cfg.Discovery, r.cfg.Known.Version, func(l List) { r.post(l) })
+
+	server := r.newServer()
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(netutil.LimitListener(listener, r.cfg.Limits.Sockets/2)) }()
+	r.log.Info("serving", "name", r.cfg.Name, "listen", listener.Addr().String())
+	select {
+	case <-ctx.Done():
+		r.shutDown(server)
+	case err = <-served:
+		err = fmt.Errorf("relay: serve: %w", err)
+	}
+	stopCalls()
+	r.calls.Wait() // their outcomes reach the log
+	stop()
+	<-r.over
+	r.hosts.close()
+	return errors.Join(err, r.wal.Close())
+}
+
+// shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
+// once more on a new connection, which is still taken; what was read is answered, and running calls may finish.
+func (r *Relay) shutDown(server *http.Server) {
+	began := time.Now()
+	by := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
+	r.ready.Store(false)
+	server.SetKeepAlivesEnabled(false)
+	<-by(acceptFor)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(answerFor))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		server.Close() // connections on which no request came
+	}
+	r.post(stopping{})
+	select {
+	case <-r.idle:
+		return
+	case <-by(sendFor):
+	}
+	r.post(noSends{})
+	select {
+	case <-r.idle:
+	case <-by(endBy):
+	}
+}
+
+// stopping tells the loop that no more messages come.
+type stopping struct{}
+
+// post hands an event to the loop; false if that has ended.
+func (r *Relay) post(e any) bool {
+	select {
+	case r.events <- e:
+		return true
+	case <-r.over:
+		return false
+	}
+}
+
+func (r *Relay) now() time.Duration { return time.Since(r.started) }
+
+// recover hands the module the known list and what an earlier process left, in one step.
+func (r *Relay) recover() {
+	found := r.found
+	r.found = wal.Recovery{}
+	var evs []policy.Event
+	if len(r.cfg.Known.Entries) > 0 {
+		known := r.cfg.Known
+		known.Full = true
+		evs = append(evs, r.list(known))
+	}
+	for _, w := range found.Messages {
+		m := &message{Message: w, sends: w.Attempts}
+		r.msgs[m.ID], r.traces[m.Trace] = m, m
+		r.lastID = max(r.lastID, m.ID)
+		switch {
+		case w.Final != nil:
+			m.ended = true
+			r.notify(m)
+		case found.Damaged:
+			// What it has sent may be missing from the log: nothing can be promised.
+			m.ended = true
+			r.wal.Decide(w, wal.Final{})
+			r.notify(m)
+		default:
+			r.held++
+			evs = append(evs, r.resumed(m))
+		}
+	}
+	if len(found.Messages) > 0 || found.Damaged {
+		r.log.Info("recovered", "messages", len(found.Messages), "damaged", found.Damaged)
+	}
+	r.carryOut(r.sender.Step(r.now(), evs), nil)
+}
+
+// resumed tells the module of a message of an earlier process, in the module's own time.
+func (r *Relay) resumed(m *message) policy.Event {
+	e := r.taken(m)
+	e.Resumed = &policy.Resumed{Attempts: m.Attempts}
+	if len(m.MayRun) > 0 {
+		first := m.MayRun[0]
+		e.Resumed.Ran, e.Resumed.RanZone = true, first.Zone
+		e.Resumed.RanAgo = max(0, time.Since(first.At))
+	}
+	return e
+}
+
+func (r *Relay) taken(m *message) policy.Event {
+	return policy.Event{
+		Kind: policy.Taken, ID: m.ID, Key: m.Order, Class: m.Class, Customer: m.Customer, Destination: m.Dest,
+		Left: time.Until(m.Deadline),
+	}
+}
+
+// loop is the one goroutine that decides. A step takes what has come in since the last one, no more often than
+// the settings' tick: what comes together can then travel together.
+func (r *Relay) loop(ctx context.Context) {
+	defer close(r.over)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var batch []any
+	var last time.Time
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			r.drain()
+			return
+		case e := <-r.events:
+			batch = append(batch, e)
+		case <-timer.C:
+		}
+		if rest := r.cfg.Tick - time.Since(last); rest > 0 {
+			time.Sleep(rest)
+		}
+	more:
+		for len(batch) < batchMost {
+			select {
+			case e := <-r.events:
+				batch = append(batch, e)
+			default:
+				break more
+			}
+		}
+		last = time.Now()
+		r.step(batch)
+		clear(batch)
+		if !r.wakeAt.IsZero() {
+			timer.Reset(time.Until(r.wakeAt))
+		}
+	}
+}
+
+// drain answers and notes what came before the end, without deciding anything more.
+func (r *Relay) drain() {
+	r.noSends = true
+	for {
+		select {
+		case e := <-r.events:
+			r.step([]any{e})
+		default:
+			return
+		}
+	}
+}
+
+// step takes a batch of events to the module and carries out what it decides.
+func (r *Relay) step(batch []any) {
+	now := r.now()
+	if !r.wakeAt.IsZero() && !time.Now().Before(r.wakeAt) {
+		r.wakeAt = time.Time{}
+	}
+	evs := append([]policy.Event(nil), r.later...)
+	r.later = r.later[:0]
+	var asked []clearance
+	var ins []*handIn
+	for _, e := range batch {
+		switch e := e.(type) {
+		case *handIn:
+			ins = append(ins, e)
+		case withdrawal:
+			evs = r.withdraw(evs, e.id)
+		case *callEnd:
+			evs = r.callEnded(evs, e)
+		case cutOff:
+			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout})
+		case List:
+			evs = append(evs, r.list(e))
+		case clearance:
+			asked = append(asked, e)
+		case confirmed:
+			for _, id := range e.ids {
+				if m := r.msgs[id]; m != nil {
+					r.wal.End(m.Message)
+					r.retire(m)
+				}
+			}
+		case stopping:
+			r.idled = true
+		case noSends:
+			r.noSends = true
+		}
+	}
+	fresh := r.accept(ins)
+	if !r.noSends {
+		for _, in := range fresh {
+			evs = append(evs, r.taken(r.msgs[in.m.ID]))
+		}
+		r.carryOut(r.sender.Step(now, evs), fresh)
+	} else {
+		r.carryOut(nil, fresh)
+	}
+	for _, c := range asked {
+		c.reply <- !r.noSends && r.sender.MayStill(c.route, r.now())
+	}
+	if r.idled && (len(r.msgs) == 0 || r.noSends && r.out == 0) {
+		r.idled = false
+		close(r.idle)
+	}
+}
+
+// accept puts new messages in the log and returns those that the module is to be told of. The others have
+// their answers.
+func (r *Relay) accept(ins []*handIn) []*handIn {
+	var fresh []*handIn
+	var ms []*wal.Message
+	for _, in := range ins {
+		switch {
+		case r.traces[in.m.Trace] != nil:
+			in.reply <- answer{status: http.StatusAccepted} // its answer was lost on the way; it is taken on already
+		case r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
+			in.reply <- answer{http.StatusServiceUnavailable, policy.RetryAdvice}
+		default:
+			r.lastID++
+			in.m.ID = r.lastID
+			m := &message{Message: in.m}
+			r.msgs[m.ID], r.traces[m.Trace] = m, m
+			r.held++
+			fresh, ms = append(fresh, in), append(ms, in.m)
+		}
+	}
+	if len(ms) == 0 {
+		return nil
+	}
+	if err := r.wal.Accept(ms...); err != nil {
+		// A full disk is no reason to die: what is held goes on, new work is refused.
+		r.log.Warn("refusing new messages", "err", err)
+		for _, in := range fresh {
+			r.held--
+			delete(r.msgs, in.m.ID)
+			delete(r.traces, in.m.Trace)
+			in.reply <- answer{http.StatusServiceUnavailable, policy.RetryAdvice}
+		}
+		return nil
+	}
+	return fresh
+}
+
+// withdraw ends a message whose client has left before its answer.
+func (r *Relay) withdraw(evs []policy.Event, id uint32) []policy.Event {
+	m := r.msgs[id]
+	if m == nil {
+		return evs
+	}
+	r.done(m)
+	r.wal.End(m.Message)
+	r.retire(m)
+	return append(evs, policy.Event{Kind: policy.Withdrawn, ID: id})
+}
+
+// callEnded takes the end of a call.
+func (r *Relay) callEnded(evs []policy.Event, e *callEnd) []policy.Event {
+	r.out--
+	for i, a := range e.c.attempts {
+		evs = r.attemptEnded(evs, a, e.results[i])
+	}
+	return evs
+}
+
+// attemptEnded takes the outcome of an attempt: in the log, and for the module.
+func (r *Relay) attemptEnded(evs []policy.Event, a *attempt, res result) []policy.Event {
+	m := a.m
+	ok := res.outcome == policy.OK
+	if a.over {
+		// It was cut off, and its call went on for others. A delivery still ends the message.
+		if ok {
+			evs = r.withdraw(evs, m.ID)
+		}
+		return evs
+	}
+	a.over = true
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	m.out--
+	switch res.outcome {
+	case policy.Full, policy.ConnectFailed, policy.Moot:
+		r.wal.NeverRan(m.Message, a.n)
+	}
+	if ok || res.gone {
+		r.done(m)
+		r.wal.End(m.Message)
+	}
+	r.retire(m)
+	return append(evs, policy.Event{
+		Kind: policy.Finished, ID: m.ID, Attempt: a.n, Route: a.route, Outcome: res.outcome, Took: time.Since(a.sent),
+		Ended: ok || res.gone, Wait: res.wait, Report: res.report,
+	})
+}
+
+// done books that the module has done with a message.
+func (r *Relay) done(m *message) {
+	if !m.ended {
+		m.ended = true
+		r.held--
+	}
+}
+
+// retire forgets a message for which nothing is owed and nothing is out.
+func (r *Relay) retire(m *message) {
+	if m.out == 0 && m.ended && !r.wal.Owes(m.Message) {
+		delete(r.msgs, m.ID)
+		if r.traces[m.Trace] == m {
+			delete(r.traces, m.Trace)
+		}
+	}
+}
+
+// list takes a list of hosts, or changes to it. An entry that cannot be read is passed over; if it names a host
+// that is known, that host stays as it was.
+func (r *Relay) list(l List) policy.Event {
+	e := policy.Event{Kind: policy.ListChanges}
+	if l.Full {
+		e.Kind = policy.ListWhole
+	}
+	routes := map[string]target{}
+	for _, raw := range l.Entries {
+		entry, addr, err := r.cfg.listing(raw)
+		if err != nil {
+			r.log.Warn("unreadable entry of the list", "entry", string(raw), "err", err)
+			if known, ok := r.routes[entry.Route]; ok {
+				routes[entry.Route] = known
+				e.List = append(e.List, known.Listing)
+			}
+			continue
+		}
+		e.List = append(e.List, entry)
+		if entry.Gone {
+			delete(r.routes, entry.Route)
+		} else {
+			routes[entry.Route] = target{entry, addr}
+		}
+	}
+	if l.Full {
+		r.routes = routes
+	} else {
+		for id, t := range routes {
+			r.routes[id] = t
+		}
+	}
+	if len(r.routes) > 0 && !r.idled {
+		r.ready.Store(true)
+	}
+	return e
+}
+
+// carryOut does what the module has decided: first in the log, in one write, then on the sockets.
+func (r *Relay) carryOut(acts []policy.Action, fresh []*handIn) {
+	answers := make(map[uint32]answer, len(fresh))
+	for _, in := range fresh {
+		answers[in.m.ID] = answer{status: http.StatusAccepted}
+	}
+	var calls []*call
+	var ended []*message
+	for _, a := range acts {
+		m := r.msgs[a.ID]
+		switch a.Kind {
+		case policy.Send:
+			calls = r.addSend(calls, m, a)
+		case policy.Refuse, policy.Fail:
+			if m == nil || m.ended {
+				continue
+			}
+			r.done(m)
+			if _, ok := answers[a.ID]; ok {
+				answers[a.ID] = answer{http.StatusServiceUnavailable, a.Delay}
+				if a.Kind == policy.Fail {
+					answers[a.ID] = answer{status: http.StatusInternalServerError}
+				}
+				r.wal.End(m.Message)
+				r.retire(m)
+				continue
+			}
+			r.wal.Decide(m.Message, wal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay})
+			ended = append(ended, m)
+		case policy.Wake:
+			if at := time.Now().Add(a.Delay); r.wakeAt.IsZero() || at.Before(r.wakeAt) {
+				r.wakeAt = at
+			}
+		case policy.CloseIdle:
+			r.hosts.closeIdle(r.routes[a.Route].addr)
+		}
+	}
+	if err := r.record(calls); err != nil {
+		r.log.Warn("log not written", "calls", len(calls), "err", err)
+		// A send that is not in the log must not leave: after a restart it would be made again.
+		r.giveBack(calls)
+		calls = nil
+	}
+	for _, in := range fresh {
+		in.reply <- answers[in.m.ID]
+	}
+	for _, m := range ended {
+		r.notify(m)
+	}
+	for _, c := range calls {
+		r.launch(c)
+	}
+}
+
+// addSend puts a send into a call: those of one step to one route travel as one, up to what its kind allows.
+func (r *Relay) addSend(calls []*call, m *message, a policy.Action) []*call {
+	t := r.routes[a.Route]
+	most := 1
+	if t.Kind >= 0 && t.Kind < len(r.cfg.Settings.Kinds) {
+		most = max(1, r.cfg.Settings.Kinds[t.Kind].PerCall)
+	}
+	var c *call
+	for _, x := range calls {
+		if x.route == a.Route && len(x.attempts) < most {
+			c = x
+		}
+	}
+	if c == nil {
+		c = &call{route: a.Route, addr: t.addr, zone: t.Zone, sent: time.Now()}
+		calls = append(calls, c)
+	}
+	until := r.started.Add(a.At)
+	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, until: until})
+	m.sends++
+	m.out++
+	if len(c.attempts) == 1 || until.After(c.until) == r.cfg.MayDuplicate {
+		c.until = until // where a second copy may be out, the rest of a call outlasts one message's time-out
+	}
+	return calls
+}
+
+// record writes the sends of calls and all that was noted in this step.
+func (r *Relay) record(calls []*call) error {
+	var sends []wal.Send
+	for _, c := range calls {
+		for _, a := range c.attempts {
+			sends = append(sends, wal.Send{
+				Message: a.m.Message, Attempt: wal.Attempt{N: a.n, Host: c.route, Zone: c.zone, At: c.sent},
+			})
+		}
+	}
+	if len(sends) == 0 {
+		return r.wal.Flush()
+	}
+	return r.wal.Sent(sends...)
+}
+
+// giveBack ends calls that could not be recorded as never connected.
+func (r *Relay) giveBack(calls []*call) {
+	for _, c := range calls {
+		for _, a := range c.attempts {
+			r.later = r.attemptEnded(r.later, a, result{outcome: policy.ConnectFailed})
+		}
+	}
+	if at := time.Now().Add(r.cfg.Tick); len(calls) > 0 && (r.wakeAt.IsZero() || at.Before(r.wakeAt)) {
+		r.wakeAt = at
+	}
+}
+
+// launch makes a call, away from the loop.
+func (r *Relay) launch(c *call) {
+	r.out++
+	for _, a := range c.attempts {
+		if a.until.Before(c.until) {
+			a.timer = time.AfterFunc(time.Until(a.until), func() { r.post(cutOff{a}) })
+		}
+	}
+	r.calls.Add(1)
+	go func() {
+		defer r.calls.Done()
+		results := r.hosts.do(r.callCtx, c, func() bool { return r.mayStill(c.route) })
+		r.post(&callEnd{c, results})
+	}()
+}
+
+// mayStill asks the loop whether a call that was held up may leave.
+func (r *Relay) mayStill(route string) bool {
+	reply := make(chan bool, 1)
+	if !r.post(clearance{route, reply}) {
+		return false
+	}
+	select {
+	case ok := <-reply:
+		return ok
+	case <-r.over:
+		return false
+	}
+}
+
+// notify queues the notice that ends a message.
+func (r *Relay) notify(m *message) {
+	n := notice{id: m.ID, ID: m.Trace, Status: "undeliverable"}
+	if m.Final.Deferred {
+		n.Status, n.AgainMS = "deferred", m.Final.Again.Milliseconds()
+	}
+	r.finals.add(n)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -26,6 +26,14 @@
 			p.values[k] = v
 		}
 	}
+	set, err := Settings(p.values)
+	return set, p.schema(), err
+}
+
+// Settings maps the settings, by their paths, to the decision module's. The real relay's configuration holds the
+// same ones as JSON and comes through here too: what a setting means is said once.
+func Settings(values map[string]string) (policy.Settings, error) {
+	p := &pairs{values: values}
 	set := policy.Settings{
 		Senders:        p.integer("fleet_size"),
 		Slots:          p.integer("extra.call_slots"),
@@ -65,7 +73,7 @@
 		}
 		set.Kinds = append(set.Kinds, k)
 	}
-	return set, p.schema(), p.err
+	return set, p.err
 }
 
 func (p *pairs) class(at string) policy.Class {
--- a/policy/api.go
+++ b/policy/api.go
@@ -103,6 +103,18 @@
 	Limit float64 // calls a second; 0: no limit
 }
 
+// Resumed is what became of a message before the process that had taken it on ended. A call that was out then
+// may have run.
+type Resumed struct {
+	Attempts int           // sends used
+	Ran      bool          // one may have run
+	RanAgo   time.Duration // how long ago the first of them was sent
+	RanZone  int           // and to which zone
+}
+
+// RetryAdvice is the least time that a client turned away is told to stay away.
+const RetryAdvice = retryAdvice
+
 // Event is one thing that a Sender observes.
 type Event struct {
 	Kind EventKind
@@ -114,6 +126,7 @@
 	Customer    int
 	Destination int
 	Left        time.Duration // time left to the deadline
+	Resumed     *Resumed      // taken on by an earlier process; nil if new
 
 	// Finished, Probed
 	Attempt int
@@ -121,7 +134,7 @@
 	Outcome Outcome
 	Took    time.Duration
 	Ended   bool          // the message is over
-	Wait    time.Duration // Full: the wait told; 0: none
+	Wait    time.Duration // the wait told with the outcome; 0: none
 	Report  Report
 
 	// ListWhole, ListChanges
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -510,6 +510,7 @@
 	m.deadline = s.now + e.Left - endMargin
 	m.due = s.now + c.Aim - max(0, c.GiveUp-e.Left)
 	m.rank = s.now + time.Duration(float64(m.due-s.now)/math.Max(c.Value, 0.01))
+	s.resume(m, e.Resumed)
 	if s.overShare(e.Customer) {
 		m.rank += time.Duration(overShare * float64(e.Left))
 	}
@@ -568,7 +569,7 @@
 		r = c.r
 	}
 	// A told wait keeps every message from the gate until it is over, whoever was told.
-	if r != nil && e.Outcome == Full && e.Wait > 0 {
+	if r != nil && e.Wait > 0 {
 		r.gate.wait = max(r.gate.wait, s.now+e.Wait)
 	}
 	if c == nil {
--- /dev/null
+++ b/policy/resume.go
@@ -0,0 +1,28 @@
+package policy
+
+import "time"
+
+// What a real relay needs beyond the simulator's events: messages that outlast a process, and calls that take
+// time to leave.
+
+// resume gives a message what an earlier process knew of it, so that the guards hold across a restart. Guards
+// also against a backlog that a fresh Sender, free of any pace, would pour onto hosts as one: the pace of its
+// destination starts at this sender's part.
+func (s *Sender) resume(m *message, e *Resumed) {
+	if e == nil {
+		return
+	}
+	m.sends, m.ran, m.ranAt, m.ranZone = e.Attempts, e.Ran, s.now-e.RanAgo, e.RanZone
+	for _, g := range m.dest.gates {
+		if g.pace == 0 {
+			g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
+		}
+	}
+}
+
+// MayStill tells whether a call to a route that was decided earlier may leave at now. Guards against one that
+// was held up, by a slow connection say, while a drain or a wait was told.
+func (s *Sender) MayStill(route string, now time.Duration) bool {
+	r := s.routes[route]
+	return r != nil && r.InService && now >= r.gate.wait
+}
