wal: test recovery, torn and damaged records, the disk limit and full disks

Checked: every cut of the last record, every damaged byte of a middle one, random damage, both files together during compactions, failed writes. Ruled out: records lost behind damage (replay resyncs on the next good record), ends lost with a failed write (write keeps the notes).

--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,294 @@
+package wal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+const roomy = 3_000_000
+
+var noon = time.Date(2026, 11, 29, 12, 0, 0, 0, time.UTC)
+
+func open(t *testing.T, dir string, limit int64) (*Log, Recovery) {
+	t.Helper()
+	l, found, err := Open(dir, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.file.Close() })
+	return l, found
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func message(id uint32) *Message {
+	return &Message{
+		ID: id, Trace: fmt.Sprintf("trace-%d", id), Key: fmt.Sprintf("key-%d", id), Dest: 7, Customer: 1,
+		Deadline: noon.Add(time.Duration(id) * time.Second), Body: []byte{0, 'b', '\n', byte(id)},
+	}
+}
+
+// ids lists what was found.
+func ids(found Recovery) string {
+	text := ""
+	for _, m := range found.Messages {
+		text += fmt.Sprint(m.ID, " ")
+	}
+	return text
+}
+
+// onDisk is what the folder takes, each file in whole blocks.
+func onDisk(t *testing.T, dir string) int64 {
+	t.Helper()
+	entries, err := os.ReadDir(dir)
+	must(t, err)
+	sum := int64(0)
+	for _, e := range entries {
+		info, err := e.Info()
+		must(t, err)
+		sum += (info.Size() + block - 1) / block * block
+	}
+	return sum
+}
+
+func TestWhatIsUnfinishedComesBack(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, roomy)
+	delivered, refused, pending, taken := message(1), message(2), message(3), message(4)
+	must(t, l.Accept(delivered, refused, pending, taken))
+	out := Attempt{N: 0, Host: "s-1", Zone: 1, At: noon}
+	must(t, l.Sent(Send{delivered, out}, Send{pending, out}))
+	l.NeverRan(pending, 0)
+	second := Attempt{N: 1, Host: "s-2", Zone: 1, At: noon.Add(time.Second)}
+	must(t, l.Sent(Send{pending, second}))
+	l.End(delivered)
+	l.Decide(refused, Final{Deferred: true, Again: 700 * time.Millisecond})
+	must(t, l.Flush())
+
+	// No Close: the process was killed.
+	_, found := open(t, dir, roomy)
+	if got := ids(found); got != "2 3 4 " || found.Damaged {
+		t.Fatalf("found %q, damaged %v", got, found.Damaged)
+	}
+	r, p, k := found.Messages[0], found.Messages[1], found.Messages[2]
+	if r.Final == nil || !r.Final.Deferred || r.Final.Again != 700*time.Millisecond {
+		t.Errorf("the notice decided on: %+v", r.Final)
+	}
+	// The refused attempt is used up but never ran; the one that was out may have.
+	if p.Attempts != 2 || len(p.MayRun) != 1 || p.MayRun[0].N != 1 || p.MayRun[0].Zone != 1 ||
+		!p.MayRun[0].At.Equal(second.At) {
+		t.Errorf("attempts of the one that was out: %d, %+v", p.Attempts, p.MayRun)
+	}
+	if k.Trace != taken.Trace || k.Key != taken.Key || k.Dest != 7 || k.Customer != 1 ||
+		!k.Deadline.Equal(taken.Deadline) || !bytes.Equal(k.Body, taken.Body) {
+		t.Errorf("taken on %+v, came back %+v", taken, k)
+	}
+}
+
+func TestATornTailIsDropped(t *testing.T) {
+	whole := t.TempDir()
+	l, _ := open(t, whole, roomy)
+	must(t, l.Accept(message(1)))
+	keep := l.size
+	must(t, l.Accept(message(2)))
+	data, err := os.ReadFile(filepath.Join(whole, name))
+	must(t, err)
+	for cut := keep; cut < int64(len(data)); cut++ {
+		dir := t.TempDir()
+		must(t, os.WriteFile(filepath.Join(dir, name), data[:cut], 0o600))
+		l, found := open(t, dir, roomy)
+		if got := ids(found); got != "1 " || found.Damaged {
+			t.Fatalf("cut at %d: found %q, damaged %v", cut, got, found.Damaged)
+		}
+		must(t, l.Accept(message(3)))
+		if _, found := open(t, dir, roomy); ids(found) != "1 3 " {
+			t.Fatalf("cut at %d: appended after it, found %q", cut, ids(found))
+		}
+	}
+}
+
+func TestADamagedRecordHidesNoOther(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, roomy)
+	must(t, l.Accept(message(1)))
+	first := l.size
+	must(t, l.Accept(message(2)))
+	second := l.size
+	must(t, l.Accept(message(3)))
+	data, err := os.ReadFile(filepath.Join(dir, name))
+	must(t, err)
+	for at := first; at < second; at++ {
+		bad := bytes.Clone(data)
+		bad[at] ^= 0x55
+		dir := t.TempDir()
+		must(t, os.WriteFile(filepath.Join(dir, name), bad, 0o600))
+		if _, found := open(t, dir, roomy); ids(found) != "1 3 " || !found.Damaged {
+			t.Fatalf("byte %d damaged: found %q, damaged %v", at, ids(found), found.Damaged)
+		}
+	}
+}
+
+func TestNoContentStopsTheStart(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	source := t.TempDir()
+	l, _ := open(t, source, roomy)
+	for i := range uint32(20) {
+		must(t, l.Accept(message(i)))
+		must(t, l.Sent(Send{l.live[i], Attempt{Host: "s-1", At: noon}}))
+	}
+	data, err := os.ReadFile(filepath.Join(source, name))
+	must(t, err)
+	for range 300 {
+		bad := bytes.Clone(data)
+		for range 1 + rng.IntN(8) {
+			bad[rng.IntN(len(bad))] = byte(rng.Uint32())
+		}
+		dir := t.TempDir()
+		must(t, os.WriteFile(filepath.Join(dir, name), bad[:rng.IntN(len(bad))], 0o600))
+		l, found := open(t, dir, roomy)
+		before := len(found.Messages)
+		must(t, l.Accept(message(1000)))
+		if _, found := open(t, dir, roomy); len(found.Messages) != before+1 {
+			t.Fatalf("%d messages found, then %d with one more", before, len(found.Messages))
+		}
+		l.file.Close()
+	}
+}
+
+// The old and the new file stand side by side during a compaction: neither may grow past its share.
+func TestTheDiskLimitIsKept(t *testing.T) {
+	const limit = 100_000
+	dir := t.TempDir()
+	l, _ := open(t, dir, limit)
+	compactions := 0
+	var held []*Message
+	for i := range uint32(4000) {
+		m := message(i)
+		before := l.size
+		must(t, l.Accept(m))
+		must(t, l.Sent(Send{m, Attempt{Host: "s-5be2a07c", At: noon}}))
+		if held = append(held, m); len(held) > 20 {
+			l.End(held[0])
+			held = held[1:]
+			must(t, l.Flush())
+		}
+		if l.size < before {
+			compactions++
+			// before is what the old file held when the new one stood beside it.
+			if sum := before + l.size + 4*block; sum > limit {
+				t.Fatalf("%d bytes on disk during a compaction", sum)
+			}
+		}
+		if got := onDisk(t, dir); got > limit*6/10 {
+			t.Fatalf("%d bytes on disk", got)
+		}
+	}
+	if compactions < 10 {
+		t.Errorf("%d compactions", compactions)
+	}
+	if _, found := open(t, dir, limit); len(found.Messages) != len(held) || len(found.Messages[0].MayRun) != 1 {
+		t.Errorf("%d messages held, %d found", len(held), len(found.Messages))
+	}
+}
+
+func TestACrashInMidCompactionLosesNothing(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, roomy)
+	must(t, l.Accept(message(1), message(2)))
+	data, err := os.ReadFile(filepath.Join(dir, name))
+	must(t, err)
+	must(t, os.WriteFile(filepath.Join(dir, tempName), data[:len(data)/2], 0o600))
+	if _, found := open(t, dir, roomy); ids(found) != "1 2 " {
+		t.Errorf("found %q", ids(found))
+	}
+	if _, err := os.Stat(filepath.Join(dir, tempName)); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("the unfinished file is still there: %v", err)
+	}
+}
+
+func TestAFullLogRefusesNewWorkOnly(t *testing.T) {
+	const limit = 50_000
+	dir := t.TempDir()
+	l, _ := open(t, dir, limit)
+	var held []*Message
+	var err error
+	for i := uint32(0); err == nil; i++ {
+		m := message(i)
+		m.Body = make([]byte, 1000)
+		if err = l.Accept(m); err == nil {
+			held = append(held, m)
+		}
+	}
+	if !errors.Is(err, ErrFull) || len(held) < 5 {
+		t.Fatalf("%d taken on, then %v", len(held), err)
+	}
+	for round := range 4 { // what is held can be sent, again and again, and ended
+		for _, m := range held {
+			must(t, l.Sent(Send{m, Attempt{N: round, Host: "s-5be2a07c", At: noon}}))
+			l.NeverRan(m, round)
+		}
+	}
+	for _, m := range held {
+		l.End(m)
+		must(t, l.Flush())
+	}
+	must(t, l.Accept(message(9999)))
+	if _, found := open(t, dir, limit); ids(found) != "9999 " {
+		t.Errorf("found %q", ids(found))
+	}
+	if got := onDisk(t, dir); got > limit {
+		t.Errorf("%d bytes on disk", got)
+	}
+}
+
+func TestAFailedWriteLeavesNoTrace(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, roomy)
+	one, two := message(1), message(2)
+	must(t, l.Accept(one, two))
+	good := l.file
+	bad, err := os.Open(filepath.Join(dir, name)) // takes no writes, as a full disk
+	must(t, err)
+	defer bad.Close()
+	l.file = bad
+	if err := l.Accept(message(3)); err == nil {
+		t.Error("taken on without a record")
+	}
+	if err := l.Sent(Send{one, Attempt{Host: "s-1", At: noon}}); err == nil || one.Attempts != 0 {
+		t.Errorf("sent without a record: %v", err)
+	}
+	l.End(two)
+	if err := l.Flush(); err == nil {
+		t.Error("an end counts as written")
+	}
+	l.file = good
+	must(t, l.Flush()) // the end was kept
+	must(t, l.Accept(message(4)))
+	if _, found := open(t, dir, roomy); ids(found) != "1 4 " {
+		t.Errorf("found %q", ids(found))
+	}
+}
+
+func TestTheCostCoversTheRecord(t *testing.T) {
+	m := message(1)
+	m.Body = make([]byte, 500)
+	m.Attempts = 8
+	m.Final = &Final{Deferred: true, Again: time.Second}
+	for n := range 4 {
+		m.MayRun = append(m.MayRun, Attempt{N: n, Host: "s-5be2a07c", Zone: 1, At: noon.Add(time.Nanosecond)})
+	}
+	if got := len(appendRecord(nil, record{Kind: recAccept, ID: 1, Message: m}, m.Body)); int64(got) > cost(m) {
+		t.Errorf("a record of %d bytes counts as %d", got, cost(m))
+	}
+}
