relay: test outbound calls over loopback; make the watch a type of its own

Ruled out, by a raw host that counts requests: a resend on a reused connection with an Idempotency-Key, with and without a body.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	watchSilence  = 4500 * time.Millisecond // a watch with no line for so long is dead: one comes every 2 s
+	watchSilence  = 4500 * time.Millisecond // see watcher.silence
 	watchLineMost = 1 << 20
 	retryFirst    = 50 * time.Millisecond
 	retryMost     = time.Second
@@ -32,18 +32,28 @@
 	}}
 }
 
-// watch follows discovery's list from version on and hands each part to told, until ctx ends.
-func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, version int64, told func(List)) {
+// watcher follows discovery's list.
+type watcher struct {
+	log     *slog.Logger
+	client  *http.Client
+	addr    string
+	silence time.Duration // a watch with no line for so long is dead: one comes every 2 s
+	told    func(List)
+}
+
+// run follows the list from version on until ctx ends.
+func (w *watcher) run(ctx context.Context, version int64) {
 	pause := retryFirst
 	for ctx.Err() == nil {
-		err := watchOnce(ctx, client, addr, version, func(l List) {
-			pause, version = retryFirst, l.Version
-			told(l)
-		})
+		was := version
+		err := w.follow(ctx, &version)
 		if ctx.Err() != nil {
 			return
 		}
-		log.Warn("watch ended", "version", version, "err", err)
+		w.log.Warn("watch ended", "version", version, "err", err)
+		if version != was {
+			pause = retryFirst
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -52,19 +62,19 @@
 	}
 }
 
-// watchOnce follows the list until the connection ends or falls silent. A connection that is cut off says
-// nothing: only the missing lines tell.
-func watchOnce(ctx context.Context, client *http.Client, addr string, version int64, told func(List)) error {
+// follow is one watch, until its connection ends or falls silent. A connection that is cut off says nothing:
+// only the missing lines tell. version is kept up, so that the next watch resumes where this one ended.
+func (w *watcher) follow(ctx context.Context, version *int64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
+	silence := time.AfterFunc(w.silence, cancel)
 	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", addr, version)
+	url := fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", w.addr, *version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
-	res, err := client.Do(req)
+	res, err := w.client.Do(req)
 	if err != nil {
 		return err
 	}
@@ -75,7 +85,7 @@
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, watchLineMost)
 	for lines.Scan() {
-		silence.Reset(watchSilence)
+		silence.Reset(w.silence)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
@@ -84,7 +94,8 @@
 		if err != nil {
 			return fmt.Errorf("unreadable line: %w", err)
 		}
-		told(l)
+		*version = l.Version
+		w.told(l)
 	}
 	if err := lines.Err(); err != nil {
 		return err
--- /dev/null
+++ b/internal/relay/hosts_test.go
@@ -0,0 +1,434 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+const patience = 10 * time.Second // longer than any condition takes
+
+func testConfig() Config {
+	c := Config{ConnectTimeout: 2 * time.Second, KeepAlive: time.Minute, Reports: []string{"x0", "x1"}}
+	c.setDefaults()
+	return c
+}
+
+func testHosts(t *testing.T, cfg Config) *hosts {
+	h := newHosts(cfg)
+	t.Cleanup(h.close)
+	return h
+}
+
+// newCall is a call to addr with messages of these ids.
+func newCall(addr string, ids ...string) *call {
+	c := &call{route: "s-1", addr: addr, sent: time.Now(), until: time.Now().Add(patience)}
+	for _, id := range ids {
+		m := &message{Message: &wal.Message{Trace: id, Key: "key-" + id, Body: []byte("body of " + id)}}
+		c.attempts = append(c.attempts, &attempt{call: c, m: m, until: c.until})
+	}
+	return c
+}
+
+func yes() bool { return true }
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func addrOf(s *httptest.Server) string { return s.Listener.Addr().String() }
+
+// rawHost reads whole requests on plain sockets and hands each to serve, with its place among all, from 1.
+// serve returns false to close the connection.
+func rawHost(t *testing.T, serve func(n int, conn net.Conn, req *http.Request) bool) (addr string, requests *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	requests = new(atomic.Int32)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, req.Body); err != nil {
+						return
+					}
+					if !serve(int(requests.Add(1)), conn, req) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+func TestASingleCallCarriesTheMessageUnchanged(t *testing.T) {
+	type seen struct {
+		path, id, key, expires, body string
+		length                       int64
+	}
+	got := make(chan seen, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		got <- seen{
+			r.URL.Path, r.Header.Get("X-Trace-Id"), r.Header.Get("Idempotency-Key"),
+			r.Header.Get("X-Expires-In-Ms"), string(b), r.ContentLength,
+		}
+	}))
+	defer s.Close()
+	c := newCall(addrOf(s), "a")
+	if r := testHosts(t, testConfig()).do(t.Context(), c, yes); r[0].outcome != policy.OK {
+		t.Fatalf("outcome %v", r[0].outcome)
+	}
+	g := <-got
+	if g.path != "/events" || g.id != "a" || g.key != "key-a" || g.body != "body of a" || g.length != 9 || g.expires == "" {
+		t.Errorf("the host saw %+v", g)
+	}
+}
+
+// A Transport would send this request again by itself: it carries an Idempotency-Key, its connection was used
+// before, and no byte of an answer came.
+func TestNothingIsSentAgainByItself(t *testing.T) {
+	for _, body := range []string{"some", ""} {
+		addr, requests := rawHost(t, func(n int, conn net.Conn, _ *http.Request) bool {
+			if n == 1 {
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			return n == 1
+		})
+		h := testHosts(t, testConfig())
+		first, second := newCall(addr, "a"), newCall(addr, "b")
+		second.attempts[0].m.Body = []byte(body)
+		if r := h.do(t.Context(), first, yes); r[0].outcome != policy.OK {
+			t.Fatalf("first call: %v", r[0].outcome)
+		}
+		if r := h.do(t.Context(), second, yes); r[0].outcome != policy.Reset {
+			t.Errorf("body %q: outcome %v, want a reset", body, r[0].outcome)
+		}
+		if n := requests.Load(); n != 2 {
+			t.Errorf("body %q: the host saw %d requests", body, n)
+		}
+	}
+}
+
+func TestARefusedConnectionNeverRan(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	r := testHosts(t, testConfig()).do(t.Context(), newCall(l.Addr().String(), "a"), yes)
+	if r[0].outcome != policy.ConnectFailed {
+		t.Errorf("outcome %v", r[0].outcome)
+	}
+}
+
+func TestAConnectionThatNeverComesUpEndsInTime(t *testing.T) {
+	cfg := testConfig()
+	cfg.ConnectTimeout = 20 * time.Millisecond
+	h := testHosts(t, cfg)
+	h.transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	began := time.Now()
+	if r := h.do(t.Context(), newCall("127.0.0.1:1", "a"), yes); r[0].outcome != policy.ConnectFailed {
+		t.Errorf("outcome %v", r[0].outcome)
+	}
+	if took := time.Since(began); took > patience/2 {
+		t.Errorf("took %v", took)
+	}
+	if h.open != 0 {
+		t.Errorf("%d connections counted", h.open)
+	}
+}
+
+// stuckConn takes part of a request and then breaks.
+type stuckConn struct {
+	net.Conn
+	left int
+}
+
+func (c *stuckConn) Write(b []byte) (int, error) {
+	if len(b) > c.left {
+		n, _ := c.Conn.Write(b[:c.left])
+		c.Conn.Close()
+		return n, io.ErrClosedPipe
+	}
+	c.left -= len(b)
+	return c.Conn.Write(b)
+}
+
+func TestABreakBeforeTheLastByteNeverRan(t *testing.T) {
+	addr, requests := rawHost(t, func(int, net.Conn, *http.Request) bool { return true })
+	h := testHosts(t, testConfig())
+	h.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return &stuckConn{conn, 10_000}, err
+	}
+	c := newCall(addr, "a")
+	c.attempts[0].m.Body = make([]byte, 60_000)
+	if r := h.do(t.Context(), c, yes); r[0].outcome != policy.ConnectFailed {
+		t.Errorf("outcome %v", r[0].outcome)
+	}
+	if n := requests.Load(); n != 0 {
+		t.Errorf("the host saw %d whole requests", n)
+	}
+}
+
+func TestNoAnswerInTimeClosesTheConnection(t *testing.T) {
+	left := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body) // only its end is wanted
+		<-r.Context().Done()
+		close(left)
+	}))
+	defer s.Close()
+	h := testHosts(t, testConfig())
+	c := newCall(addrOf(s), "a")
+	c.until = time.Now().Add(100 * time.Millisecond)
+	if r := h.do(t.Context(), c, yes); r[0].outcome != policy.Timeout {
+		t.Errorf("outcome %v", r[0].outcome)
+	}
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Error("the host still has the connection")
+	}
+}
+
+func TestACallIsLookedAtAgainOnceItsConnectionIsUp(t *testing.T) {
+	addr, requests := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	h := testHosts(t, testConfig())
+	if r := h.do(t.Context(), newCall(addr, "a"), func() bool { return false }); r[0].outcome != policy.Moot {
+		t.Errorf("outcome %v", r[0].outcome)
+	}
+	if n := requests.Load(); n != 0 {
+		t.Errorf("the host saw %d requests", n)
+	}
+	// The connection is kept, and needs no second look.
+	r := h.do(t.Context(), newCall(addr, "b"), func() bool { t.Error("asked again"); return false })
+	if r[0].outcome != policy.OK {
+		t.Errorf("outcome on the kept connection %v", r[0].outcome)
+	}
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	const calls = 6
+	var opened atomic.Int32
+	var together sync.WaitGroup // every round waits until all of its calls are there
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		together.Done()
+		together.Wait()
+		io.WriteString(w, strings.Repeat("x", 9000))
+	}))
+	s.Config.ConnState = func(_ net.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	h := testHosts(t, testConfig())
+	for range 3 {
+		together.Add(calls)
+		var done sync.WaitGroup
+		for i := range calls {
+			done.Go(func() {
+				if r := h.do(t.Context(), newCall(addrOf(s), fmt.Sprint(i)), yes); r[0].outcome != policy.OK {
+					t.Errorf("outcome %v", r[0].outcome)
+				}
+			})
+		}
+		done.Wait()
+	}
+	if n := opened.Load(); n != calls {
+		t.Errorf("%d connections for %d calls at once", n, calls)
+	}
+}
+
+func TestIdleConnectionsCloseBeforeTheHostsLimit(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Config.ConnState = func(_ net.Conn, st http.ConnState) {
+		if st == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	s.Start()
+	defer s.Close()
+	cfg := testConfig()
+	cfg.KeepAlive = 50 * time.Millisecond
+	h := testHosts(t, cfg)
+	if r := h.do(t.Context(), newCall(addrOf(s), "a"), yes); r[0].outcome != policy.OK {
+		t.Fatalf("outcome %v", r[0].outcome)
+	}
+	select {
+	case <-closed: // the server sets no limit of its own: the relay closed it
+	case <-time.After(patience):
+		t.Error("still open")
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	one, two := httptest.NewServer(ok), httptest.NewServer(ok)
+	defer one.Close()
+	defer two.Close()
+	h := testHosts(t, testConfig())
+	h.most = 1
+	for i, s := range []*httptest.Server{one, two, one} { // each takes the place of the idle one before
+		if r := h.do(t.Context(), newCall(addrOf(s), "a"), yes); r[0].outcome != policy.OK || h.open != 1 {
+			t.Errorf("call %d: outcome %v, %d open", i, r[0].outcome, h.open)
+		}
+	}
+	busy, _, err := h.conn(t.Context(), addrOf(one))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := h.do(t.Context(), newCall(addrOf(two), "a"), yes); r[0].outcome != policy.ConnectFailed {
+		t.Errorf("beyond the bound: outcome %v", r[0].outcome)
+	}
+	h.drop(busy)
+}
+
+func TestAnswerCodes(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		header http.Header
+		want   result
+	}{
+		{200, nil, result{outcome: policy.OK}},
+		{500, nil, result{outcome: policy.Error}},
+		{429, http.Header{"Retry-After": {"0.75"}}, result{outcome: policy.Full, wait: 750 * time.Millisecond}},
+		{429, http.Header{"Retry-After": {"soon"}}, result{outcome: policy.Full}},
+		{503, nil, result{outcome: policy.Full}},
+		{503, http.Header{"Retry-After": {"2"}}, result{outcome: policy.Full, wait: 2 * time.Second}},
+		{503, http.Header{"Slots-Taken": {"1"}}, result{outcome: policy.Moot}},
+		{504, nil, result{outcome: policy.Moot}},
+		{410, nil, result{outcome: policy.Moot, gone: true}},
+		{302, http.Header{"Location": {"/elsewhere"}}, result{outcome: policy.Error}},
+		{418, nil, result{outcome: policy.Error}},
+		{200, http.Header{"Endpoint-Load-Metrics": {"TEXT x0=0.4, x1=25, y=7"}},
+			result{outcome: policy.OK, report: policy.Report{Told: true, Left: 0.4, Limit: 25}}},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/events" {
+				t.Errorf("a redirect was followed to %s", r.URL.Path)
+			}
+			for k, v := range c.header {
+				w.Header()[k] = v
+			}
+			w.WriteHeader(c.status)
+		}))
+		if r := testHosts(t, testConfig()).do(t.Context(), newCall(addrOf(s), "a"), yes); r[0] != c.want {
+			t.Errorf("%d %v: %+v, want %+v", c.status, c.header, r[0], c.want)
+		}
+		s.Close()
+	}
+}
+
+func TestBundles(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f"}
+	for _, c := range []struct {
+		name   string
+		status int
+		wait   string
+		answer string
+		want   []policy.Outcome
+	}{
+		{"every state", 200, "", `[{"id":"f","state":"what"},{"id":"e","state":"exhausted"},{"id":"d","state":"gone"},
+			{"id":"c","state":"later"},{"id":"b","state":"error"},{"id":"a","state":"ok"}]`,
+			[]policy.Outcome{policy.OK, policy.Error, policy.Full, policy.Moot, policy.Moot, policy.Error}},
+		{"missing and unreadable items", 200, "", `[{"id":"a","state":"ok"},7,{"id":3},{"id":"f","state":"ok"}]`,
+			[]policy.Outcome{policy.OK, policy.Error, policy.Error, policy.Error, policy.Error, policy.OK}},
+		{"unreadable", 200, "", `{`, slices.Repeat([]policy.Outcome{policy.Error}, 6)},
+		{"all turned away", 429, "1.5", ``, slices.Repeat([]policy.Outcome{policy.Full}, 6)},
+		{"all failed", 500, "", ``, slices.Repeat([]policy.Outcome{policy.Error}, 6)},
+		{"a wait with deliveries", 200, "1.5", `[{"id":"a","state":"ok"}]`,
+			append([]policy.Outcome{policy.OK}, slices.Repeat([]policy.Outcome{policy.Error}, 5)...)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				var items []struct {
+					ID, Key string
+					Body    []byte
+				}
+				if err := json.NewDecoder(r.Body).Decode(&items); err != nil || r.URL.Path != "/events/bundle" {
+					t.Errorf("%s: %v", r.URL.Path, err)
+				}
+				for i, id := range ids {
+					if items[i].ID != id || items[i].Key != "key-"+id || string(items[i].Body) != "body of "+id {
+						t.Errorf("item %d: %+v", i, items[i])
+					}
+				}
+				if c.wait != "" {
+					w.Header().Set("Retry-After", c.wait)
+				}
+				w.WriteHeader(c.status)
+				io.WriteString(w, c.answer)
+			}))
+			defer s.Close()
+			results := testHosts(t, testConfig()).do(t.Context(), newCall(addrOf(s), ids...), yes)
+			for i, r := range results {
+				if r.outcome != c.want[i] || r.gone != (c.name == "every state" && i == 3) {
+					t.Errorf("%s: %+v, want %v", ids[i], r, c.want[i])
+				}
+				if (r.wait > 0) != (c.wait != "") {
+					t.Errorf("%s: wait %v", ids[i], r.wait)
+				}
+			}
+		})
+	}
+}
+
+func TestABundlesAnswerMustBeWhole(t *testing.T) {
+	addr, _ := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n[{\"id\":\"a\",\"state\":\"ok\"}")
+		return false
+	})
+	for i, r := range testHosts(t, testConfig()).do(t.Context(), newCall(addr, "a", "b"), yes) {
+		if r.outcome != policy.Reset {
+			t.Errorf("attempt %d: %v", i, r.outcome)
+		}
+	}
+	if r := testHosts(t, testConfig()).do(t.Context(), newCall(addr, "a"), yes); r[0].outcome != policy.OK {
+		t.Errorf("a single message is delivered with the first line: %v", r[0].outcome)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -137,7 +137,8 @@
 	r.recover() // before clients are told that the relay is ready
 	go r.loop(work)
 	go r.finals.run(work)
-	go watch(work, r.log, r.agent, r.cfg.Discovery, r.cfg.Known.Version, func(l List) { r.post(l) })
+	list := watcher{r.log, r.agent, r.cfg.Discovery, watchSilence, func(l List) { r.post(l) }}
+	go list.run(work, r.cfg.Known.Version)
 
 	server := r.newServer()
 	served := make(chan error, 1)
