relay: keep the module's wake; test resumption, configuration and discovery

Cause: carryOut kept the earlier of two wakes and giveBack put in one of its own; the module bears one wake in mind, its last, so a wake of ours could be cleared in its place and the module sleep on. Found by reading, not seen in a run. Now the module's last wake stands and giveBack posts an event of its own. Ruled out by tests: a different mapping of settings than the wire's, a message taken twice under one id, sends without a record on a full disk.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -43,7 +43,7 @@
 }
 
 func (r *Relay) health(w http.ResponseWriter, _ *http.Request) {
-	if !r.ready.Load() {
+	if !r.listed.Load() || r.ending.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -67,7 +67,7 @@
 	}
 	in := &handIn{m: m, reply: make(chan answer, 1)}
 	if !r.post(in) {
-		refuse(w, answer{http.StatusServiceUnavailable, policy.RetryAdvice})
+		reply(w, answer{http.StatusServiceUnavailable, policy.RetryAdvice})
 		return
 	}
 	a := <-in.reply
@@ -76,11 +76,11 @@
 		r.post(withdrawal{m.ID})
 		return
 	}
-	refuse(w, a)
+	reply(w, a)
 }
 
-// refuse writes an answer, with advice if there is any.
-func refuse(w http.ResponseWriter, a answer) {
+// reply writes an answer, with advice if there is any.
+func reply(w http.ResponseWriter, a answer) {
 	if a.again > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.again.Seconds(), 'f', 3, 64))
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -14,6 +14,9 @@
 	"onyxroad.dev/onyxroad/policy"
 )
 
+// tickMost bounds the tick, so that no setting makes clients wait for their answers.
+const tickMost = 20 * time.Millisecond
+
 // Config is all that a relay is told at its start.
 type Config struct {
 	Name      string
@@ -115,7 +118,7 @@
 		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Settings: set,
 		Zones: own.Zones, Kinds: own.Kinds, MayDuplicate: own.Bounds.MayDuplicate,
 		ConnectTimeout: millis(own.Bounds.ConnectTimeoutMS), KeepAlive: millis(own.Bounds.KeepAliveMS),
-		Tick: millis(own.TickMS),
+		Tick: min(millis(own.TickMS), tickMost),
 	}
 	// A seed that is no hexadecimal number still gives random numbers, the same at each start.
 	c.Seed, _ = strconv.ParseUint(file.Seed, 16, 64)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,7 +54,9 @@
 		reply chan bool
 	}
 	confirmed struct{ ids []uint32 } // their notices were taken
+	stopping  struct{}               // no more messages come
 	noSends   struct{}               // from here on only outcomes are noted
+	nudge     struct{}               // asks for a step
 )
 
 // message is a message that the relay has not done with.
@@ -75,25 +77,25 @@
 	events chan any
 	over   chan struct{} // closed when the loop has ended
 	idle   chan struct{} // closed when the relay is stopping and nothing is left to wait for
-	ready  atomic.Bool
+	listed atomic.Bool   // it has recovered and holds a list
+	ending atomic.Bool   // SIGTERM came
 	calls  sync.WaitGroup
 
 	// Owned by the loop.
-	callCtx context.Context
-	started time.Time
-	sender  *policy.Sender
-	wal     *wal.Log
-	found   wal.Recovery // until it is taken up
-	msgs    map[uint32]*message
-	traces  map[string]*message
-	routes  map[string]target
-	held    int // messages that the module has not done with
-	out     int // calls
-	lastID  uint32
-	wakeAt  time.Time      // zero: none asked for
-	later   []policy.Event // for the next step
-	noSends bool
-	idled   bool
+	callCtx                  context.Context
+	started                  time.Time
+	sender                   *policy.Sender
+	wal                      *wal.Log
+	found                    wal.Recovery // until it is taken up
+	msgs                     map[uint32]*message
+	traces                   map[string]*message
+	routes                   map[string]target
+	held                     int // messages that the module has not done with
+	out                      int // calls
+	lastID                   uint32
+	wakeAt                   time.Time      // zero: none asked for
+	later                    []policy.Event // for the next step
+	stopping, noSends, idled bool
 }
 
 // target is what the relay keeps of a listed host.
@@ -134,7 +136,7 @@
 	callCtx, stopCalls := context.WithCancel(context.Background())
 	defer stopCalls()
 	r.callCtx = callCtx
-	r.recover() // before clients are told that the relay is ready
+	r.resume() // before clients are told that the relay is ready
 	go r.loop(work)
 	go r.finals.run(work)
 	list := watcher{r.log, r.agent, r.cfg.Discovery, watchSilence, func(l List) { r.post(l) }}
@@ -163,7 +165,7 @@
 func (r *Relay) shutDown(server *http.Server) {
 	began := time.Now()
 	by := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
-	r.ready.Store(false)
+	r.ending.Store(true)
 	server.SetKeepAlivesEnabled(false)
 	<-by(acceptFor)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(answerFor))
@@ -184,9 +186,6 @@
 	}
 }
 
-// stopping tells the loop that no more messages come.
-type stopping struct{}
-
 // post hands an event to the loop; false if that has ended.
 func (r *Relay) post(e any) bool {
 	select {
@@ -199,8 +198,8 @@
 
 func (r *Relay) now() time.Duration { return time.Since(r.started) }
 
-// recover hands the module the known list and what an earlier process left, in one step.
-func (r *Relay) recover() {
+// resume hands the module the known list and what an earlier process left, in one step.
+func (r *Relay) resume() {
 	found := r.found
 	r.found = wal.Recovery{}
 	var evs []policy.Event
@@ -336,7 +335,7 @@
 				}
 			}
 		case stopping:
-			r.idled = true
+			r.stopping = true
 		case noSends:
 			r.noSends = true
 		}
@@ -353,8 +352,8 @@
 	for _, c := range asked {
 		c.reply <- !r.noSends && r.sender.MayStill(c.route, r.now())
 	}
-	if r.idled && (len(r.msgs) == 0 || r.noSends && r.out == 0) {
-		r.idled = false
+	if r.stopping && !r.idled && (len(r.msgs) == 0 || r.noSends && r.out == 0) {
+		r.idled = true
 		close(r.idle)
 	}
 }
@@ -498,8 +497,8 @@
 			r.routes[id] = t
 		}
 	}
-	if len(r.routes) > 0 && !r.idled {
-		r.ready.Store(true)
+	if len(r.routes) > 0 {
+		r.listed.Store(true)
 	}
 	return e
 }
@@ -534,9 +533,7 @@
 			r.wal.Decide(m.Message, wal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay})
 			ended = append(ended, m)
 		case policy.Wake:
-			if at := time.Now().Add(a.Delay); r.wakeAt.IsZero() || at.Before(r.wakeAt) {
-				r.wakeAt = at
-			}
+			r.wakeAt = time.Now().Add(a.Delay) // the module keeps one wake in mind, the last that it asked for
 		case policy.CloseIdle:
 			r.hosts.closeIdle(r.routes[a.Route].addr)
 		}
@@ -608,9 +605,8 @@
 			r.later = r.attemptEnded(r.later, a, result{outcome: policy.ConnectFailed})
 		}
 	}
-	if at := time.Now().Add(r.cfg.Tick); len(calls) > 0 && (r.wakeAt.IsZero() || at.Before(r.wakeAt)) {
-		r.wakeAt = at
-	}
+	// The module is told in a step of its own, soon, and not by its own wake, which must not be lost.
+	time.AfterFunc(r.cfg.Tick, func() { r.post(nudge{}) })
 }
 
 // launch makes a call, away from the loop.
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,292 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wire"
+)
+
+const settingsJSON = `{"bounds":{"cancel":true,"connect_timeout_ms":1500.0,"keepalive_ms":15000.0,"max_retry_after_ms":3000.0,
+	"may_duplicate":true,"open_cap":438,"retry_after":true,"send_cap":8},
+	"extra":{"call_slots":38,"carriage":[0.0,0.03],"per_call":[10,1,1],"separate_routes":[false,true,false]},
+	"fleet_size":2,"kinds":["platform","gateway","store"],"membership_mode":"push",
+	"realms":[{"name":"acme","quota_per_s":52.5,"share":0.66},{"name":"bolt","quota_per_s":15.0,"share":0.34}],
+	"rules":{"cold_from":0.18,"fall_ms":3000.0,"overload_factor":2.0,"warm_within_ms":14000.0},
+	"services":[{"name":"order","semantics":"idempotency_key","group":"zone","goal_time_ms":3000.0,"give_up_ms":16000.0,
+	"repeat_window_ms":10000.0,"value":1.0,"by_arrival":true}],
+	"stats":{"fields":[],"how":"none"},"tick_ms":5.0,"weight_kind":"nominal","zones":["a","b"],"zone":0,"novel":[[1,2],null]}`
+
+const configure = "bounds.cancel=true bounds.connect_timeout_ms=1500.0 bounds.max_retry_after_ms=3000.0 bounds.open_cap=438 " +
+	"bounds.retry_after=true bounds.send_cap=8 extra.call_slots=38 extra.carriage=0.0,0.03 extra.per_call=10,1,1 " +
+	"extra.separate_routes=false,true,false fleet_size=2 kinds=platform,gateway,store membership_mode=push realms.count=2 " +
+	"realms.0.name=acme realms.0.quota_per_s=52.5 realms.0.share=0.66 realms.1.name=bolt realms.1.quota_per_s=15.0 " +
+	"realms.1.share=0.34 rules.cold_from=0.18 rules.fall_ms=3000.0 rules.overload_factor=2.0 rules.warm_within_ms=14000.0 " +
+	"services.count=1 services.0.name=order services.0.semantics=idempotency_key services.0.group=zone " +
+	"services.0.goal_time_ms=3000.0 services.0.give_up_ms=16000.0 services.0.repeat_window_ms=10000.0 services.0.value=1.0 " +
+	"services.0.by_arrival=true weight_kind=nominal"
+
+// The relay's configuration and the simulator's wire give the module the same settings.
+func TestConfigMapsAsTheWireDoes(t *testing.T) {
+	c, err := parseConfig([]byte(`{"name":"n3","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","settings":` + settingsJSON + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b wire.Batch
+	in := "MARK 1.0 1\nCONFIGURE 0 7 " + configure + "\nGO\n"
+	if err := wire.NewReader(strings.NewReader(in)).Next(&b); err != nil {
+		t.Fatal(err)
+	}
+	if want := b.Items[0].Settings; !reflect.DeepEqual(c.Settings, want) {
+		t.Errorf("from JSON\n%+v\non the wire\n%+v", c.Settings, want)
+	}
+	if c.ConnectTimeout != 1500*time.Millisecond || c.KeepAlive != 15*time.Second || c.Tick != 5*time.Millisecond ||
+		c.Seed != 0x8c1f30d27a5be964 || !reflect.DeepEqual(c.Customers, []string{"acme", "bolt"}) {
+		t.Errorf("the relay's own part: %+v", c)
+	}
+}
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// newTestRelay is a relay whose loop is not running: the test takes its part.
+func newTestRelay(t *testing.T) *Relay {
+	t.Helper()
+	c, err := parseConfig([]byte(`{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":` + settingsJSON +
+		`,"known":{"version":1,"full":true,"servers":[
+		{"id":"s-1","addr":"127.0.0.1:1","zone":"a","kind":"gateway","cell":7,"state":"ready","weight":50}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.StateDir = t.TempDir()
+	r, err := New(c, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.hosts.close() })
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); r.calls.Wait() })
+	r.callCtx = ctx
+	r.resume()
+	return r
+}
+
+func handInRequest(ctx context.Context, id string) *http.Request {
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "/order", strings.NewReader("body"))
+	for k, v := range map[string]string{
+		"X-Trace-Id": id, "X-Qos": "order", "X-Customer": "bolt", "Idempotency-Key": "k", "Envelope": "dest=7",
+		"X-Expires-In-Ms": "5000",
+	} {
+		req.Header.Set(k, v)
+	}
+	return req
+}
+
+// next takes the loop's next event and decides on it.
+func (r *Relay) next() any {
+	e := <-r.events
+	r.step([]any{e})
+	return e
+}
+
+// A client that gave up waiting hands the message in anew, under another id: the first must not be sent again.
+func TestAClientThatLeftWithoutAnAnswerTakesItsMessageAlong(t *testing.T) {
+	r := newTestRelay(t)
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.newServer().Handler.ServeHTTP(httptest.NewRecorder(), handInRequest(ctx, "m1"))
+	}()
+	e := <-r.events
+	leave()
+	r.step([]any{e})
+	for {
+		if _, ok := r.next().(withdrawal); ok {
+			break
+		}
+	}
+	<-done
+	eventually(t, "forgotten", func() bool { // its call may still be out
+		select {
+		case e := <-r.events:
+			r.step([]any{e})
+		default:
+		}
+		return len(r.msgs) == 0 && r.held == 0
+	})
+}
+
+// A message that comes once more because its connection closed crosswise is the same message.
+func TestAMessageHandedInTwiceUnderOneIDIsTakenOnce(t *testing.T) {
+	r := newTestRelay(t)
+	for range 2 {
+		w := httptest.NewRecorder()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.newServer().Handler.ServeHTTP(w, handInRequest(t.Context(), "m1"))
+		}()
+		for {
+			if _, ok := r.next().(*handIn); ok {
+				break
+			}
+		}
+		<-done
+		if w.Code != http.StatusAccepted {
+			t.Errorf("status %d", w.Code)
+		}
+	}
+	if len(r.msgs) != 1 {
+		t.Errorf("%d messages held", len(r.msgs))
+	}
+}
+
+// With the log's folder gone, as with a full disk, new work is refused and nothing is sent unrecorded.
+func TestAFullDiskRefusesNewWork(t *testing.T) {
+	r := newTestRelay(t)
+	if err := r.wal.Close(); err != nil { // every write fails from here on
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.newServer().Handler.ServeHTTP(w, handInRequest(t.Context(), "m1"))
+	}()
+	r.next()
+	<-done
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, advice %q", w.Code, w.Header().Get("Retry-After"))
+	}
+	if len(r.msgs) != 0 || r.held != 0 || r.out != 0 {
+		t.Errorf("%d held, %d out", r.held, r.out)
+	}
+}
+
+func TestUnreadableEntriesSpoilNoOther(t *testing.T) {
+	r := newTestRelay(t)
+	l, err := parseList([]byte(`{"version":2,"full":true,"servers":[7,{"id":"s-1","state":"asleep"},{"id":"s-8","zone":"x"},
+		{"id":"s-2","addr":"127.0.0.1:2","zone":"b","kind":"store","cell":3,"state":"ready","weight":5}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := r.list(l)
+	if len(r.routes) != 2 || r.routes["s-1"].addr != "127.0.0.1:1" || r.routes["s-2"].Zone != 1 || len(e.List) != 2 {
+		t.Errorf("routes %+v", r.routes)
+	}
+}
+
+// A watch that is cut off says nothing: silence alone tells, and the next resumes where it ended.
+func TestASilentWatchIsBegunAnew(t *testing.T) {
+	indexes := make(chan string, 10)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		indexes <- req.URL.Query().Get("index")
+		fmt.Fprintln(w, `{"version":9,"full":true,"servers":[]}`)
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	}))
+	defer s.Close()
+	told := make(chan List, 10)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w := watcher{quiet(), newAgentClient(), addrOf(s), 50 * time.Millisecond, func(l List) { told <- l }}
+	go w.run(ctx, 4)
+	for _, want := range []string{"4", "9"} {
+		select {
+		case got := <-indexes:
+			if l := <-told; got != want || l.Version != 9 || !l.Full {
+				t.Errorf("watch from %s, want %s; told %+v", got, want, l)
+			}
+		case <-time.After(patience):
+			t.Fatalf("no watch from %s", want)
+		}
+	}
+}
+
+func TestNoticesAreRepeatedUntilTaken(t *testing.T) {
+	var mu sync.Mutex
+	var posts, lines int
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		mu.Lock()
+		defer mu.Unlock()
+		if posts++; posts < 3 {
+			w.WriteHeader([]int{500, 200}[posts-1]) // neither is 204
+			return
+		}
+		for line := range strings.Lines(string(body)) {
+			var n map[string]any
+			if json.Unmarshal([]byte(line), &n) != nil || n["id"] == nil {
+				t.Errorf("line %q", line)
+			}
+			lines++
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer s.Close()
+	taken := make(chan []uint32, 10)
+	f := newFinals(quiet(), newAgentClient(), addrOf(s), func(ids []uint32) { taken <- ids })
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f.add(notice{id: 1, ID: "a", Status: "undeliverable"}, notice{id: 2, ID: "b", Status: "deferred", AgainMS: 500})
+	go f.run(ctx)
+	select {
+	case ids := <-taken:
+		if len(ids) != 2 || lines != 2 || posts != 3 {
+			t.Errorf("taken %v after %d requests, %d lines", ids, posts, lines)
+		}
+	case <-time.After(patience):
+		t.Fatal("never taken")
+	}
+}
+
+// A damaged log may lack sends: what it holds is ended, not repeated.
+func TestADamagedLogRepeatsNothing(t *testing.T) {
+	r := newTestRelay(t)
+	for _, id := range []string{"m1", "m2", "m3"} {
+		w := httptest.NewRecorder()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.newServer().Handler.ServeHTTP(w, handInRequest(t.Context(), id))
+		}()
+		for {
+			if _, ok := r.next().(*handIn); ok {
+				break
+			}
+		}
+		<-done
+	}
+	path := filepath.Join(r.cfg.StateDir, "wal.log")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[strings.Index(string(data), "m2")] ^= 0x55
+	cfg := r.cfg
+	cfg.StateDir = t.TempDir()
+	if err := os.WriteFile(filepath.Join(cfg.StateDir, "wal.log"), data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.callCtx = t.Context()
+	again.resume()
+	if again.out != 0 || again.held != 0 || len(again.finals.queue) != 2 || again.finals.queue[0].Status != "undeliverable" {
+		t.Errorf("%d calls out, %d held, notices %+v", again.out, again.held, again.finals.queue)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -510,7 +510,6 @@
 	m.deadline = s.now + e.Left - endMargin
 	m.due = s.now + c.Aim - max(0, c.GiveUp-e.Left)
 	m.rank = s.now + time.Duration(float64(m.due-s.now)/math.Max(c.Value, 0.01))
-	s.resume(m, e.Resumed)
 	if s.overShare(e.Customer) {
 		m.rank += time.Duration(overShare * float64(e.Left))
 	}
@@ -520,6 +519,7 @@
 	if c.Ordered && e.Key != "" {
 		s.join(m, e.Key)
 	}
+	s.resume(m, e.Resumed)
 	heap.Push(&s.ends, end{m.deadline, m})
 	heap.Push(&s.ends, end{m.due, m})
 	s.enqueue(m)
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -13,6 +13,9 @@
 		return
 	}
 	m.sends, m.ran, m.ranAt, m.ranZone = e.Attempts, e.Ran, s.now-e.RanAgo, e.RanZone
+	if m.turn != nil && e.Ran {
+		m.turn.rest = max(m.turn.rest, s.now+s.set.OrderPause) // a call out when the process ended may still run
+	}
 	for _, g := range m.dest.gates {
 		if g.pace == 0 {
 			g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
--- /dev/null
+++ b/policy/resume_test.go
@@ -0,0 +1,116 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// resumeSettings have one keyed class whose repeats are dropped in a zone for 10 s.
+func resumeSettings() Settings {
+	return Settings{
+		Classes: []Class{{
+			Effect: Keyed, Window: 10 * time.Second, Aim: 3 * time.Second, GiveUp: 16 * time.Second, Value: 1,
+		}},
+		Kinds: []Kind{{Separate: true, PerCall: 1}}, MaxAttempts: 8, MaxRetryAfter: 3 * time.Second,
+	}
+}
+
+// twoZones is a list of a better route in zone 1 and another in zone 0.
+func twoZones() Event {
+	return Event{Kind: ListWhole, List: []Listing{
+		{Route: "best", Destination: 5, Zone: 1, Weight: 50, InService: true},
+		{Route: "other", Destination: 5, Zone: 0, Weight: 20, InService: true},
+	}}
+}
+
+func resumeStep(t *testing.T, r *Resumed) []Action {
+	t.Helper()
+	s, err := New(resumeSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Step(time.Second, []Event{
+		twoZones(), {Kind: Taken, ID: 1, Destination: 5, Left: 8 * time.Second, Resumed: r},
+	})
+}
+
+func TestResumedMessagesKeepTheirZoneAndWindow(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		resumed Resumed
+		route   string // "" if none may be tried
+	}{
+		{"nothing ran", Resumed{Attempts: 1}, "best"},
+		{"one may have run in zone 0", Resumed{Attempts: 1, Ran: true, RanAgo: 5 * time.Second}, "other"},
+		{"too long ago", Resumed{Attempts: 1, Ran: true, RanAgo: 11 * time.Second}, ""},
+		{"no attempts left", Resumed{Attempts: 8}, ""},
+	} {
+		route := ""
+		for _, a := range resumeStep(t, &c.resumed) {
+			if a.Kind == Send {
+				route = a.Route
+			}
+		}
+		if route != c.route {
+			t.Errorf("%s: sent to %q, want %q", c.name, route, c.route)
+		}
+	}
+}
+
+func TestOverdueMessagesEndAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		resumed Resumed
+		want    ActionKind
+	}{{Resumed{}, Refuse}, {Resumed{Attempts: 1, Ran: true}, Fail}} {
+		s, err := New(resumeSettings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		acts := s.Step(time.Second, []Event{twoZones(), {Kind: Taken, ID: 1, Destination: 5, Left: -time.Second, Resumed: &c.resumed}})
+		if len(acts) == 0 || acts[0].Kind != c.want {
+			t.Errorf("%+v: %+v", c.resumed, acts)
+		}
+	}
+}
+
+func TestABacklogIsNotPouredOut(t *testing.T) {
+	s, err := New(resumeSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	evs := []Event{twoZones()}
+	for i := range uint32(40) {
+		evs = append(evs, Event{Kind: Taken, ID: i, Destination: 5, Left: 8 * time.Second, Resumed: &Resumed{}})
+	}
+	sends := 0
+	for _, a := range s.Step(time.Second, evs) {
+		if a.Kind == Send {
+			sends++
+		}
+	}
+	if sends == 0 || sends > 4 { // one for each route, and what rounding adds
+		t.Errorf("%d sends at once", sends)
+	}
+}
+
+func TestACallMayNoLongerLeave(t *testing.T) {
+	s, err := New(resumeSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(time.Second, []Event{twoZones(), {Kind: Taken, ID: 1, Destination: 5, Left: 8 * time.Second}})
+	if !s.MayStill("best", time.Second) || !s.MayStill("other", time.Second) || s.MayStill("none", time.Second) {
+		t.Error("routes in service may be called, others not")
+	}
+	// A wait that comes with a delivery, as in a bundle's answer, binds too.
+	s.Step(2*time.Second, []Event{{Kind: Finished, ID: 1, Route: "best", Outcome: OK, Ended: true, Wait: time.Second}})
+	if s.MayStill("best", 2900*time.Millisecond) || !s.MayStill("best", 3*time.Second) {
+		t.Error("the wait ends at 3 s")
+	}
+	s.Step(4*time.Second, []Event{{Kind: ListChanges, List: []Listing{
+		{Route: "best", Destination: 5, Zone: 1, Weight: 50}, {Route: "other", Gone: true},
+	}}})
+	if s.MayStill("best", 4*time.Second) || s.MayStill("other", 4*time.Second) {
+		t.Error("one drains, one is gone")
+	}
+}
