policy: give the final answer as soon as no further try is possible

Cause: finish queued every message that was not unsafe (policy.go, the default of its last switch), and endDue looked at none before its deadline. A request given up on must get its final answer at once. Ruled out: messages that a route may yet take (spent looks at attempts and the window alone, never at the list), and a second rule for when a send is allowed (windowEnd is the one that mayAttempt uses). The ended messages free room for others.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -594,8 +594,8 @@
 		s.over(m)
 	case m.ended:
 		s.forget(m)
-	case m.class.Effect == Unsafe && m.ran:
-		s.fail(m)
+	case s.spent(m):
+		s.giveUp(m)
 	default:
 		s.enqueue(m)
 	}
@@ -617,7 +617,7 @@
 	}
 	m.avoid = c.r
 	if !m.ran || c.sent < m.ranAt {
-		m.ran, m.ranAt, m.ranZone = true, c.sent, c.r.Zone
+		s.mark(m, c.sent, c.r.Zone)
 	}
 }
 
@@ -644,7 +644,7 @@
 		case Unsafe:
 			return never
 		case Keyed:
-			if !m.class.GroupAll && r.Zone != m.ranZone || s.now >= m.ranAt+m.class.Window-endMargin {
+			if !m.class.GroupAll && r.Zone != m.ranZone || s.now >= m.windowEnd() {
 				return never
 			}
 		}
@@ -860,12 +860,10 @@
 		m := heap.Pop(&s.ends).(end).m
 		switch {
 		case m.ended:
-		case s.now < m.deadline:
+		case s.spent(m) || s.now >= m.deadline:
+			s.giveUp(m)
+		case s.now >= m.due:
 			s.late(m)
-		case s.mayRefuse(m):
-			s.refuse(m)
-		default:
-			s.fail(m)
 		}
 	}
 }
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"container/heap"
+	"time"
+)
 
 // What a real relay needs beyond the simulator's events: messages that outlast a process, and calls that take
 // time to leave.
@@ -12,7 +15,13 @@
 	if e == nil {
 		return
 	}
-	m.sends, m.ran, m.ranAt, m.ranZone = e.Attempts, e.Ran, s.now-e.RanAgo, e.RanZone
+	m.sends = e.Attempts
+	if e.Ran {
+		s.mark(m, s.now-e.RanAgo, e.RanZone)
+	}
+	if s.spent(m) {
+		heap.Push(&s.ends, end{s.now, m}) // ends in this step
+	}
 	if m.turn != nil && e.Ran {
 		m.turn.rest = max(m.turn.rest, s.now+s.set.OrderPause) // a call out when the process ended may still run
 	}
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -114,3 +114,32 @@
 		t.Error("one drains, one is gone")
 	}
 }
+
+// A message that no route may ever take again gets its answer then, not at its deadline.
+func TestSpentMessagesEndAtOnce(t *testing.T) {
+	s, err := New(resumeSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ends := func(at time.Duration, evs ...Event) (kinds []ActionKind) {
+		for _, a := range s.Step(at, evs) {
+			if a.Kind == Refuse || a.Kind == Fail {
+				kinds = append(kinds, a.Kind)
+			}
+		}
+		return kinds
+	}
+	if got := ends(time.Second, twoZones(),
+		Event{Kind: Taken, ID: 1, Destination: 5, Left: 14 * time.Second, Resumed: &Resumed{Attempts: 8, Ran: true, RanZone: 2}},
+		Event{Kind: Taken, ID: 2, Destination: 5, Left: 14 * time.Second, Resumed: &Resumed{Attempts: 2, Ran: true, RanZone: 2}},
+	); len(got) != 1 || got[0] != Fail {
+		t.Errorf("with no attempts left: %v", got)
+	}
+	// No route stands in zone 2, where the second may have run: it waits for one as long as repeats are dropped.
+	if got := ends(10900 * time.Millisecond); len(got) != 0 {
+		t.Errorf("inside the window: %v", got)
+	}
+	if got := ends(11 * time.Second); len(got) != 1 || got[0] != Fail {
+		t.Errorf("after the window: %v", got)
+	}
+}
--- /dev/null
+++ b/policy/spent.go
@@ -0,0 +1,40 @@
+package policy
+
+import (
+	"container/heap"
+	"time"
+)
+
+// When a message has no further try in it. It gets its final answer then, not at its deadline: the client may have
+// use for the time.
+
+// mark notes that an attempt of m, sent at so, may have run, and has m looked at when repeats stop being dropped.
+func (s *Sender) mark(m *message, at time.Duration, zone int) {
+	m.ran, m.ranAt, m.ranZone = true, at, zone
+	if m.class.Effect == Keyed {
+		heap.Push(&s.ends, end{m.windowEnd(), m})
+	}
+}
+
+// windowEnd is when the last repeat of a keyed message that may have run must be sent.
+func (m *message) windowEnd() time.Duration { return m.ranAt + m.class.Window - endMargin }
+
+// spent tells whether mayAttempt can never again allow a send of m, whatever becomes of the routes.
+func (s *Sender) spent(m *message) bool {
+	switch {
+	case m.ended || len(m.out) > 0:
+		return false
+	case s.set.MaxAttempts > 0 && m.sends >= s.set.MaxAttempts:
+		return true
+	}
+	return m.ran && (m.class.Effect == Unsafe || m.class.Effect == Keyed && s.now >= m.windowEnd())
+}
+
+// giveUp gives a message its final answer: a refusal where that keeps the rule of effects.
+func (s *Sender) giveUp(m *message) {
+	if s.mayRefuse(m) {
+		s.refuse(m)
+		return
+	}
+	s.fail(m)
+}
