cherrytrestle: test restarts under load

Three clients go on through a SIGTERM and a SIGKILL: every request had an answer through the planned end, every message taken on was delivered or ended, and none taken before the planned end went twice. Ruled out: connections ended with a request unanswered (Server.Shutdown closes idle ones alone; the listener stays 0.5 s for those that crossed it).

--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -490,6 +490,84 @@
 	}
 }
 
+// Clients that go on through a planned end, and through a kill, lose nothing that they were told is taken on.
+func TestRestartsUnderLoadLoseNothing(t *testing.T) {
+	p := newPlatform(t)
+	h := newHost(t, func(http.ResponseWriter, *http.Request, []string) { time.Sleep(30 * time.Millisecond) })
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, nil)
+	var mu sync.Mutex
+	var taken []string
+	var unanswered int
+	load := func(round string, stop <-chan struct{}) {
+		var clients sync.WaitGroup
+		for c := range 3 {
+			clients.Go(func() {
+				client := &http.Client{Transport: &http.Transport{}, Timeout: 2 * time.Second}
+				defer client.CloseIdleConnections()
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					case <-time.After(20 * time.Millisecond):
+					}
+					id := fmt.Sprintf("%s-%d-%d", round, c, i)
+					res, err := client.Do(r.request(id, 30*time.Second, nil)) // comes once more if its connection closed crosswise
+					mu.Lock()
+					if err != nil {
+						unanswered++
+					} else if res.StatusCode == http.StatusAccepted {
+						taken = append(taken, id)
+					}
+					mu.Unlock()
+					if err == nil {
+						io.Copy(io.Discard, res.Body)
+						res.Body.Close()
+					}
+				}
+			})
+		}
+		clients.Wait()
+	}
+
+	// The front sends nothing more to a relay some tenths of a second after SIGTERM.
+	stop := make(chan struct{})
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		r.cmd.Process.Signal(syscall.SIGTERM)
+		time.Sleep(100 * time.Millisecond)
+		close(stop)
+	}()
+	load("term", stop)
+	if unanswered > 0 {
+		t.Errorf("%d requests had no answer through a planned end", unanswered)
+	}
+	if err := r.cmd.Wait(); err != nil {
+		t.Errorf("ended: %v", err)
+	}
+	r.start(p)
+
+	stop = make(chan struct{})
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		r.cmd.Process.Kill()
+		close(stop)
+	}()
+	load("kill", stop)
+	r.cmd.Wait()
+	r.start(p)
+	for _, id := range taken {
+		eventually(t, id+" delivered or ended", func() bool { return h.count(id) > 0 || p.final(id) != nil })
+	}
+	if len(taken) < 20 {
+		t.Errorf("only %d taken on: the test shows little", len(taken))
+	}
+	for _, id := range taken {
+		if n := h.count(id); strings.HasPrefix(id, "term") && n > 1 {
+			t.Errorf("%s went %d times though its calls could finish", id, n)
+		}
+	}
+}
+
 func TestDrainsAreHeededAndTheWatchResumes(t *testing.T) {
 	p, one, two := newPlatform(t), newHost(t, nil), newHost(t, nil)
 	better := listed("s-1", one.addr(), "a", "gateway", "ready")
