relay: keep bundles within a body's 64 KiB; warn once of a full log

Cause: addSend filled a call by number alone. PROTOCOL lets bodies hold 64 KiB, and ten messages in Base64 may make 870: such a bundle would be turned away whole (413). A full log also warned with every batch of hand-ins (accept). Ruled out: single calls, whose body goes raw and was bounded at the door. Test: TestABundleIsNoLargerThanABodyMayBe.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -92,7 +92,7 @@
 	m = &wal.Message{
 		Trace: req.Header.Get("X-Trace-Id"),
 		Key:   req.Header.Get("Idempotency-Key"),
-		Order: req.URL.Query().Get("key"),
+		Order: req.URL.Query().Get("key"), // what the message is about, where its class keeps order
 		Class: slices.Index(r.cfg.Classes, req.PathValue("class")),
 	}
 	switch {
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -59,6 +60,7 @@
 	sent     time.Time
 	until    time.Time // given up then
 	attempts []*attempt
+	size     int // of the body, at most, if it carries several
 }
 
 // attempt is one message's part in a call.
@@ -171,15 +173,22 @@
 	return req, nil
 }
 
+// item is a message in a bundle.
+type item struct {
+	ID   string `json:"id"`
+	Key  string `json:"key,omitempty"`
+	Body []byte `json:"body"`
+}
+
+// itemSize is the most that a message takes in a bundle: any byte of an id may be escaped.
+func itemSize(m *message) int {
+	return base64.StdEncoding.EncodedLen(len(m.Body)) + 6*(len(m.Trace)+len(m.Key)) + len(`{"id":"","key":"","body":""},[]`)
+}
+
 func bundle(c *call) []byte {
-	type item struct {
-		ID   string `json:"id"`
-		Key  string `json:"key,omitempty"`
-		Body []byte `json:"body"`
-	}
 	items := make([]item, 0, len(c.attempts))
 	for _, a := range c.attempts {
-		items = append(items, item{a.m.Trace, a.m.Key, append([]byte{}, a.m.Body...)})
+		items = append(items, item{a.m.Trace, a.m.Key, append([]byte{}, a.m.Body...)}) // null is no body
 	}
 	data, err := json.Marshal(items)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,19 +82,21 @@
 	calls  sync.WaitGroup
 
 	// Owned by the loop.
-	callCtx                  context.Context
-	started                  time.Time
-	sender                   *policy.Sender
-	wal                      *wal.Log
-	found                    wal.Recovery // until it is taken up
-	msgs                     map[uint32]*message
-	traces                   map[string]*message
-	routes                   map[string]target
-	held                     int // messages that the module has not done with
-	out                      int // calls
-	lastID                   uint32
-	wakeAt                   time.Time      // zero: none asked for
-	later                    []policy.Event // for the next step
+	callCtx context.Context
+	started time.Time
+	sender  *policy.Sender
+	wal     *wal.Log
+	found   wal.Recovery // until it is taken up
+	msgs    map[uint32]*message
+	traces  map[string]*message
+	routes  map[string]target
+	held    int // messages that the module has not done with
+	out     int // calls
+	lastID  uint32
+	wakeAt  time.Time      // zero: none asked for
+	later   []policy.Event // for the next step
+	full    bool           // the log took no new work last
+
 	stopping, noSends, idled bool
 }
 
@@ -383,7 +385,10 @@
 	}
 	if err := r.wal.Accept(ms...); err != nil {
 		// A full disk is no reason to die: what is held goes on, new work is refused.
-		r.log.Warn("refusing new messages", "err", err)
+		if !r.full {
+			r.log.Warn("refusing new messages", "err", err)
+		}
+		r.full = true
 		for _, in := range fresh {
 			r.held--
 			delete(r.msgs, in.m.ID)
@@ -392,6 +397,7 @@
 		}
 		return nil
 	}
+	r.full = false
 	return fresh
 }
 
@@ -563,8 +569,10 @@
 		most = max(1, r.cfg.Settings.Kinds[t.Kind].PerCall)
 	}
 	var c *call
+	size := itemSize(m)
 	for _, x := range calls {
-		if x.route == a.Route && len(x.attempts) < most {
+		// Bodies hold so much at most, and many small messages are no reason to have one large one turned away.
+		if x.route == a.Route && len(x.attempts) < most && x.size+size <= bodyMost {
 			c = x
 		}
 	}
@@ -573,6 +581,7 @@
 		calls = append(calls, c)
 	}
 	until := r.started.Add(a.At)
+	c.size += size
 	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, until: until})
 	m.sends++
 	m.out++
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,7 +16,9 @@
 	"testing"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/internal/wire"
+	"onyxroad.dev/onyxroad/policy"
 )
 
 const settingsJSON = `{"bounds":{"cancel":true,"connect_timeout_ms":1500.0,"keepalive_ms":15000.0,"max_retry_after_ms":3000.0,
@@ -252,6 +254,27 @@
 	}
 }
 
+// Together the messages of a bundle may be larger than any body may.
+func TestABundleIsNoLargerThanABodyMayBe(t *testing.T) {
+	r := newTestRelay(t)
+	r.routes["s-1"] = target{Listing: policy.Listing{Route: "s-1", Kind: 0, InService: true}, addr: "127.0.0.1:1"}
+	var calls []*call
+	for i, size := range []int{20_000, 20_000, 20_000, 0, 64 << 10, 5} {
+		m := &message{Message: &wal.Message{Trace: fmt.Sprint("<", i, ">"), Key: "&&&&", Body: make([]byte, size)}}
+		calls = r.addSend(calls, m, policy.Action{Kind: policy.Send, Route: "s-1", At: time.Minute})
+	}
+	sent := 0
+	for _, c := range calls {
+		sent += len(c.attempts)
+		if body := bundle(c); len(c.attempts) > 1 && (len(body) > bodyMost || len(body) > c.size) {
+			t.Errorf("%d messages in %d bytes, %d counted", len(c.attempts), len(body), c.size)
+		}
+	}
+	if sent != 6 || len(calls) != 3 {
+		t.Errorf("%d messages in %d calls", sent, len(calls))
+	}
+}
+
 // A damaged log may lack sends: what it holds is ended, not repeated.
 func TestADamagedLogRepeatsNothing(t *testing.T) {
 	r := newTestRelay(t)
