relay: SIGHUP reads the configuration again and moves to the discovery it names

Cause: SIGHUP had no handler (cmd/cherrytrestle), and discovery's address was fixed when Run began (watcher.addr, finals.url). An unreadable line of the watch was asked for again by its version, for ever (watcher.follow returned its error before version went on; from reading). Change: agent holds the address; what is under way at the old one ends with errMoved and goes on at the new one at once. There the whole list is fetched, since another agent need not number alike; the old list serves until then. In the file `discovery` goes before the start's environment; an unreadable file changes nothing.

--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -29,6 +29,8 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	reload := make(chan os.Signal, 1) // caught from the start: unhandled, SIGHUP ends the process
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := relay.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -39,5 +41,15 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	go func() {
+		for range reload {
+			cfg, err := relay.ReloadConfig(os.Getenv)
+			if err != nil {
+				slog.Warn("keeping the configuration", "err", err)
+				continue
+			}
+			r.Reload(cfg)
+		}
+	}()
 	return r.Run(ctx)
 }
--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -64,6 +64,7 @@
 	indexes []string    // that watches came with
 	finals  []map[string]any
 	refuse  int // so many requests with notices fail first
+	whole   []member
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -71,6 +72,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog/members", func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
+		if r.URL.Query().Get("stream") == "" {
+			defer p.mu.Unlock()
+			json.NewEncoder(w).Encode(map[string]any{"version": p.version, "full": true, "servers": p.whole})
+			return
+		}
 		p.indexes = append(p.indexes, r.URL.Query().Get("index"))
 		p.mu.Unlock()
 		for {
@@ -194,6 +200,7 @@
 	addr   string
 	cmd    *exec.Cmd
 	client *http.Client
+	config map[string]any
 }
 
 // newRelay writes the configuration; change may alter the settings.
@@ -217,13 +224,12 @@
 	r := &relayProcess{t: t, dir: t.TempDir(), addr: l.Addr().String(), client: &http.Client{Timeout: 2 * time.Second}}
 	l.Close()
 	must(t, os.Mkdir(filepath.Join(r.dir, "state"), 0o700))
-	config, err := json.Marshal(map[string]any{
+	r.config = map[string]any{
 		"name": "n0", "seed": "8c1f30d27a5be964", "settings": settings,
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
 		"known":  map[string]any{"version": 1, "full": true, "servers": known},
-	})
-	must(t, err)
-	must(t, os.WriteFile(filepath.Join(r.dir, "config.json"), config, 0o600))
+	}
+	r.writeConfig()
 	t.Cleanup(func() {
 		if r.cmd != nil {
 			r.kill()
@@ -237,6 +243,13 @@
 	return r
 }
 
+func (r *relayProcess) writeConfig() {
+	r.t.Helper()
+	config, err := json.Marshal(r.config)
+	must(r.t, err)
+	must(r.t, os.WriteFile(filepath.Join(r.dir, "config.json"), config, 0o600))
+}
+
 func (r *relayProcess) start(p *platform) {
 	r.t.Helper()
 	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -687,3 +700,55 @@
 		t.Errorf("with half a request open: %v", err)
 	}
 }
+
+// SIGHUP moves the relay to the discovery that the file names, again and again. Versions may go back, the notices
+// follow, the old list serves until the new discovery speaks, and an unreadable file changes nothing.
+func TestSIGHUPMovesDiscovery(t *testing.T) {
+	one, two := newHost(t, nil), newHost(t, nil)
+	shut := newHost(t, func(w http.ResponseWriter, _ *http.Request, _ []string) { w.WriteHeader(http.StatusServiceUnavailable) })
+	first, second := newPlatform(t), newPlatform(t)
+	first.version = 40
+	r := newRelay(t, first, []member{listed("s-1", one.addr(), "a", "gateway", "ready")}, nil)
+	r.take("m1", 10*time.Second)
+	eventually(t, "the first host", func() bool { return one.count("m1") == 1 })
+	const many = 1 << 30
+	first.refuse = many // its notices are stuck there
+	first.tell(true, listed("s-3", shut.addr(), "a", "gateway", "ready"))
+	eventually(t, "a message turned away", func() bool {
+		id := fmt.Sprint("full", time.Now().UnixNano())
+		r.take(id, 500*time.Millisecond)
+		eventually(t, id, func() bool { return one.count(id)+shut.count(id) > 0 })
+		return shut.count(id) > 0
+	})
+	eventually(t, "a notice under way", func() bool { first.mu.Lock(); defer first.mu.Unlock(); return first.refuse < many })
+
+	hup := func(p *platform) {
+		t.Helper()
+		r.config["discovery"] = p.Listener.Addr().String()
+		r.writeConfig()
+		must(t, r.cmd.Process.Signal(syscall.SIGHUP))
+	}
+	second.whole = []member{listed("s-2", two.addr(), "a", "gateway", "ready")}
+	hup(second)
+	r.take("m2", 10*time.Second)
+	eventually(t, "the host of the new list", func() bool { return two.count("m2") == 1 })
+	eventually(t, "the notice that was under way", func() bool { second.mu.Lock(); defer second.mu.Unlock(); return len(second.finals) > 0 })
+
+	must(t, os.WriteFile(filepath.Join(r.dir, "config.json"), []byte("{"), 0o600))
+	must(t, r.cmd.Process.Signal(syscall.SIGHUP))
+	second.tell(false, listed("s-2", two.addr(), "a", "gateway", "draining"), listed("s-1", one.addr(), "a", "gateway", "ready"))
+	r.take("m3", 10*time.Second)
+	eventually(t, "still heard after an unreadable file", func() bool { return one.count("m3")+two.count("m3") == 1 })
+
+	first.whole = []member{listed("s-2", two.addr(), "a", "gateway", "ready")}
+	hup(first)
+	eventually(t, "back at the first", func() bool {
+		id := fmt.Sprint("back", time.Now().UnixNano())
+		r.take(id, 10*time.Second)
+		eventually(t, id, func() bool { return one.count(id)+two.count(id) == 1 })
+		return two.count(id) == 1
+	})
+	if err := r.terminate(); err != nil {
+		t.Errorf("ended: %v", err)
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -48,8 +49,18 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
-// LoadConfig reads the file that ROUTER_CONFIG names; the other ROUTER_ variables go before it.
-func LoadConfig(getenv func(string) string) (Config, error) {
+// ReloadConfig reads the file that ROUTER_CONFIG names. What stands in it goes before the other ROUTER_ variables:
+// these are as old as the process.
+func ReloadConfig(getenv func(string) string) (Config, error) {
+	c, err := readConfig(getenv)
+	if err != nil {
+		return Config{}, err
+	}
+	c.Discovery = cmp.Or(c.Discovery, getenv("ROUTER_DISCOVERY"))
+	return c, nil
+}
+
+func readConfig(getenv func(string) string) (Config, error) {
 	data, err := os.ReadFile(getenv("ROUTER_CONFIG"))
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
@@ -58,6 +69,16 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
+	return c, nil
+}
+
+// LoadConfig reads the configuration of a start: the file that ROUTER_CONFIG names; the other ROUTER_ variables go
+// before it.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	c, err := readConfig(getenv)
+	if err != nil {
+		return Config{}, err
+	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_STATE": &c.StateDir,
 	} {
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -20,38 +22,85 @@
 	retryFirst    = 50 * time.Millisecond
 	retryMost     = time.Second
 	noticeTimeout = time.Second
+	fetchTimeout  = time.Second
 	noticeMost    = 256 // lines in a request
 )
 
-// newAgentClient returns a client for discovery's agent.
-func newAgentClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+var (
+	errMoved   = errors.New("discovery has another address now")
+	errTooLong = errors.New("list too long")
+)
+
+// agent is discovery's agent, which another configuration may put at another address.
+type agent struct {
+	client *http.Client
+
+	mu    sync.Mutex
+	addr  string
+	moved context.Context // ends when addr changes
+	leave context.CancelFunc
+}
+
+func newAgent(addr string) *agent {
+	a := &agent{addr: addr, client: &http.Client{Transport: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableCompression: true,
 		MaxConnsPerHost:    4,
-	}}
+		IdleConnTimeout:    30 * time.Second,
+	}}}
+	a.moved, a.leave = context.WithCancel(context.Background())
+	return a
+}
+
+// move has all go to addr from here on: what is under way at the old address ends with errMoved.
+func (a *agent) move(addr string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.addr == addr {
+		return
+	}
+	a.addr = addr
+	a.leave()
+	a.moved, a.leave = context.WithCancel(context.Background())
+	a.client.CloseIdleConnections()
+}
+
+// here returns the address and a context for work there, which ends with ctx, when the agent moves, or by done.
+func (a *agent) here(ctx context.Context) (addr string, work context.Context, done func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	work, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(a.moved, func() { cancel(errMoved) })
+	return a.addr, work, func() { stop(); cancel(nil) }
 }
 
 // watcher follows discovery's list.
 type watcher struct {
 	log     *slog.Logger
-	client  *http.Client
-	addr    string
+	agent   *agent
 	silence time.Duration // a watch with no line for so long is dead: one comes every 2 s
 	told    func(List)
+
+	version int64 // of the list as told
+	whole   bool  // changes alone won't do: the list is to be had whole
 }
 
-// run follows the list from version on until ctx ends.
-func (w *watcher) run(ctx context.Context, version int64) {
+// run follows the list until ctx ends.
+func (w *watcher) run(ctx context.Context) {
 	pause := retryFirst
 	for ctx.Err() == nil {
-		was := version
-		err := w.follow(ctx, &version)
+		was := w.version
+		err := w.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		w.log.Warn("watch ended", "version", version, "err", err)
-		if version != was {
+		w.log.Warn("watch ended", "version", w.version, "err", err)
+		if errors.Is(err, errMoved) {
+			// Another agent need not number its versions alike. The old list serves until this one speaks.
+			w.whole, pause = true, retryFirst
+			continue
+		}
+		if w.version != was {
 			pause = retryFirst
 		}
 		select {
@@ -64,51 +113,106 @@
 
 // follow is one watch, until its connection ends or falls silent. A connection that is cut off says nothing:
 // only the missing lines tell. version is kept up, so that the next watch resumes where this one ended.
-func (w *watcher) follow(ctx context.Context, version *int64) error {
+func (w *watcher) follow(ctx context.Context) error {
+	addr, ctx, done := w.agent.here(ctx)
+	defer done()
+	err := w.stream(ctx, addr)
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+func (w *watcher) stream(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if w.whole && w.fetch(ctx, addr) != nil {
+		w.version = 0 // the watch itself may give the whole list
+	}
 	silence := time.AfterFunc(w.silence, cancel)
 	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", w.addr, *version)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	res, err := w.client.Do(req)
+	res, err := w.get(ctx, fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", addr, w.version))
 	if err != nil {
 		return err
 	}
 	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("discovery answers %s", res.Status)
-	}
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, watchLineMost)
+	fetched := int64(math.MinInt64) // changes up to this version are in the whole list that was fetched meanwhile
 	for lines.Scan() {
 		silence.Reset(w.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
+		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
+			l, err := parseList(line)
+			if err != nil {
+				// Asked for once more it would be as unreadable, for ever: the whole list makes up for it.
+				w.log.Warn("unreadable line of the watch", "err", err)
+				w.whole = true
+			} else if l.Full || l.Version > fetched {
+				w.take(l)
+			}
 		}
-		l, err := parseList(line)
-		if err != nil {
-			return fmt.Errorf("unreadable line: %w", err)
+		if w.whole && w.fetch(ctx, addr) == nil {
+			fetched = w.version
 		}
-		*version = l.Version
-		w.told(l)
 	}
 	if err := lines.Err(); err != nil {
+		w.whole = w.whole || errors.Is(err, bufio.ErrTooLong)
 		return err
 	}
 	return io.ErrUnexpectedEOF
 }
 
+func (w *watcher) take(l List) {
+	w.version, w.whole = l.Version, w.whole && !l.Full
+	w.told(l)
+}
+
+// fetch asks for the whole list.
+func (w *watcher) fetch(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	res, err := w.get(ctx, fmt.Sprintf("http://%s/catalog/members", addr))
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, watchLineMost+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > watchLineMost {
+		return errTooLong
+	}
+	l, err := parseList(data)
+	if err != nil {
+		return err
+	}
+	l.Full = true
+	w.take(l)
+	return nil
+}
+
+func (w *watcher) get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := w.agent.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		res.Body.Close()
+		return nil, fmt.Errorf("discovery answers %s", res.Status)
+	}
+	return res, nil
+}
+
 // finals delivers the final notices to the platform, each until it is taken.
 type finals struct {
-	log    *slog.Logger
-	client *http.Client
-	url    string
-	taken  func(ids []uint32)
+	log   *slog.Logger
+	agent *agent
+	taken func(ids []uint32)
 
 	mu     sync.Mutex
 	queue  []notice
@@ -123,10 +227,8 @@
 	AgainMS int64  `json:"again_ms,omitempty"`
 }
 
-func newFinals(log *slog.Logger, client *http.Client, addr string, taken func([]uint32)) *finals {
-	return &finals{
-		log: log, client: client, url: "http://" + addr + "/v2/finals", taken: taken, signal: make(chan struct{}, 1),
-	}
+func newFinals(log *slog.Logger, agent *agent, taken func([]uint32)) *finals {
+	return &finals{log: log, agent: agent, taken: taken, signal: make(chan struct{}, 1)}
 }
 
 // add queues notices. It never waits, so that the loop does not.
@@ -158,6 +260,10 @@
 		}
 		if err := f.post(ctx, batch); err != nil {
 			f.log.Warn("notices not taken", "count", len(batch), "err", err)
+			if errors.Is(err, errMoved) {
+				pause = retryFirst
+				continue // at once, to the new address
+			}
 			select {
 			case <-ctx.Done():
 				return
@@ -181,6 +287,16 @@
 }
 
 func (f *finals) post(ctx context.Context, batch []notice) error {
+	addr, ctx, done := f.agent.here(ctx)
+	defer done()
+	err := f.postTo(ctx, addr, batch)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		return cause
+	}
+	return err
+}
+
+func (f *finals) postTo(ctx context.Context, addr string, batch []notice) error {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	var lines bytes.Buffer
@@ -190,11 +306,11 @@
 			return err
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url, &lines)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v2/finals", &lines)
 	if err != nil {
 		return err
 	}
-	res, err := f.client.Do(req)
+	res, err := f.agent.client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,7 +73,7 @@
 	log    *slog.Logger
 	hosts  *hosts
 	finals *finals
-	agent  *http.Client
+	agent  *agent
 	events chan any
 	over   chan struct{} // closed when the loop has ended
 	idle   chan struct{} // closed when the relay is stopping and nothing is left to wait for
@@ -117,12 +117,12 @@
 		return nil, fmt.Errorf("relay: %w", err)
 	}
 	r := &Relay{
-		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgentClient(),
+		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
 		started: time.Now().Add(-clockStart), sender: sender, wal: w,
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 	}
-	r.finals = newFinals(log, r.agent, cfg.Discovery, func(ids []uint32) { r.post(confirmed{ids}) })
+	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
 	r.found = recovered
 	return r, nil
 }
@@ -141,8 +141,11 @@
 	r.resume() // before clients are told that the relay is ready
 	go r.loop(work)
 	go r.finals.run(work)
-	list := watcher{r.log, r.agent, r.cfg.Discovery, watchSilence, func(l List) { r.post(l) }}
-	go list.run(work, r.cfg.Known.Version)
+	list := watcher{
+		log: r.log, agent: r.agent, silence: watchSilence, version: r.cfg.Known.Version,
+		told: func(l List) { r.post(l) },
+	}
+	go list.run(work)
 
 	server := r.newServer()
 	served := make(chan error, 1)
@@ -162,6 +165,12 @@
 	return errors.Join(err, r.wal.Close())
 }
 
+// Reload takes on what may change while the relay runs: discovery's address. All else takes a restart.
+func (r *Relay) Reload(cfg Config) {
+	r.log.Info("configuration read again", "discovery", cfg.Discovery)
+	r.agent.move(cfg.Discovery)
+}
+
 // shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
 // once more on a new connection, which is still taken; what was read is answered, and running calls may finish.
 func (r *Relay) shutDown(server *http.Server) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,8 +204,11 @@
 	told := make(chan List, 10)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	w := watcher{quiet(), newAgentClient(), addrOf(s), 50 * time.Millisecond, func(l List) { told <- l }}
-	go w.run(ctx, 4)
+	w := watcher{
+		log: quiet(), agent: newAgent(addrOf(s)), silence: 50 * time.Millisecond, version: 4,
+		told: func(l List) { told <- l },
+	}
+	go w.run(ctx)
 	for _, want := range []string{"4", "9"} {
 		select {
 		case got := <-indexes:
@@ -217,6 +221,44 @@
 	}
 }
 
+// A line that cannot be read would come again and again if it were asked for by its version: the whole list makes up
+// for it, and changes that it holds already are not undone by older lines.
+func TestAnUnreadableLineIsMadeUpForByTheWholeList(t *testing.T) {
+	var watches atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Get("stream") == "" {
+			fmt.Fprintln(w, `{"version":7,"full":true,"servers":[]}`)
+			return
+		}
+		watches.Add(1)
+		fmt.Fprintln(w, `{"version":5,"servers":[{"id`)
+		fmt.Fprintln(w, `{"version":6,"full":false,"servers":[]}`)
+		fmt.Fprintln(w, `{"version":8,"full":false,"servers":[]}`)
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	}))
+	defer s.Close()
+	told := make(chan List, 10)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	defer func() { cancel(); <-ended }()
+	w := watcher{log: quiet(), agent: newAgent(addrOf(s)), silence: patience, version: 4, told: func(l List) { told <- l }}
+	go func() { w.run(ctx); close(ended) }()
+	for _, want := range []int64{7, 8} {
+		select {
+		case l := <-told:
+			if l.Version != want || l.Full != (want == 7) {
+				t.Errorf("told %+v, want version %d", l, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("never told version %d", want)
+		}
+	}
+	if n := watches.Load(); n != 1 {
+		t.Errorf("%d watches", n)
+	}
+}
+
 func TestNoticesAreRepeatedUntilTaken(t *testing.T) {
 	var mu sync.Mutex
 	var posts, lines int
@@ -239,7 +281,7 @@
 	}))
 	defer s.Close()
 	taken := make(chan []uint32, 10)
-	f := newFinals(quiet(), newAgentClient(), addrOf(s), func(ids []uint32) { taken <- ids })
+	f := newFinals(quiet(), newAgent(addrOf(s)), func(ids []uint32) { taken <- ids })
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	f.add(notice{id: 1, ID: "a", Status: "undeliverable"}, notice{id: 2, ID: "b", Status: "deferred", AgainMS: 500})
