relay: serve clients on connections of its own; ids that are known get their end

Causes, each seen or shown by a test first: - Both lengths: net/http deletes Content-Length beside Transfer-Encoding before a handler sees it (parseTransferEncoding; HTTP/1.0: the other way round). Change: clients.go reads requests by http.ReadRequest off conn (new: bounds, bytes left behind, notice of a peer that leaves). Silent, then idle connections make way. Refusals wait for what is on its way, up to 3 s. Destinations that no list named, deadlines past the class's, two ids, bytes behind the length: 400 before the module. Withdrawn messages that may have run stay in the log until their time is up. Dropped: netutil (LimitListener), the module's last dependency.

--- /dev/null
+++ b/internal/relay/clients_test.go
@@ -0,0 +1,327 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// closed reads what is left on a connection, to its end; a reset fails the test.
+func closed(t *testing.T, what string, r *bufio.Reader) {
+	t.Helper()
+	if rest, err := io.ReadAll(r); err != nil || len(rest) > 0 {
+		t.Errorf("%s: %d more bytes, then %v", what, len(rest), err)
+	}
+}
+
+// What cannot be read, or cannot be, is answered and goes no further.
+func TestBadRequestsAreAnsweredAtTheDoor(t *testing.T) {
+	hidden := handInText("hidden")
+	chunked := func(proto string) string {
+		body := "0\r\n\r\n" + hidden
+		return fmt.Sprintf("POST /order %s\r\nHost: x\r\nConnection: keep-alive\r\nX-Trace-Id: a\r\nX-Qos: order\r\n"+
+			"X-Customer: bolt\r\nIdempotency-Key: k\r\nEnvelope: dest=7\r\nX-Expires-In-Ms: 5000\r\n"+
+			"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", proto, len(body), body)
+	}
+	good := handInText("a")
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"both lengths":            {chunked("HTTP/1.1"), 400},
+		"both lengths, old":       {chunked("HTTP/1.0"), 400},
+		"a length in two ways":    {handInText("a", "Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5"), 400},
+		"noise":                   {"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400},
+		"half a head":             {good[:60], 400},
+		"half a body":             {good[:len(good)-2], 400},
+		"a head without end":      {"POST /order HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("X-More: and more\r\n", 4000), 431},
+		"a line without end":      {"POST /" + strings.Repeat("o", 100_000), 431},
+		"negative length":         {handInText("a", "Length: 4", "Length: -4"), 400},
+		"huge length":             {handInText("a", "Length: 4", "Length: 99999999999999999999"), 400},
+		"large length":            {handInText("a", "Length: 4", "Length: 3000000000"), 413},
+		"short length":            {handInText("a", "Length: 4", "Length: 3"), 400},
+		"no such class":           {handInText("a", "/order", "/other", "Qos: order", "Qos: other"), 400},
+		"no id":                   {handInText(""), 400},
+		"two ids":                 {handInText("a", "X-Qos", "X-Trace-Id: b\r\nX-Qos"), 400},
+		"a deadline in words":     {handInText("a", "5000", "soon"), 400},
+		"more time than there is": {handInText("a", "5000", "5000000"), 400},
+		"no length":               {handInText("a", "Content-Length: 4\r\n", ""), 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newTestRelay(t)
+			conn := dial(t, door(t, r), "")
+			go func() { // the relay may refuse before all is written
+				io.WriteString(conn, c.text)
+				conn.(*net.TCPConn).CloseWrite()
+			}()
+			answers := bufio.NewReader(conn)
+			if res := read(t, answers); res.StatusCode != c.want {
+				t.Errorf("status %d, want %d", res.StatusCode, c.want)
+			}
+			closed(t, name, answers)
+			if n := len(r.events); n > 0 {
+				t.Errorf("%d messages went on", n)
+			}
+		})
+	}
+}
+
+// A destination that no list has named never reaches the module, which would keep it.
+func TestUnknownDestinationsAreTurnedAway(t *testing.T) {
+	r := newTestRelay(t)
+	answers := bufio.NewReader(dial(t, door(t, r), handInText("a", "dest=7", "dest=8")))
+	r.next()
+	if res := read(t, answers); res.StatusCode != http.StatusBadRequest || len(r.msgs) > 0 {
+		t.Errorf("status %d, %d messages", res.StatusCode, len(r.msgs))
+	}
+}
+
+// The answer is not lost with a connection that is reset under it, however much is still on its way.
+func TestTheErrorComesBeforeTheClose(t *testing.T) {
+	const size = 60 << 20
+	addr := door(t, newTestRelay(t))
+	for _, length := range []string{fmt.Sprint(size), "x"} {
+		conn := dial(t, addr, handInText("a", "Length: 4", "Length: "+length))
+		for chunk := make([]byte, 1<<20); ; {
+			n, err := conn.Write(chunk)
+			if err != nil {
+				t.Fatalf("after %d bytes: %v", n, err)
+			}
+			if length = length[min(len(length), 1):]; length == "" {
+				break
+			}
+		}
+		if _, err := io.CopyN(conn, zeros{}, size); err != nil {
+			t.Fatalf("not read to its end: %v", err)
+		}
+		conn.(*net.TCPConn).CloseWrite()
+		answers := bufio.NewReader(conn)
+		if res := read(t, answers); res.StatusCode != http.StatusRequestEntityTooLarge && res.StatusCode != http.StatusBadRequest {
+			t.Errorf("status %d", res.StatusCode)
+		}
+		closed(t, "the rest", answers)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
+
+// A bad request that has come whole costs a client no connection.
+func TestAConnectionOutlastsABadRequest(t *testing.T) {
+	r := newTestRelay(t)
+	conn := dial(t, door(t, r), handInText("a", "X-Qos: order", "X-Qos: what"))
+	answers := bufio.NewReader(conn)
+	if res := read(t, answers); res.StatusCode != http.StatusBadRequest {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	io.WriteString(conn, handInText("b"))
+	settle(t, r, "taken on", func() bool { return r.traces["b"] != nil })
+	if res := read(t, answers); res.StatusCode != http.StatusAccepted {
+		t.Errorf("status %d", res.StatusCode)
+	}
+}
+
+// Silent connections, and those that are kept for nothing, make way for clients that have something to say.
+func TestSilentAndIdleConnectionsMakeWay(t *testing.T) {
+	const most = 4
+	r := newTestRelay(t)
+	r.clients.most = most
+	addr := door(t, r)
+	held := func() int { r.clients.mu.Lock(); defer r.clients.mu.Unlock(); return len(r.clients.conns) }
+	kept := bufio.NewReader(dial(t, addr, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))
+	read(t, kept)
+	for range 3 * most {
+		dial(t, addr, "")
+	}
+	for i := range 2 * most {
+		if res := post(t, r, addr, fmt.Sprint("m", i)); res.StatusCode != http.StatusAccepted {
+			t.Errorf("%d: status %d", i, res.StatusCode)
+		}
+	}
+	closed(t, "the one that was idle longest", kept)
+	if n := held(); n > most {
+		t.Errorf("%d connections held", n)
+	}
+}
+
+// Where all connections are being answered, a newcomer waits for the first that is done.
+func TestNoAnswerIsCutOffToMakeRoom(t *testing.T) {
+	r := newTestRelay(t)
+	r.clients.most = 1
+	addr := door(t, r)
+	first := bufio.NewReader(dial(t, addr, handInText("m1")))
+	e := <-r.events
+	second := bufio.NewReader(dial(t, addr, handInText("m2")))
+	r.step([]any{e})
+	if res := read(t, first); res.StatusCode != http.StatusAccepted {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	settle(t, r, "the second is taken on", func() bool { return r.traces["m2"] != nil })
+	if res := read(t, second); res.StatusCode != http.StatusAccepted {
+		t.Errorf("status %d", res.StatusCode)
+	}
+}
+
+// A connection on which nothing comes is closed within the 3 s that such a client is owed.
+func TestASilentConnectionIsClosedInTime(t *testing.T) {
+	began := time.Now()
+	closed(t, "silent", bufio.NewReader(dial(t, door(t, newTestRelay(t)), "")))
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("closed after %v", took)
+	}
+}
+
+// decide has the loop take all of these hand-ins in one step.
+func decide(r *Relay, ins ...*handIn) (answers []answer) {
+	batch := make([]any, len(ins))
+	for i, in := range ins {
+		batch[i] = in
+	}
+	r.step(batch)
+	for _, in := range ins {
+		answers = append(answers, <-in.reply)
+	}
+	return answers
+}
+
+func newHandIn(id string, dest int, left time.Duration) *handIn {
+	m := &wal.Message{Trace: id, Key: "k", Dest: dest, Deadline: time.Now().Add(left)}
+	return &handIn{m: m, reply: make(chan answer, 1)}
+}
+
+// A second copy of what is refused in the same step is not told that it is taken on.
+func TestATwinSharesItsAnswer(t *testing.T) {
+	r := newTestRelay(t)
+	for i, a := range decide(r, newHandIn("m1", 7, -time.Second), newHandIn("m1", 7, time.Second)) {
+		if a.status != http.StatusServiceUnavailable {
+			t.Errorf("copy %d: %+v", i, a)
+		}
+	}
+	r.wal.Close()
+	for i, a := range decide(r, newHandIn("m2", 7, time.Second), newHandIn("m2", 7, time.Second)) {
+		if a.status != http.StatusServiceUnavailable {
+			t.Errorf("copy %d, no log: %+v", i, a)
+		}
+	}
+}
+
+// The client that handed a message in first may leave: the one that was told the same of the same id is still owed it.
+func TestAnIDThatOthersWereToldOfIsNotWithdrawn(t *testing.T) {
+	r := newTestRelay(t)
+	first := newHandIn("m1", 7, 5*time.Second)
+	decide(r, first)
+	decide(r, newHandIn("m1", 7, 5*time.Second))
+	r.step([]any{withdrawal{first.m.ID}})
+	if m := r.msgs[first.m.ID]; m == nil || m.ended {
+		t.Errorf("withdrawn: %+v", m)
+	}
+}
+
+// What was given up on, and only waits for its notice, is owed no more than that.
+func TestAnIDThatWasGivenUpOnGetsThatAnswer(t *testing.T) {
+	r := newTestRelay(t)
+	in := newHandIn("m1", 7, 5*time.Second)
+	decide(r, in)
+	m := r.msgs[in.m.ID]
+	r.carryOut([]policy.Action{{Kind: policy.Refuse, ID: m.ID, Delay: 700 * time.Millisecond}}, nil)
+	if a := decide(r, newHandIn("m1", 7, 5*time.Second))[0]; a.status != http.StatusServiceUnavailable || a.again != 700*time.Millisecond {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// A withdrawn message that may have run keeps its attempts, its window and its zone when it comes once more under its
+// id, also when the process ends in between, before or after.
+func TestAWithdrawnMessageThatMayHaveRunIsNoNewOne(t *testing.T) {
+	for restart := range 3 {
+		const dest = 8 // listed once, and without a host now: nothing is sent but what the test says
+		r := newTestRelay(t)
+		r.cells[dest] = true
+		in := newHandIn("m1", dest, 5*time.Second)
+		decide(r, in)
+		m := r.msgs[in.m.ID]
+		sent := wal.Attempt{N: 0, Host: "s-8", Zone: 1, At: time.Now().Add(-time.Second).Round(0)}
+		if err := r.wal.Sent(wal.Send{Message: m.Message, Attempt: sent}); err != nil {
+			t.Fatal(err)
+		}
+		r.step([]any{withdrawal{m.ID}})
+		if restart == 1 {
+			r = restarted(t, r)
+			r.cells[dest] = true
+		}
+		if a := decide(r, newHandIn("m1", dest, 5*time.Second))[0]; a.status != http.StatusAccepted {
+			t.Fatalf("answer %+v", a)
+		}
+		if restart == 2 {
+			r = restarted(t, r)
+		}
+		again := r.traces["m1"]
+		if again == nil || again.ended || again.ID == m.ID {
+			t.Fatalf("restart %d: %+v", restart, again)
+		}
+		e := r.resumed(again).Resumed
+		if e.Attempts != 1 || !e.Ran || e.RanZone != 1 || e.RanAgo < time.Second || !again.MayRun[0].At.Equal(sent.At) {
+			t.Errorf("restart %d: resumed as %+v, may have run %+v", restart, e, again.MayRun)
+		}
+	}
+}
+
+// restarted is a relay on what another left behind.
+func restarted(t *testing.T, old *Relay) *Relay {
+	t.Helper()
+	if err := old.wal.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(old.cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.callCtx = old.callCtx
+	r.resume()
+	return r
+}
+
+// A Send of a message that is not held must not end the loop.
+func TestASendOfNothingEndsNothing(t *testing.T) {
+	r := newTestRelay(t)
+	r.carryOut([]policy.Action{{Kind: policy.Send, ID: 4711, Route: "s-1", At: time.Minute}}, nil)
+	if r.out != 0 {
+		t.Errorf("%d calls", r.out)
+	}
+}
+
+func FuzzHeads(f *testing.F) {
+	f.Add([]byte(handInText("a")))
+	f.Add([]byte("POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := newConn(struct{ net.Conn }{})
+		c.Conn = readConn{r: bytes.NewReader(data)}
+		c.allow(headMost)
+		c.keepRaw()
+		req, err := http.ReadRequest(c.r)
+		if err == nil && len(req.TransferEncoding) > 0 && bytes.Contains(bytes.ToLower(c.kept), []byte("\ncontent-length:")) {
+			// The head alone counts, so what stands behind it may still hold that text.
+			head, _, _ := bytes.Cut(c.kept, []byte("\r\n\r\n"))
+			if bytes.Contains(bytes.ToLower(head), []byte("\r\ncontent-length:")) && !twoLengths(req, c.kept) {
+				t.Errorf("%q passes", data)
+			}
+		}
+	})
+}
+
+type readConn struct {
+	net.Conn
+	r io.Reader
+}
+
+func (c readConn) Read(b []byte) (int, error) { return c.r.Read(b) }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -161,6 +161,14 @@
 	return c, nil
 }
 
+// longest is the most time that a message of a class may have.
+func (c *Config) longest(class int) time.Duration {
+	if d := c.Settings.Classes[class].GiveUp; d > 0 {
+		return d
+	}
+	return 24 * time.Hour
+}
+
 // setDefaults fills in what a configuration may leave out.
 func (c *Config) setDefaults() {
 	setDefault(&c.ConnectTimeout, time.Second)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -34,6 +34,10 @@
 	Attempts int       // sends so far
 	MayRun   []Attempt // those of them that have no outcome or one that does not prove that they never ran
 	Final    *Final    // the notice that ends it, once decided
+
+	// Withdrawn tells that nothing is owed, since its client left without an answer. It may have run, and should it
+	// be handed in once more, that must be known.
+	Withdrawn bool `json:",omitempty"`
 }
 
 // Attempt is one send.
@@ -70,6 +74,7 @@
 	recOutcome
 	recFinal
 	recEnd
+	recWithdrawn
 )
 
 const (
@@ -197,6 +202,15 @@
 	l.notes = appendRecord(l.notes, record{Kind: recFinal, ID: m.ID, Final: &f}, nil)
 }
 
+// Withdraw notes that nothing is owed for m but to remember what may have run, until End.
+func (l *Log) Withdraw(m *Message) {
+	if l.live[m.ID] == nil {
+		return
+	}
+	m.Withdrawn = true
+	l.notes = appendRecord(l.notes, record{Kind: recWithdrawn, ID: m.ID}, nil)
+}
+
 // End notes that nothing more is owed for m.
 func (l *Log) End(m *Message) {
 	if l.live[m.ID] == nil {
@@ -337,6 +351,8 @@
 		m.neverRan(rec.N)
 	case rec.Kind == recFinal && rec.Final != nil:
 		m.Final = rec.Final
+	case rec.Kind == recWithdrawn:
+		m.Withdrawn = true
 	case rec.Kind == recEnd:
 		delete(l.live, m.ID)
 		return
