--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -324,4 +324,6 @@
 	r io.Reader
 }
 
+func (readConn) SetReadDeadline(time.Time) error { return nil }
+
 func (c readConn) Read(b []byte) (int, error) { return c.r.Read(b) }
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -315,7 +315,7 @@
 		return err
 	}
 	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, answerMost)); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, bodyMost)); err != nil {
 		return err
 	}
 	if res.StatusCode != http.StatusNoContent {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -337,7 +337,7 @@
 		case *callEnd:
 			evs = r.callEnded(evs, e)
 		case cutOff:
-			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout})
+			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout, took: time.Since(e.a.sent)})
 		case List:
 			evs = append(evs, r.list(e))
 		case clearance:
@@ -564,7 +564,7 @@
 	}
 	r.retire(m)
 	return append(evs, policy.Event{
-		Kind: policy.Finished, ID: m.ID, Attempt: a.n, Route: a.route, Outcome: res.outcome, Took: time.Since(a.sent),
+		Kind: policy.Finished, ID: m.ID, Attempt: a.n, Route: a.route, Outcome: res.outcome, Took: res.took,
 		Ended: ok || res.gone, Wait: res.wait, Report: res.report,
 	})
 }
@@ -608,11 +608,20 @@
 		e.List = append(e.List, entry)
 		if entry.Gone {
 			delete(r.routes, entry.Route)
+			r.hosts.closeIdle(entry.Route)
 		} else {
+			if known, ok := r.routes[entry.Route]; ok && known.addr != addr {
+				r.hosts.closeIdle(entry.Route)
+			}
 			routes[entry.Route] = target{entry, addr}
 			r.cells[entry.Destination] = true
 		}
 	}
+	for id := range r.routes {
+		if _, ok := routes[id]; l.Full && !ok {
+			r.hosts.closeIdle(id)
+		}
+	}
 	if l.Full {
 		r.routes = routes
 	} else {
@@ -659,7 +668,7 @@
 		case policy.Wake:
 			r.wakeAt = time.Now().Add(a.Delay) // the module keeps one wake in mind, the last that it asked for
 		case policy.CloseIdle:
-			r.hosts.closeIdle(r.routes[a.Route].addr)
+			r.hosts.closeIdle(a.Route)
 		}
 	}
 	if err := r.record(calls); err != nil {
