--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -394,3 +394,37 @@
 		t.Errorf("%d calls out, %d held, notices %+v", again.out, again.held, again.finals.queue)
 	}
 }
+
+// Whatever discovery says, an entry that passes can be used, and none ends the relay.
+func FuzzLists(f *testing.F) {
+	f.Add([]byte(`{"version":2,"full":true,"servers":[{"id":"s-2","addr":"127.0.0.1:2","zone":"b","kind":"store","cell":3,
+		"state":"ready","weight":5}]}`))
+	f.Add([]byte(`{"version":-1,"servers":[7,null,{"id":"s-1","state":"gone"},{"id":"","state":"ready","cell":-1}]}`))
+	c, err := parseConfig([]byte(`{"settings":` + settingsJSON + `}`))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l, err := parseList(data)
+		if err != nil {
+			return
+		}
+		for _, raw := range l.Entries {
+			entry, addr, err := c.listing(raw)
+			if err == nil && (entry.Route == "" || !entry.Gone && (addr == "" || entry.Zone < 0 || entry.Kind < 0)) {
+				t.Errorf("%s passes as %+v at %q", raw, entry, addr)
+			}
+		}
+	})
+}
+
+func FuzzConfig(f *testing.F) {
+	f.Add([]byte(`{"name":"n3","limits":{"sockets":-1},"settings":` + settingsJSON + `}`))
+	f.Add([]byte(`{"settings":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := parseConfig(data)
+		if err == nil && (c.Limits.Sockets <= 0 || c.ConnectTimeout <= 0 || c.KeepAlive <= 0) {
+			t.Errorf("%s passes as %+v", data, c)
+		}
+	})
+}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -292,3 +292,24 @@
 		t.Errorf("a record of %d bytes counts as %d", got, cost(m))
 	}
 }
+
+// Whatever stands in the file, it is read to an end, and a record behind it is found.
+func FuzzReplay(f *testing.F) {
+	whole := appendRecord(nil, record{Kind: recAccept, ID: 1, Message: message(1)}, []byte("body"))
+	whole = appendRecord(whole, record{Kind: recSend, ID: 1, Attempt: &Attempt{Host: "s-1"}}, nil)
+	f.Add(appendRecord(whole, record{Kind: recWithdrawn, ID: 1}, nil))
+	f.Add(whole[:len(whole)-3])
+	last := appendRecord(nil, record{Kind: recAccept, ID: 1 << 30, Message: message(1 << 30)}, nil)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l := &Log{live: map[uint32]*Message{}}
+		good, _ := l.replay(data)
+		if good > int64(len(data)) {
+			t.Fatalf("%d good bytes of %d", good, len(data))
+		}
+		again := &Log{live: map[uint32]*Message{}}
+		end, damaged := again.replay(append(data[:good:good], last...))
+		if end != good+int64(len(last)) || again.live[1<<30] == nil || damaged && len(l.live) == 0 && good == 0 {
+			t.Errorf("%d good bytes, then %d, damaged %v", good, end, damaged)
+		}
+	})
+}
