--- /dev/null
+++ b/internal/scenario/plan.go
@@ -0,0 +1,439 @@
+package scenario
+
+import (
+	"bufio"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/partner"
+)
+
+// Place is a destination, or a route that stands apart.
+type Place struct {
+	Name string
+	Dest int
+	Spec partner.Spec
+	Seed uint64
+}
+
+// Endpoint is a host that is listed at some time of the rehearsal.
+type Endpoint struct {
+	ID     string
+	Place  string
+	Dest   int
+	Zone   string
+	Kind   string
+	Weight float64 // as discovery lists it: calls a second that its place takes
+	At     string  // comes up at the address of this endpoint, which has gone; "": at one of its own
+	Later  bool    // not there from the start
+}
+
+// Arrival is a message that a client hands in.
+type Arrival struct {
+	At       time.Duration
+	ID       string // of the first try
+	Relay    int    // counted from 0
+	Class    int
+	Customer int
+	Dest     int
+	Key      string
+	Order    string
+	Body     int
+	Again    time.Duration // comes again after a refusal, and after this at the soonest; 0: it does not
+}
+
+// Op is something that a step does.
+type Op string
+
+// The operations. Each names its target.
+const (
+	OpList   Op = "list"  // an endpoint comes up and is listed
+	OpDrain  Op = "drain" // it is listed as draining
+	OpGone   Op = "gone"  // it is listed no more
+	OpStop   Op = "stop"  // its process ends
+	OpFail   Op = "fail"  // of a place: X is the share of calls
+	OpShut   Op = "shut"  // of a place, for For
+	OpSlow   Op = "slow"  // of a place: X is the factor, 1 ends it
+	OpMute   Op = "mute"
+	OpDown   Op = "down"
+	OpCut    Op = "cut"
+	OpBack   Op = "back" // ends the outage of a place
+	OpHush   Op = "hush" // discovery falls silent to a relay
+	OpSpeak  Op = "speak"
+	OpDelay  Op = "delay" // discovery is later to a relay by For
+	OpTerm   Op = "term"
+	OpKill   Op = "kill"
+	OpHUP    Op = "hup"
+	OpBegins Op = "begins" // a trouble, by its name
+	OpEnds   Op = "ends"
+)
+
+// Step is something that happens to the world.
+type Step struct {
+	At     time.Duration
+	Op     Op
+	Target string
+	X      float64
+	For    time.Duration
+	Note   string
+}
+
+// Plan is all that a rehearsal plays.
+type Plan struct {
+	File      File
+	Seed      uint64
+	Places    []Place
+	Endpoints []Endpoint
+	Arrivals  []Arrival
+	Steps     []Step
+	Delays    uint64 // seeds how late discovery is
+}
+
+// planner draws a plan. Each part has a random stream of its own, so that a change of one leaves the others.
+type planner struct {
+	*Plan
+	serial int // of endpoints
+	gone   []string
+	busy   map[string]bool // endpoints that a trouble has taken away
+}
+
+func stream(seed uint64, name string, n int) *rand.Rand {
+	h := sha256.Sum256(fmt.Appendf(nil, "%d/%s/%d", seed, name, n))
+	var s [32]byte
+	copy(s[:], h[:])
+	return rand.New(rand.NewChaCha8(s))
+}
+
+// Draw makes the plan of a scenario. seed 0 is the scenario's own.
+func (f File) Draw(seed uint64) Plan {
+	p := planner{Plan: &Plan{File: f, Seed: cmp.Or(seed, f.Seed)}, busy: map[string]bool{}}
+	p.Delays = stream(p.Seed, "delays", 0).Uint64()
+	p.world()
+	for i, t := range f.Traffic {
+		p.traffic(i, t)
+	}
+	slices.SortStableFunc(p.Arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	ids := stream(p.Seed, "ids", 0)
+	for i := range p.Arrivals {
+		a := &p.Arrivals[i]
+		a.ID = fmt.Sprintf("%016x", ids.Uint64())
+		a.Key = fmt.Sprintf("%016x%016x", ids.Uint64(), ids.Uint64())
+	}
+	for i, t := range f.Troubles {
+		p.trouble(i, t)
+	}
+	slices.SortStableFunc(p.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return *p.Plan
+}
+
+// world lists the places and endpoints that are there from the start.
+func (p *planner) world() {
+	dest := 0
+	seeds := stream(p.Seed, "places", 0)
+	for _, d := range p.File.Destinations {
+		kind := p.File.Kinds[slices.IndexFunc(p.File.Kinds, func(k Kind) bool { return k.Name == d.Kind })]
+		spec := p.File.Spec(kind, d.Rate)
+		for range d.Count {
+			dest++
+			name := fmt.Sprintf("d%d", dest)
+			if !kind.Separate {
+				p.Places = append(p.Places, Place{name, dest, spec, seeds.Uint64()})
+			}
+			weight := d.Rate
+			if kind.Limit == "none" {
+				weight = spec.PerEndpoint()
+				if !kind.Separate {
+					weight *= float64(d.Endpoints)
+				}
+			}
+			for i := range d.Endpoints {
+				e := p.endpoint(Endpoint{Place: name, Dest: dest, Zone: d.Zones[i%len(d.Zones)], Kind: kind.Name, Weight: weight})
+				if kind.Separate {
+					p.Endpoints[e].Place = p.Endpoints[e].ID
+					p.Places = append(p.Places, Place{p.Endpoints[e].ID, dest, spec, seeds.Uint64()})
+				}
+			}
+		}
+	}
+}
+
+// endpoint adds one and returns its place in the list. Its id tells nothing.
+func (p *planner) endpoint(e Endpoint) int {
+	p.serial++
+	h := sha256.Sum256(fmt.Appendf(nil, "%d/endpoint/%d", p.Seed, p.serial))
+	e.ID = "s-" + hex.EncodeToString(h[:4])
+	p.Endpoints = append(p.Endpoints, e)
+	return len(p.Endpoints) - 1
+}
+
+// shape is the share of its rate that traffic has at a part of its span.
+func shape(kind string, x float64) float64 {
+	if kind == "dinner" {
+		return 0.25 + 0.75*math.Sin(math.Pi*x)
+	}
+	return 1
+}
+
+func (p *planner) traffic(n int, t Traffic) {
+	draw := stream(p.Seed, "traffic", n)
+	group := 1
+	if t.Shape == "bursts" {
+		group = t.Burst
+	}
+	for at := t.From.D(); ; {
+		at += time.Duration(draw.ExpFloat64() / t.Rate * float64(group) * float64(time.Second))
+		if at >= t.To.D() {
+			return
+		}
+		if draw.Float64() > shape(t.Shape, float64(at-t.From.D())/float64(t.To-t.From)) {
+			continue
+		}
+		dest := p.destination(draw, t)
+		for i := range group {
+			a := Arrival{
+				At: at + time.Duration(i)*time.Millisecond, Dest: dest, Body: t.Body, Relay: draw.IntN(p.File.Relays),
+				Class:    pick(draw, p.File.Classes, t.Class, func(c Class) (string, float64) { return c.Name, c.Share }),
+				Customer: pick(draw, p.File.Customers, t.Customer, func(c Customer) (string, float64) { return c.Name, c.Share }),
+			}
+			if p.File.Classes[a.Class].Order {
+				a.Order = fmt.Sprintf("o%d-%d", a.Dest, draw.IntN(4))
+			}
+			if draw.Float64() < *p.File.Clients.Again {
+				a.Again = time.Duration((0.5 + draw.Float64()) * float64(p.File.Clients.Backoff))
+			}
+			if a.At < t.To.D() {
+				p.Arrivals = append(p.Arrivals, a)
+			}
+		}
+	}
+}
+
+// pick draws one by the shares, or finds the one that is named.
+func pick[T any](draw *rand.Rand, list []T, name string, of func(T) (string, float64)) int {
+	total := 0.0
+	for i, x := range list {
+		n, share := of(x)
+		if name != "" && n == name {
+			return i
+		}
+		total += share
+	}
+	at := draw.Float64() * total
+	for i, x := range list {
+		_, share := of(x)
+		if at -= share; at < 0 {
+			return i
+		}
+	}
+	return len(list) - 1
+}
+
+func (p *planner) destination(draw *rand.Rand, t Traffic) int {
+	if len(t.Destinations) > 0 {
+		return t.Destinations[draw.IntN(len(t.Destinations))]
+	}
+	total := 0.0
+	for _, d := range p.File.Destinations {
+		total += d.Weight * float64(d.Count)
+	}
+	at := draw.Float64() * total
+	dest := 0
+	for _, d := range p.File.Destinations {
+		for range d.Count {
+			dest++
+			if at -= d.Weight; at < 0 {
+				return dest
+			}
+		}
+	}
+	return dest
+}
+
+func (p *planner) step(at time.Duration, op Op, target string) *Step {
+	p.Steps = append(p.Steps, Step{At: at, Op: op, Target: target})
+	return &p.Steps[len(p.Steps)-1]
+}
+
+func (p *planner) trouble(n int, t Trouble) {
+	draw := stream(p.Seed, "trouble", n)
+	name := fmt.Sprintf("%s-%d", t.Kind, n+1)
+	begin, end := t.At.D(), (t.At + t.For).D()
+	begins := len(p.Steps)
+	p.step(begin, OpBegins, name)
+	var struck []string
+	switch t.Kind {
+	case Draining, Gone:
+		struck = p.replace(draw, t)
+		if t.Kind == Draining {
+			end += t.Drain.D()
+		}
+	case DiscoveryDown, DiscoveryLate, Term, Kill, HUP:
+		struck = p.relays(t)
+	default:
+		for _, place := range p.struck(draw, t) {
+			struck = append(struck, place.Name)
+			p.strike(t, place.Name, begin, end)
+		}
+	}
+	p.Steps[begins].Note = strings.Join(struck, " ")
+	p.step(max(end, begin+time.Second), OpEnds, name)
+}
+
+// strike has a trouble of a place begin and end.
+func (p *planner) strike(t Trouble, place string, begin, end time.Duration) {
+	switch t.Kind {
+	case Fail:
+		p.step(begin, OpFail, place).X = t.Calls
+	case Shut:
+		p.step(begin, OpShut, place).For = end - begin
+	case SlowDown:
+		p.step(begin, OpSlow, place).X = t.Factor
+		p.step(end, OpSlow, place).X = 1
+		return
+	case Silent:
+		p.step(begin, OpMute, place)
+	case Death:
+		p.step(begin, OpDown, place)
+	case Cut:
+		p.step(begin, OpCut, place)
+	}
+	p.step(end, OpBack, place)
+}
+
+// struck draws the places that a trouble strikes.
+func (p *planner) struck(draw *rand.Rand, t Trouble) []Place {
+	var can []Place
+	for _, x := range p.Places {
+		if len(t.Destinations) > 0 && !slices.Contains(t.Destinations, x.Dest) {
+			continue
+		}
+		inZone := slices.ContainsFunc(p.Endpoints, func(e Endpoint) bool { return e.Place == x.Name && (t.Zone == "" || e.Zone == t.Zone) })
+		if inZone {
+			can = append(can, x)
+		}
+	}
+	if t.Share > 0 {
+		draw.Shuffle(len(can), func(i, j int) { can[i], can[j] = can[j], can[i] })
+		can = can[:int(math.Ceil(t.Share*float64(len(can))))]
+	}
+	return can
+}
+
+// relays has a trouble of the relays begin and end.
+func (p *planner) relays(t Trouble) (names []string) {
+	list := t.Relays
+	if len(list) == 0 {
+		for i := range p.File.Relays {
+			list = append(list, i+1)
+		}
+	}
+	for i, r := range list {
+		name := RelayName(r)
+		names = append(names, name)
+		begin := t.At.D() + time.Duration(i)*t.Stagger.D()
+		switch t.Kind {
+		case DiscoveryDown:
+			p.step(begin, OpHush, name)
+			p.step(begin+t.For.D(), OpSpeak, name)
+		case DiscoveryLate:
+			p.step(begin, OpDelay, name).For = t.Delay.D()
+			p.step(begin+t.For.D(), OpDelay, name)
+		case Term:
+			p.step(begin, OpTerm, name)
+		case Kill:
+			p.step(begin, OpKill, name)
+		case HUP:
+			p.step(begin, OpHUP, name)
+		}
+	}
+	return names
+}
+
+// replace has endpoints drain or go, batch by batch over the trouble's time, each with a new one in its place if asked
+// for. The new one is there before the old one drains, or else where the old one was, after it has gone.
+func (p *planner) replace(draw *rand.Rand, t Trouble) (ids []string) {
+	var can []int
+	for i, e := range p.Endpoints {
+		if !p.busy[e.ID] && (len(t.Destinations) == 0 || slices.Contains(t.Destinations, e.Dest)) && (t.Zone == "" || e.Zone == t.Zone) {
+			can = append(can, i)
+		}
+	}
+	draw.Shuffle(len(can), func(i, j int) { can[i], can[j] = can[j], can[i] })
+	if t.Share > 0 {
+		can = can[:int(math.Ceil(t.Share*float64(len(can))))]
+	}
+	batches := (len(can) + t.Batch - 1) / t.Batch
+	for n, i := range can {
+		old := p.Endpoints[i]
+		p.busy[old.ID] = true
+		ids = append(ids, old.ID)
+		at := t.At.D() + time.Duration(n/t.Batch)*t.For.D()/time.Duration(max(1, batches))
+		goes := at
+		if t.Kind == Draining {
+			p.step(at, OpDrain, old.ID)
+			goes += t.Drain.D()
+		}
+		p.step(goes, OpGone, old.ID)
+		stops := goes
+		if t.Kind == Draining {
+			stops += 2 * time.Second // what it took may end
+		}
+		p.step(stops, OpStop, old.ID)
+		if !t.Replace {
+			continue
+		}
+		next := old
+		next.Later, next.At = true, ""
+		comes := max(0, at-time.Second)
+		if draw.Float64() < t.SameAddress {
+			next.At, comes = old.ID, stops+100*time.Millisecond
+		}
+		e := p.endpoint(next)
+		if old.Place == old.ID {
+			p.Endpoints[e].Place = p.Endpoints[e].ID
+			was := p.Places[slices.IndexFunc(p.Places, func(x Place) bool { return x.Name == old.Place })]
+			p.Places = append(p.Places, Place{p.Endpoints[e].ID, old.Dest, was.Spec, draw.Uint64()})
+		}
+		p.step(comes, OpList, p.Endpoints[e].ID)
+	}
+	return ids
+}
+
+// WriteTo writes the plan as text, the same for the same plan.
+func (p Plan) WriteTo(w io.Writer) (int64, error) {
+	buf := bufio.NewWriter(w)
+	n := 0
+	line := func(format string, args ...any) {
+		k, _ := fmt.Fprintf(buf, format+"\n", args...) // its error stays in buf
+		n += k
+	}
+	line("scenario %s seed %d delays %d", p.File.Name, p.Seed, p.Delays)
+	for _, x := range p.Places {
+		line("place %s dest %d seed %d %+v", x.Name, x.Dest, x.Seed, x.Spec)
+	}
+	for _, e := range p.Endpoints {
+		line("endpoint %+v", e)
+	}
+	for _, a := range p.Arrivals {
+		line("arrival %+v", a)
+	}
+	for _, s := range p.Steps {
+		line("step %+v", s)
+	}
+	return int64(n), buf.Flush()
+}
+
+// Digest names the plan.
+func (p Plan) Digest() string {
+	h := sha256.New()
+	p.WriteTo(h) // a hash takes all
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
--- /dev/null
+++ b/internal/standin/agent.go
@@ -0,0 +1,327 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/record"
+)
+
+const (
+	heartbeat = 2 * time.Second // between empty lines of a watch
+	// toldBy is when what the agent has counts as told, whether or not it arrived.
+	toldBy      = 6 * time.Second
+	noticesMost = 1 << 20 // bytes of a request with notices
+)
+
+// Member is an entry of the list.
+type Member struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr,omitempty"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+// Members is the list, or changes to it, as discovery writes it.
+type Members struct {
+	Version int64    `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Member `json:"servers"`
+}
+
+// Agent is discovery's agent on the machine of one relay.
+type Agent struct {
+	relay  string
+	rec    *record.Writer
+	ln     net.Listener
+	server *http.Server
+
+	mu      sync.Mutex
+	changed chan struct{} // closed and made anew when there is something to say
+	members map[string]Member
+	log     []change // by version, from the first
+	late    []Member // what discovery has for it while it is silent
+	hushed  bool
+	running bool // the relay
+}
+
+type change struct {
+	Member
+	told bool
+}
+
+// NewAgent starts the agent of a relay with the list as it is, which counts as told.
+func NewAgent(relay string, rec *record.Writer, list []Member) (*Agent, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("standin: agent of %s: %w", relay, err)
+	}
+	a := &Agent{relay: relay, rec: rec, ln: ln, changed: make(chan struct{}), members: map[string]Member{}}
+	for _, m := range list {
+		a.log = append(a.log, change{m, true})
+		a.members[m.ID] = m
+		a.record(m)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog/members", a.list)
+	mux.HandleFunc("POST /v2/finals", a.finals)
+	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go a.server.Serve(ln) // ends with Close
+	return a, nil
+}
+
+// Addr is where the relay finds the agent.
+func (a *Agent) Addr() string { return a.ln.Addr().String() }
+
+// Close ends the agent and all that it has open.
+func (a *Agent) Close() error {
+	err := a.server.Close()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hushed = false
+	a.wake()
+	return err
+}
+
+func (a *Agent) record(m Member) {
+	a.rec.Add(record.Event{Kind: record.Told, Relay: a.relay, Host: m.ID, State: m.State, Dest: m.Cell})
+}
+
+// wake is called with mu held.
+func (a *Agent) wake() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Tell gives the agent a change that discovery has for it.
+func (a *Agent) Tell(m Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hushed {
+		a.late = append(a.late, m)
+		return
+	}
+	a.take(m)
+}
+
+// take is called with mu held.
+func (a *Agent) take(m Member) {
+	a.log = append(a.log, change{Member: m})
+	if m.State == record.StateGone {
+		delete(a.members, m.ID)
+	} else {
+		a.members[m.ID] = m
+	}
+	a.wake()
+	a.countAsTold(len(a.log) - 1)
+}
+
+// countAsTold has an entry count as told after a time, if the relay runs and the agent may speak. mu is held.
+func (a *Agent) countAsTold(i int) {
+	time.AfterFunc(toldBy, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.running && !a.hushed {
+			a.tell(i)
+		}
+	})
+}
+
+// tell notes that an entry was told. mu is held.
+func (a *Agent) tell(i int) {
+	if !a.log[i].told {
+		a.log[i].told = true
+		a.record(a.log[i].Member)
+	}
+}
+
+// Hush has discovery fall silent, or speak again and catch up.
+func (a *Agent) Hush(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hushed = on
+	if on {
+		return
+	}
+	for _, m := range a.late {
+		a.take(m)
+	}
+	a.late = nil
+	a.wake()
+}
+
+// Running says whether the relay runs: one that does not is told nothing.
+func (a *Agent) Running(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.running = on
+	for i := range a.log {
+		if on && !a.log[i].told {
+			a.countAsTold(i)
+		}
+	}
+}
+
+// Known is the list as the relay has been told it last.
+func (a *Agent) Known() Members {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	known := map[string]Member{}
+	for n < len(a.log) && a.log[n].told {
+		if m := a.log[n].Member; m.State == record.StateGone {
+			delete(known, m.ID)
+		} else {
+			known[m.ID] = m
+		}
+		n++
+	}
+	return Members{Version: int64(n), Full: true, Servers: sorted(known)}
+}
+
+func sorted(members map[string]Member) []Member {
+	list := make([]Member, 0, len(members))
+	for _, m := range members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b Member) int { return compare(a.ID, b.ID) })
+	return list
+}
+
+// speaks waits until the agent may speak; false if the request has ended before.
+func (a *Agent) speaks(ctx context.Context) bool {
+	for {
+		a.mu.Lock()
+		hushed, changed := a.hushed, a.changed
+		a.mu.Unlock()
+		if !hushed {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// list answers with the whole list, or with a watch.
+func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
+	if !a.speaks(r.Context()) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if r.URL.Query().Get("stream") == "" {
+		a.mu.Lock()
+		data, n := a.whole()
+		a.mu.Unlock()
+		if _, err := w.Write(data); err == nil {
+			a.toldUpTo(n)
+		}
+		return
+	}
+	index, err := strconv.Atoi(r.URL.Query().Get("index"))
+	if err != nil {
+		http.Error(w, "bad index", http.StatusBadRequest)
+		return
+	}
+	a.watch(w, r, index)
+}
+
+// whole is the whole list on the wire, and how many changes are in it. mu is held.
+func (a *Agent) whole() ([]byte, int) {
+	return encode(Members{Version: int64(len(a.log)), Full: true, Servers: sorted(a.members)}), len(a.log)
+}
+
+func encode(m Members) []byte {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // plain fields only
+	}
+	return append(data, '\n')
+}
+
+func (a *Agent) toldUpTo(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i := range a.log[:n] {
+		a.tell(i)
+	}
+}
+
+func (a *Agent) watch(w http.ResponseWriter, r *http.Request, index int) {
+	flush := http.NewResponseController(w)
+	write := func(line []byte) bool {
+		_, err := w.Write(line)
+		return err == nil && flush.Flush() == nil
+	}
+	for first := true; ; first = false {
+		if !a.speaks(r.Context()) {
+			return
+		}
+		a.mu.Lock()
+		changed, n := a.changed, len(a.log)
+		line := []byte("\n")
+		switch {
+		case index < 0 || index > n || first && index == 0:
+			line, n = a.whole()
+		case index < n:
+			m := Members{Version: int64(n)}
+			for _, c := range a.log[index:n] {
+				m.Servers = append(m.Servers, c.Member)
+			}
+			line = encode(m)
+		}
+		a.mu.Unlock()
+		if !write(line) {
+			return
+		}
+		index = n
+		a.toldUpTo(n)
+		select {
+		case <-changed:
+		case <-time.After(heartbeat):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// finals takes notices, also while discovery is silent.
+func (a *Agent) finals(w http.ResponseWriter, r *http.Request) {
+	lines := json.NewDecoder(io.LimitReader(r.Body, noticesMost))
+	for {
+		var n struct {
+			ID      string
+			Status  string
+			AgainMS int64 `json:"again_ms"`
+		}
+		switch err := lines.Decode(&n); {
+		case errors.Is(err, io.EOF):
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case err != nil || n.Status != record.Undeliverable && n.Status != record.Deferred:
+			if r.Context().Err() == nil {
+				a.rec.Add(record.Event{Kind: record.Fault, Relay: a.relay, ID: n.ID, Cause: fmt.Sprintf("unreadable notice %q: %v", n.Status, err)})
+			}
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		a.rec.Add(record.Event{
+			Kind: record.Notice, Relay: a.relay, ID: n.ID, State: n.Status, Wait: time.Duration(n.AgainMS) * time.Millisecond,
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,238 @@
+// Package standin plays the other sides of a relay on loopback: hosts of destinations, discovery's agent, and clients.
+// They speak the platform's protocol on real sockets and record what they see; what becomes of a call is decided by
+// package partner.
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/partner"
+	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/internal/scenario"
+)
+
+// slotPatience is how long a call beyond a relay's slots waits for one to fall free. A relay that gave a call up a
+// moment ago has its slot back, though its host may not have noticed yet.
+const slotPatience = 30 * time.Millisecond
+
+// World is all places and hosts, and what was handed in.
+type World struct {
+	rec      *record.Writer
+	settings scenario.Settings
+	relays   []string
+
+	mu     sync.Mutex // guards all below, and what places and hosts say of themselves
+	places map[string]*place
+	hosts  map[string]*Host
+	msgs   map[string]*handed
+	slots  map[string]int // calls out, by relay
+	calls  uint64
+	closed bool
+	served sync.WaitGroup
+}
+
+type place struct {
+	*partner.Place
+	name   string
+	dest   int
+	outage string // its cause; "": in service
+	slow   float64
+}
+
+// handed is a message that was handed in.
+type handed struct {
+	dest     int
+	deadline time.Time
+	calls    int
+	over     bool // withdrawn
+	done     bool // delivered
+}
+
+// NewWorld returns a world with the places of a plan and no hosts.
+func NewWorld(plan scenario.Plan, rec *record.Writer) *World {
+	w := &World{
+		rec: rec, settings: plan.File.Settings, places: map[string]*place{}, hosts: map[string]*Host{}, msgs: map[string]*handed{},
+		slots: map[string]int{},
+	}
+	for i := range plan.File.Relays {
+		w.relays = append(w.relays, scenario.RelayName(i+1))
+	}
+	for _, p := range plan.Places {
+		w.places[p.Name] = &place{Place: partner.New(p.Spec, p.Seed), name: p.Name, dest: p.Dest, slow: 1}
+	}
+	return w
+}
+
+// HandIn notes a message that a client is about to hand in.
+func (w *World) HandIn(id string, dest int, deadline time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.msgs[id] = &handed{dest: dest, deadline: deadline}
+}
+
+// Withdraw notes that a message's client has left without an answer: nothing is owed for it.
+func (w *World) Withdraw(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.msgs[id]; m != nil {
+		m.over = true
+	}
+}
+
+// placeHosts are the ids of a place's hosts. mu is held.
+func (w *World) placeHosts(name string) (hosts []*Host) {
+	for _, h := range w.hosts {
+		if h.place.name == name && !h.stopped {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b *Host) int { return compare(a.ID, b.ID) })
+	return hosts
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	} else if a > b {
+		return 1
+	}
+	return 0
+}
+
+func hostIDs(hosts []*Host) (all []string) {
+	for _, h := range hosts {
+		all = append(all, h.ID)
+	}
+	return all
+}
+
+// able records what each host of a place can do from now on. mu is held.
+func (w *World) able(p *place, share float64, warm time.Duration) {
+	rate := p.PerEndpoint() / p.slow
+	if p.outage != "" || p.Fallen() {
+		rate = 0
+	}
+	for _, h := range w.placeHosts(p.name) {
+		w.rec.Add(record.Event{Kind: record.Able, Host: h.ID, Dest: p.dest, Rate: rate, Share: share, For: warm})
+	}
+}
+
+// Slow has a place take factor times as long; 1 ends it.
+func (w *World) Slow(name string, factor float64) error {
+	return w.change(name, func(p *place) {
+		p.slow = factor
+		p.Slow(factor)
+		w.able(p, 1, 0)
+	})
+}
+
+// Outage begins one of a place.
+func (w *World) Outage(name string, op scenario.Op, share float64, lasts time.Duration) error {
+	var hosts []*Host
+	err := w.change(name, func(p *place) {
+		if p.outage != "" {
+			return // it is out already: the first outage's end ends both
+		}
+		p.outage = map[scenario.Op]string{
+			scenario.OpFail: "failing", scenario.OpShut: "shut", scenario.OpMute: "silent", scenario.OpDown: "down", scenario.OpCut: "down",
+		}[op]
+		hosts = w.placeHosts(name)
+		w.rec.Add(record.Event{Kind: record.Outage, Place: name, Dest: p.dest, Hosts: hostIDs(hosts), Cause: p.outage})
+		w.able(p, 1, 0)
+		switch op {
+		case scenario.OpFail:
+			p.Fail(share)
+		case scenario.OpShut:
+			p.Shut(w.rec.Now() + lasts)
+		case scenario.OpMute:
+			p.Mute(true)
+		}
+	})
+	for _, h := range hosts {
+		switch op {
+		case scenario.OpDown:
+			h.down()
+		case scenario.OpCut:
+			err = firstError(err, h.cut())
+		}
+	}
+	return err
+}
+
+func firstError(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// Back ends a place's outage: it returns cold.
+func (w *World) Back(name string) error {
+	var hosts []*Host
+	cause := ""
+	if err := w.change(name, func(p *place) {
+		hosts, cause = w.placeHosts(name), p.outage
+		p.outage = ""
+		if p.Fallen() {
+			hosts = nil
+			return
+		}
+		p.Fail(0)
+		p.Open()
+		p.Mute(false)
+		if len(hosts) == 0 {
+			return // all were replaced meanwhile
+		}
+		cold := p.Return(w.rec.Now())
+		w.rec.Add(record.Event{
+			Kind: record.Back, Place: name, Dest: p.dest, Hosts: hostIDs(hosts), Rate: cold.Rate, Share: cold.Share, For: cold.Warm,
+		})
+		w.able(p, cold.Share, cold.Warm)
+	}); err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		if cause == "silent" || cause == "down" {
+			if err := h.up(); err != nil { // its processes have started anew
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (w *World) change(name string, do func(*place)) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.places[name]
+	if p == nil {
+		return fmt.Errorf("standin: no place %q", name)
+	}
+	do(p)
+	return nil
+}
+
+// Host returns a host by its id; nil if there is none.
+func (w *World) Host(id string) *Host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hosts[id]
+}
+
+// Close takes all hosts down and waits for what serves their connections.
+func (w *World) Close() {
+	w.mu.Lock()
+	w.closed = true
+	hosts := make([]*Host, 0, len(w.hosts))
+	for _, h := range w.hosts {
+		hosts = append(hosts, h)
+	}
+	w.mu.Unlock()
+	for _, h := range hosts {
+		h.Stop()
+	}
+	w.served.Wait()
+}
