--- /dev/null
+++ b/internal/rehearsal/steps.go
@@ -0,0 +1,96 @@
+package rehearsal
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/internal/scenario"
+)
+
+// do carries a step of the plan out. What takes time goes on beside the plan.
+func (s *stage) do(ctx context.Context, step scenario.Step) {
+	var err error
+	switch step.Op {
+	case scenario.OpBegins, scenario.OpEnds:
+		s.trouble(step)
+	case scenario.OpList:
+		err = s.list(step.Target)
+	case scenario.OpDrain:
+		s.tell(step.Target, record.StateDraining)
+	case scenario.OpGone:
+		s.tell(step.Target, record.StateGone)
+	case scenario.OpStop:
+		s.world.Host(step.Target).Stop()
+	case scenario.OpSlow:
+		err = s.world.Slow(step.Target, step.X)
+	case scenario.OpFail, scenario.OpShut, scenario.OpMute, scenario.OpDown, scenario.OpCut:
+		err = s.world.Outage(step.Target, step.Op, step.X, step.For)
+	case scenario.OpBack:
+		err = s.world.Back(step.Target)
+	case scenario.OpHush, scenario.OpSpeak:
+		s.relays[step.Target].agent.Hush(step.Op == scenario.OpHush)
+	case scenario.OpDelay:
+		s.mu.Lock()
+		s.late[step.Target] = step.For
+		s.mu.Unlock()
+	case scenario.OpTerm, scenario.OpKill:
+		s.works.Go(func() {
+			if err := s.relays[step.Target].restart(ctx, step.Op == scenario.OpTerm, s.opts.ReadyWithin); err != nil && ctx.Err() == nil {
+				s.fail(err)
+			}
+		})
+	case scenario.OpHUP:
+		err = s.relays[step.Target].reload()
+	}
+	if err != nil {
+		s.fail(err)
+	}
+}
+
+// trouble notes that one begins or ends.
+func (s *stage) trouble(step scenario.Step) {
+	state := record.StateBegin
+	s.mu.Lock()
+	if step.Op == scenario.OpBegins {
+		s.on = append(s.on, step.Target)
+	} else {
+		state = record.StateEnd
+		s.on = slices.DeleteFunc(s.on, func(name string) bool { return name == step.Target })
+	}
+	s.mu.Unlock()
+	s.rec.Add(record.Event{Kind: record.Trouble, Name: step.Target, State: state, Cause: step.Note})
+}
+
+func (s *stage) endpoint(id string) scenario.Endpoint {
+	return s.plan.Endpoints[slices.IndexFunc(s.plan.Endpoints, func(e scenario.Endpoint) bool { return e.ID == id })]
+}
+
+// list starts a new host and has it listed.
+func (s *stage) list(id string) error {
+	e := s.endpoint(id)
+	if _, err := s.world.AddHost(e); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.members[id] = member(e)
+	s.mu.Unlock()
+	s.tell(id, record.StateReady)
+	return nil
+}
+
+// tell has discovery tell each relay of a change, as late as the plan has it, and in the order of the changes.
+func (s *stage) tell(id, state string) {
+	s.changed(s.endpoint(id), state)
+	d := s.plan.File.Discovery
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.members[id]
+	m.State = state
+	s.members[id] = m
+	for _, r := range s.order {
+		late := d.Least.D() + time.Duration(s.delays.Float64()*float64(d.Most-d.Least)) + s.late[r.name]
+		s.changes[r.name] <- change{s.at(m, r.name), time.Now().Add(late)}
+	}
+}
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -46,6 +46,7 @@
 type Agent struct {
 	relay  string
 	rec    *record.Writer
+	world  *World
 	ln     net.Listener
 	server *http.Server
 
@@ -64,12 +65,12 @@
 }
 
 // NewAgent starts the agent of a relay with the list as it is, which counts as told.
-func NewAgent(relay string, rec *record.Writer, list []Member) (*Agent, error) {
+func NewAgent(relay string, rec *record.Writer, world *World, list []Member) (*Agent, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("standin: agent of %s: %w", relay, err)
 	}
-	a := &Agent{relay: relay, rec: rec, ln: ln, changed: make(chan struct{}), members: map[string]Member{}}
+	a := &Agent{relay: relay, rec: rec, world: world, ln: ln, changed: make(chan struct{}), members: map[string]Member{}}
 	for _, m := range list {
 		a.log = append(a.log, change{m, true})
 		a.members[m.ID] = m
@@ -320,6 +321,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		a.world.Settle(n.ID)
 		a.rec.Add(record.Event{
 			Kind: record.Notice, Relay: a.relay, ID: n.ID, State: n.Status, Wait: time.Duration(n.AgainMS) * time.Millisecond,
 		})
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -215,6 +215,9 @@
 			advice = time.Duration(x * float64(time.Second))
 		}
 		c.rec.Add(record.Event{Kind: record.Heard, ID: t.ID, Relay: c.relay, Status: res.StatusCode, Wait: advice})
+		if res.StatusCode >= 300 {
+			c.world.Settle(t.ID)
+		}
 		if res.Close {
 			c.drop(conn)
 		} else {
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -87,11 +87,7 @@
 	h.place.Remove(h.ID)
 	h.reset()
 	for _, p := range h.ports {
-		if h.world.closed {
-			p.close()
-		} else {
-			p.hold()
-		}
+		p.hold()
 	}
 	h.world.rec.Add(record.Event{Kind: record.Able, Host: h.ID, Dest: h.Dest})
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -233,6 +233,33 @@
 	w.mu.Unlock()
 	for _, h := range hosts {
 		h.Stop()
+		for _, p := range h.ports {
+			p.close() // also those that refuse for hosts that have stopped before
+		}
 	}
 	w.served.Wait()
 }
+
+// Owed is how many messages, of those handed in, are neither delivered nor withdrawn nor ended, and have time left.
+func (w *World) Owed() (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.msgs {
+		if !m.over && !m.done && time.Now().Before(m.deadline.Add(owedFor)) {
+			n++
+		}
+	}
+	return n
+}
+
+// Settle notes that a message has its end: its client was refused, or the platform was told.
+func (w *World) Settle(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.msgs[id]; m != nil {
+		m.done = true
+	}
+}
+
+// owedFor is how long after its time is up a message may still get its end.
+const owedFor = 400 * time.Millisecond
