--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -702,7 +702,13 @@
 			if a.First > b.First {
 				continue
 			}
-			switch o, at := j.outcome(a, b.First); {
+			o, at := j.outcome(a, b.First)
+			if o == open && len(a.IDs) > 1 {
+				// One message of several may be given up while its call goes on for the others. No host can see when;
+				// that it was is certain once the message is over.
+				o, at = mayRun, over
+			}
+			switch {
 			case o == open:
 				return b.index, "had a call out"
 			case o == mayRun && a.reply < 0 && b.First < at+j.Rules.OrderPause:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -234,6 +234,13 @@
 	return e.At
 }
 
+// Snapshot returns the events so far.
+func (w *Writer) Snapshot() []Event {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.events[:len(w.events):len(w.events)]
+}
+
 // Flush writes what is buffered, so that a run that is cut short leaves what it saw.
 func (w *Writer) Flush() error {
 	w.mu.Lock()
--- a/internal/rehearsal/badrelay_test.go
+++ b/internal/rehearsal/badrelay_test.go
@@ -124,8 +124,13 @@
 	}
 	go func() {
 		defer close(done)
-		<-before
-		b.deliver(id, class, dest, body, deadline)
+		select {
+		case <-before:
+			b.deliver(id, class, dest, body, deadline)
+		case <-time.After(time.Until(deadline) - 200*time.Millisecond):
+			b.end(id)
+			<-before
+		}
 	}()
 }
 
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,600 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/internal/scenario"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 10 * time.Second
+
+const world = `
+name = "test"
+length = "10s"
+
+[settings]
+slots = 4
+
+[[class]]
+name = "order"
+effect = "keyed"
+window = "10s"
+aim = "3s"
+give_up = "8s"
+
+[[kind]]
+name = "store"
+pace = "10ms"
+slots = 2
+per_call = 10
+
+[[destination]]
+kind = "store"
+
+[[traffic]]
+rate = 1
+`
+
+// rig is a world with its first hosts, and a record.
+type rig struct {
+	*World
+	t    testing.TB
+	plan scenario.Plan
+	rec  *record.Writer
+}
+
+func newRig(t testing.TB, more string) *rig {
+	t.Helper()
+	f, err := scenario.Parse("test", []byte(strings.Replace(world, "[settings]", more+"\n[settings]", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := f.Draw(1)
+	rec, err := record.NewWriter(io.Discard, time.Now(), f.Header(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{World: NewWorld(plan, rec), t: t, plan: plan, rec: rec}
+	t.Cleanup(r.World.Close)
+	for _, e := range plan.Endpoints {
+		if !e.Later {
+			if _, err := r.AddHost(e); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return r
+}
+
+func (r *rig) first() *Host { return r.Host(r.plan.Endpoints[0].ID) }
+
+func (r *rig) dial(addr string) net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+func callText(id string) string {
+	return fmt.Sprintf("POST /events HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nContent-Length: 4\r\n\r\nbody", id)
+}
+
+func (r *rig) ask(c net.Conn, text string) *http.Response {
+	r.t.Helper()
+	io.WriteString(c, text)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		r.t.Fatalf("%.40q: %v", text, err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	res.Body = io.NopCloser(bytes.NewReader(body))
+	return res
+}
+
+func (r *rig) handIn(ids ...string) {
+	for _, id := range ids {
+		r.HandIn(id, 1, time.Now().Add(5*time.Second))
+	}
+}
+
+// seen waits for an event of a kind that fits.
+func (r *rig) seen(kind record.Kind, fits func(record.Event) bool) record.Event {
+	r.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, e := range r.rec.Snapshot() {
+			if e.Kind == kind && (fits == nil || fits(e)) {
+				return e
+			}
+		}
+	}
+	r.t.Fatalf("never seen: %s", kind)
+	return record.Event{}
+}
+
+func TestAHostAnswersAndRecords(t *testing.T) {
+	r := newRig(t, "")
+	r.handIn("m1", "m2")
+	c := r.dial(r.first().Addr("r1"))
+	if res := r.ask(c, callText("m1")); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	if res := r.ask(c, callText("m2")); res.StatusCode != 200 { // on the same connection
+		t.Errorf("status %d", res.StatusCode)
+	}
+	call := r.seen(record.Call, func(e record.Event) bool { return slices.Equal(e.IDs, []string{"m2"}) })
+	reply := r.seen(record.Reply, func(e record.Event) bool { return e.Call == call.Call })
+	if call.Relay != "r1" || call.Host != r.first().ID || call.First > call.At || reply.At-call.At < 9*time.Millisecond || reply.Status != 200 {
+		t.Errorf("%+v %+v", call, reply)
+	}
+}
+
+func TestWhatAHostRefuses(t *testing.T) {
+	r := newRig(t, "")
+	r.handIn("over", "late")
+	r.Withdraw("over")
+	r.HandIn("late", 1, time.Now().Add(-time.Second))
+	post := func(path, head, body string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", path, head, len(body), body)
+	}
+	for _, c := range []struct {
+		text   string
+		status int
+	}{
+		{callText("over"), 410}, {callText("late"), 410}, {callText("nobody's"), 400}, {post("/events", "", "x"), 400}, {post("/other", "", "x"), 404},
+		{post("/events/bundle", "", "{"), 400}, {post("/events/bundle", "", "[]"), 400},
+		{post("/events/bundle", "", `[{"id":"late"},{"id":"late"}]`), 400},
+		{"GET /events HTTP/1.1\r\nHost: x\r\n\r\n", 405},
+	} {
+		if res := r.ask(r.dial(r.first().Addr("r1")), c.text); res.StatusCode != c.status {
+			t.Errorf("%.60q: status %d, want %d", c.text, res.StatusCode, c.status)
+		}
+	}
+	for n := range 10 {
+		r.handIn("often")
+		w := r.msgs["often"]
+		w.calls = n
+		res := r.ask(r.dial(r.first().Addr("r1")), callText("often"))
+		if (res.StatusCode == 504) != (n >= 8) {
+			t.Errorf("call %d: status %d", n+1, res.StatusCode)
+		}
+	}
+}
+
+func TestBundlesTellOfEachMessage(t *testing.T) {
+	r := newRig(t, "")
+	r.handIn("a", "b", "c")
+	r.Withdraw("b")
+	body := `[{"id":"a","body":""},{"id":"b","body":""},{"id":"c","body":""}]`
+	res := r.ask(r.dial(r.first().Addr("r1")), fmt.Sprintf("POST /events/bundle HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	var got []struct{ ID, State string }
+	if err := json.NewDecoder(res.Body).Decode(&got); err != nil || res.StatusCode != 200 ||
+		fmt.Sprint(got) != "[{a ok} {b gone} {c ok}]" {
+		t.Errorf("%d %v, %v", res.StatusCode, got, err)
+	}
+}
+
+// Slots are the relay's: a call beyond them is told so, and one given up frees its own.
+func TestSlots(t *testing.T) {
+	r := newRig(t, "")
+	if err := r.Outage("d1", scenario.OpMute, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	var conns []net.Conn
+	for i := range 4 {
+		id := fmt.Sprint("m", i)
+		r.handIn(id)
+		c := r.dial(r.first().Addr("r1"))
+		io.WriteString(c, callText(id))
+		conns = append(conns, c)
+		r.seen(record.Call, func(e record.Event) bool { return e.IDs[0] == id })
+	}
+	r.handIn("more")
+	if res := r.ask(r.dial(r.first().Addr("r1")), callText("more")); res.StatusCode != 503 || res.Header.Get("Slots-Taken") != "1" {
+		t.Errorf("beyond the slots: %d %v", res.StatusCode, res.Header)
+	}
+	conns[0].Close()
+	r.seen(record.Ended, func(e record.Event) bool { return e.Cause == record.CauseRelay })
+	c := r.dial(r.first().Addr("r1"))
+	io.WriteString(c, callText("more"))
+	r.seen(record.Call, func(e record.Event) bool { return e.IDs[0] == "more" && e.Call == 6 })
+	c.SetDeadline(time.Now().Add(60 * time.Millisecond))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a silent host: %v", err)
+	}
+}
+
+// What ends before its last byte is no call; what ends its sending behind it is one that was given up.
+func TestCutAndHalfClosed(t *testing.T) {
+	r := newRig(t, "")
+	r.handIn("m1", "m2")
+	c := r.dial(r.first().Addr("r1"))
+	io.WriteString(c, callText("m1")[:50])
+	c.Close()
+	if e := r.seen(record.Broken, nil); len(e.IDs) > 0 {
+		t.Errorf("%+v", e)
+	}
+	c = r.dial(r.first().Addr("r1"))
+	io.WriteString(c, callText("m2"))
+	c.(*net.TCPConn).CloseWrite()
+	if e := r.seen(record.Ended, nil); e.Cause != record.CauseRelay {
+		t.Errorf("%+v", e)
+	}
+	for _, e := range r.rec.Snapshot() {
+		if e.Kind == record.Call && e.IDs[0] == "m1" || e.Kind == record.Fault {
+			t.Errorf("%+v", e)
+		}
+	}
+}
+
+func TestDeathAndReturn(t *testing.T) {
+	r := newRig(t, "")
+	addr := r.first().Addr("r1")
+	open := r.dial(addr)
+	io.WriteString(open, "P") // it is accepted by now, or will be
+	r.seen(record.Able, nil)
+	if err := r.Outage("d1", scenario.OpDown, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := open.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("an open connection: %v", err)
+	}
+	if c, err := net.DialTimeout("tcp", addr, patience); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a new one: %v %v", c, err)
+	}
+	if err := r.Back("d1"); err != nil {
+		t.Fatal(err)
+	}
+	r.handIn("m")
+	if res := r.ask(r.dial(addr), callText("m")); res.StatusCode != 200 {
+		t.Errorf("back: %d", res.StatusCode)
+	}
+	out, back := r.seen(record.Outage, nil), r.seen(record.Back, nil)
+	if out.Place != "d1" || out.Cause != "down" || len(out.Hosts) != 2 || back.Rate != 400 || back.Share != 0.2 || back.For != 12*time.Second {
+		t.Errorf("%+v %+v", out, back)
+	}
+}
+
+// A machine that is cut off is silent on what is open, and nothing new comes up; what was sent to it never reached it.
+func TestCutOffAndReturn(t *testing.T) {
+	r := newRig(t, "")
+	addr := r.first().Addr("r1")
+	open := r.dial(addr)
+	r.handIn("before", "meanwhile", "after")
+	if res := r.ask(open, callText("before")); res.StatusCode != 200 {
+		t.Fatal(res.StatusCode)
+	}
+	if err := r.Outage("d1", scenario.OpCut, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(open, callText("meanwhile"))
+	open.SetDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := open.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("an open connection: %v", err)
+	}
+	c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+	var timeout net.Error
+	if !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Errorf("a new one: %v %v", c, err)
+	}
+	if err := r.Back("d1"); err != nil {
+		t.Fatal(err)
+	}
+	open.SetDeadline(time.Now().Add(patience))
+	if _, err := open.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the open connection, after: %v", err)
+	}
+	if res := r.ask(r.dial(addr), callText("after")); res.StatusCode != 200 {
+		t.Errorf("after: %d", res.StatusCode)
+	}
+	for _, e := range r.rec.Snapshot() {
+		if e.Kind == record.Call && e.IDs[0] == "meanwhile" {
+			t.Error("a call reached a machine that is cut off")
+		}
+	}
+}
+
+func TestANewHostTakesAnOldAddress(t *testing.T) {
+	r := newRig(t, "")
+	old := r.first()
+	addr := old.Addr("r1")
+	next := old.Endpoint
+	next.ID, next.At = "s-new", old.ID
+	if _, err := r.AddHost(next); err == nil {
+		t.Fatal("two hosts at one address")
+	}
+	old.Stop()
+	if _, err := net.DialTimeout("tcp", addr, patience); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("stopped: %v", err)
+	}
+	h, err := r.AddHost(next)
+	if err != nil || h.Addr("r1") != addr {
+		t.Fatalf("%v", err)
+	}
+	r.handIn("m")
+	if res := r.ask(r.dial(addr), callText("m")); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	r.seen(record.Call, func(e record.Event) bool { return e.Host == "s-new" })
+}
+
+func newAgent(t *testing.T, r *rig) *Agent {
+	t.Helper()
+	a, err := NewAgent("r1", r.rec, r.World, []Member{{ID: "s-1", Addr: "x:1", State: record.StateReady, Cell: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { a.Close() })
+	a.Running(true)
+	return a
+}
+
+func watch(t *testing.T, a *Agent, index int) (next func() Members) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", a.Addr(), index), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	lines := make(chan Members, 16)
+	go func() {
+		defer close(lines)
+		res, err := tr.RoundTrip(req)
+		if err != nil {
+			return
+		}
+		defer res.Body.Close()
+		for d := json.NewDecoder(res.Body); ; {
+			var m Members
+			if d.Decode(&m) != nil {
+				return
+			}
+			lines <- m
+		}
+	}()
+	return func() Members {
+		select {
+		case m := <-lines:
+			return m
+		case <-ctx.Done():
+			t.Fatal("no line")
+			return Members{}
+		}
+	}
+}
+
+func TestAWatchTellsChangesAndIsHushed(t *testing.T) {
+	r := newRig(t, "")
+	a := newAgent(t, r)
+	next := watch(t, a, 0)
+	if m := next(); !m.Full || m.Version != 1 || len(m.Servers) != 1 {
+		t.Errorf("%+v", m)
+	}
+	a.Tell(Member{ID: "s-2", State: record.StateReady})
+	if m := next(); m.Full || m.Version != 2 || m.Servers[0].ID != "s-2" {
+		t.Errorf("%+v", m)
+	}
+	a.Hush(true)
+	a.Tell(Member{ID: "s-1", State: record.StateDraining})
+	told := func(state string) bool {
+		return slices.ContainsFunc(r.rec.Snapshot(), func(e record.Event) bool { return e.Kind == record.Told && e.State == state })
+	}
+	if told(record.StateDraining) || a.Known().Version != 2 {
+		t.Error("told while it was silent")
+	}
+	late := watch(t, a, 1) // and a watch that begins then waits, too
+	a.Hush(false)
+	if m := next(); m.Version != 3 || m.Servers[0].State != record.StateDraining {
+		t.Errorf("%+v", m)
+	}
+	if m := late(); m.Full || m.Version != 3 || len(m.Servers) != 2 {
+		t.Errorf("a watch from version 1: %+v", m)
+	}
+	r.seen(record.Told, func(e record.Event) bool { return e.State == record.StateDraining })
+	if m := watch(t, a, 99)(); !m.Full || m.Version != 3 {
+		t.Errorf("a watch from a version that is not: %+v", m)
+	}
+	a.Tell(Member{ID: "s-1", State: record.StateGone})
+	next()
+	if k := a.Known(); k.Version != 4 || len(k.Servers) != 1 || k.Servers[0].ID != "s-2" {
+		t.Errorf("known: %+v", k)
+	}
+}
+
+func TestNoticesAreTakenAlsoWhileItIsSilent(t *testing.T) {
+	r := newRig(t, "")
+	a := newAgent(t, r)
+	a.Hush(true)
+	r.handIn("m1", "m2")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	post := func(body string) int {
+		res, err := client.Post("http://"+a.Addr()+"/v2/finals", "", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		return res.StatusCode
+	}
+	if s := post("{\"id\":\"m1\",\"status\":\"undeliverable\"}\n{\"id\":\"m2\",\"status\":\"deferred\",\"again_ms\":500}\n"); s != 204 {
+		t.Errorf("status %d", s)
+	}
+	if e := r.seen(record.Notice, func(e record.Event) bool { return e.ID == "m2" }); e.State != record.Deferred || e.Wait != 500*time.Millisecond {
+		t.Errorf("%+v", e)
+	}
+	if r.Owed() != 0 {
+		t.Errorf("%d owed", r.Owed())
+	}
+	if s := post("{\"id\":\"m1\",\"status\":\"lost\"}"); s != 400 {
+		t.Errorf("status %d", s)
+	}
+	r.seen(record.Fault, nil)
+}
+
+// relayStub answers what clients hand in.
+func relayStub(t testing.TB, answer func(n int, c net.Conn, req *http.Request)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					answer(n, c, req)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+const took = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+
+func newClients(r *rig, addr string) *Clients {
+	c := NewClients("r1", addr, r.plan.File, r.rec, r.World)
+	c.Takes(true)
+	r.t.Cleanup(c.Close)
+	return c
+}
+
+func (r *rig) heardBy(c *Clients, a scenario.Arrival) (events []record.Event) {
+	c.HandIn(context.Background(), a, 0)
+	c.Wait()
+	for _, e := range r.rec.Snapshot() {
+		if e.Kind == record.Offer || e.Kind == record.Heard || e.Kind == record.Unheard {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+func kinds(events []record.Event) (text string) {
+	for _, e := range events {
+		text += fmt.Sprintf("%s %d %s,", e.Kind, e.Status, e.Cause)
+	}
+	return text
+}
+
+func TestClientsComeAgainOnceAfterARefusal(t *testing.T) {
+	r := newRig(t, "")
+	var ids, marks []string
+	addr := relayStub(t, func(_ int, c net.Conn, req *http.Request) {
+		ids, marks = append(ids, req.Header.Get("X-Trace-Id")), append(marks, req.Header.Get("X-Second-Try"))
+		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.050\r\nContent-Length: 0\r\n\r\n")
+	})
+	events := r.heardBy(newClients(r, addr), scenario.Arrival{ID: "m", Dest: 1, Again: time.Millisecond, Body: 10})
+	if got := kinds(events); got != "offer 0 ,heard 503 ,offer 0 ,heard 503 ," {
+		t.Errorf("%s", got)
+	}
+	if events[2].Origin != "m" || events[2].ID == "m" || events[2].At-events[1].At < 50*time.Millisecond || marks[1] != "1" {
+		t.Errorf("%+v %v", events[2], marks)
+	}
+}
+
+func TestClientsLeaveAfterTheirTimeAndComeAgain(t *testing.T) {
+	r := newRig(t, "")
+	addr := relayStub(t, func(n int, c net.Conn, _ *http.Request) {
+		if n > 1 {
+			io.WriteString(c, took)
+		}
+	})
+	events := r.heardBy(newClients(r, addr), scenario.Arrival{ID: "m", Dest: 1, Body: 10})
+	if got := kinds(events); got != "offer 0 ,unheard 0 timeout,offer 0 ,heard 202 ," || events[1].At-events[0].At < 390*time.Millisecond {
+		t.Errorf("%s", got)
+	}
+}
+
+func TestACloseThatCrossesARequestIsNoLoss(t *testing.T) {
+	r := newRig(t, "")
+	first := true
+	addr := relayStub(t, func(n int, c net.Conn, _ *http.Request) {
+		if n == 1 && !first {
+			c.Close() // between two requests, as the client sees it
+			return
+		}
+		first = false
+		io.WriteString(c, took)
+	})
+	c := newClients(r, addr)
+	r.heardBy(c, scenario.Arrival{ID: "m1", Dest: 1, Body: 10})
+	events := r.heardBy(c, scenario.Arrival{ID: "m2", Dest: 1, Body: 10})
+	if got := kinds(events); got != "offer 0 ,heard 202 ,offer 0 ,heard 202 ," {
+		t.Errorf("%s", got)
+	}
+}
+
+func TestAnAnswerThatNeverComesOnANewConnectionIsALoss(t *testing.T) {
+	r := newRig(t, "")
+	addr := relayStub(t, func(_ int, c net.Conn, _ *http.Request) { c.Close() })
+	events := r.heardBy(newClients(r, addr), scenario.Arrival{ID: "m", Dest: 1, Body: 10})
+	if got := kinds(events); got != "offer 0 ,unheard 0 closed,offer 0 ,unheard 0 closed," {
+		t.Errorf("%s", got)
+	}
+}
+
+func TestClientsWaitForARelayThatIsAway(t *testing.T) {
+	r := newRig(t, "")
+	addr := relayStub(t, func(_ int, c net.Conn, _ *http.Request) { io.WriteString(c, took) })
+	c := newClients(r, addr)
+	c.Takes(false)
+	c.HandIn(context.Background(), scenario.Arrival{ID: "m", Dest: 1, Body: 10}, 0)
+	r.seen(record.Unheard, func(e record.Event) bool { return e.Cause == record.CauseUnsent })
+	c.Takes(true)
+	r.seen(record.Heard, nil)
+	c.Wait()
+}
+
+// What one core can hand in: messages a second of the load side alone, against a stub that answers at once.
+func BenchmarkHandIn(b *testing.B) {
+	r := newRig(b, "")
+	addr := relayStub(b, func(_ int, c net.Conn, _ *http.Request) { io.WriteString(c, took) })
+	c := newClients(r, addr)
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		c.try(context.Background(), try{
+			Arrival: scenario.Arrival{ID: fmt.Sprint("m", n), Key: "k", Dest: 1, Body: 200}, deadline: time.Now().Add(time.Minute),
+		}, 0)
+	}
+	b.ReportMetric(float64(n)/b.Elapsed().Seconds(), "messages/s")
+}
