--- a/internal/rehearsal/badrelay_test.go
+++ b/internal/rehearsal/badrelay_test.go
@@ -108,6 +108,10 @@
 }
 
 func (b *bad) handIn(w http.ResponseWriter, r *http.Request) {
+	if b.mode == "door" { // turns all away: the load alone is measured
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	dest, _ := strconv.Atoi(strings.TrimPrefix(r.Header.Get("Envelope"), "dest="))
 	left, _ := strconv.Atoi(r.Header.Get("X-Expires-In-Ms"))
