A repeat held up past its window does not leave

Ruled out: another zone or a late decision (one guard, mayAttempt, sees all sends), and an answer taken for never ran (all doubtful outcomes mark the message). Left: the guard is asked when the send is decided, and a connection to a machine that is cut off and returns may come up 1.5 s later; what was asked again then was only drain and wait. A loopback test shows such a repeat leave past its window. Change: MayStill is told the messages and asks for the window of those that may have run.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,7 @@
 	cutOff    struct{ a *attempt }
 	clearance struct {
 		route string
+		ids   []uint32
 		reply chan bool
 	}
 	confirmed struct{ ids []uint32 } // their notices were taken
@@ -372,7 +373,7 @@
 		r.carryOut(nil, waiting)
 	}
 	for _, c := range asked {
-		c.reply <- !r.noSends && r.sender.MayStill(c.route, r.now())
+		c.reply <- !r.noSends && r.sender.MayStill(c.route, c.ids, r.now())
 	}
 	if r.stopping && !r.idled && (r.owesNothing() || r.noSends && r.out == 0) {
 		r.idled = true
@@ -756,15 +757,19 @@
 	r.calls.Add(1)
 	go func() {
 		defer r.calls.Done()
-		results := r.hosts.do(r.callCtx, c, func() bool { return r.mayStill(c.route) })
+		results := r.hosts.do(r.callCtx, c, func() bool { return r.mayStill(c) })
 		r.post(&callEnd{c, results})
 	}()
 }
 
 // mayStill asks the loop whether a call that was held up may leave.
-func (r *Relay) mayStill(route string) bool {
+func (r *Relay) mayStill(c *call) bool {
+	ids := make([]uint32, 0, len(c.attempts))
+	for _, a := range c.attempts {
+		ids = append(ids, a.m.ID)
+	}
 	reply := make(chan bool, 1)
-	if !r.post(clearance{route, reply}) {
+	if !r.post(clearance{c.route, ids, reply}) {
 		return false
 	}
 	select {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -428,3 +428,71 @@
 		}
 	})
 }
+
+// A repeat that was decided inside its window waits for a connection that comes up only after it, as from a machine
+// that is back. It must not leave then: no host drops it any more.
+func TestARepeatHeldUpPastItsWindowDoesNotLeave(t *testing.T) {
+	r := newTestRelay(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	came := make(chan struct{}, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := c.Read(make([]byte, 1)); err == nil {
+					came <- struct{}{}
+				}
+			}()
+		}
+	}()
+	window := r.cfg.Settings.Classes[0].Window
+	ends := time.Now().Add(300 * time.Millisecond)
+	dialled := make(chan struct{}, 16)
+	r.hosts.dial = func(ctx context.Context, network, _ string) (net.Conn, error) {
+		dialled <- struct{}{}
+		select {
+		case <-time.After(time.Until(ends)):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		var d net.Dialer
+		return d.DialContext(ctx, network, l.Addr().String())
+	}
+	m := &wal.Message{
+		ID: 1, Trace: "m", Key: "k", Dest: 7, Deadline: time.Now().Add(10 * time.Second), Attempts: 1,
+		MayRun: []wal.Attempt{{Host: "s-1", At: ends.Add(-window)}},
+	}
+	if err := r.wal.Accept(m); err != nil {
+		t.Fatal(err)
+	}
+	r.found = wal.Recovery{Messages: []*wal.Message{m}} // as an earlier process left it
+	r.resume()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); <-r.over })
+	go r.loop(ctx)
+	<-dialled
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		r.finals.mu.Lock()
+		n := len(r.finals.queue)
+		r.finals.mu.Unlock()
+		if n == 1 && r.finals.queue[0].Status == "undeliverable" {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("never ended")
+		}
+	}
+	select {
+	case <-came:
+		t.Error("it left")
+	default:
+	}
+}
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -32,9 +32,18 @@
 	}
 }
 
-// MayStill tells whether a call to a route that was decided earlier may leave at now. Guards against one that
-// was held up, by a slow connection say, while a drain or a wait was told.
-func (s *Sender) MayStill(route string, now time.Duration) bool {
+// MayStill tells whether a call to a route that was decided earlier, with these messages, may leave at now. Guards
+// against one that was held up, by a slow connection say, while a drain or a wait was told, or until a message that
+// may have run is past the time in which its repeat is dropped.
+func (s *Sender) MayStill(route string, ids []uint32, now time.Duration) bool {
 	r := s.routes[route]
-	return r != nil && r.InService && now >= r.gate.wait
+	if r == nil || !r.InService || now < r.gate.wait {
+		return false
+	}
+	for _, id := range ids {
+		if m := s.msgs[id]; m != nil && m.ran && m.class.Effect == Keyed && now >= m.windowEnd() {
+			return false
+		}
+	}
+	return true
 }
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -99,22 +99,55 @@
 		t.Fatal(err)
 	}
 	s.Step(time.Second, []Event{twoZones(), {Kind: Taken, ID: 1, Destination: 5, Left: 8 * time.Second}})
-	if !s.MayStill("best", time.Second) || !s.MayStill("other", time.Second) || s.MayStill("none", time.Second) {
+	if !s.MayStill("best", nil, time.Second) || !s.MayStill("other", nil, time.Second) || s.MayStill("none", nil, time.Second) {
 		t.Error("routes in service may be called, others not")
 	}
 	// A wait that comes with a delivery, as in a bundle's answer, binds too.
 	s.Step(2*time.Second, []Event{{Kind: Finished, ID: 1, Route: "best", Outcome: OK, Ended: true, Wait: time.Second}})
-	if s.MayStill("best", 2900*time.Millisecond) || !s.MayStill("best", 3*time.Second) {
+	if s.MayStill("best", nil, 2900*time.Millisecond) || !s.MayStill("best", nil, 3*time.Second) {
 		t.Error("the wait ends at 3 s")
 	}
 	s.Step(4*time.Second, []Event{{Kind: ListChanges, List: []Listing{
 		{Route: "best", Destination: 5, Zone: 1, Weight: 50}, {Route: "other", Gone: true},
 	}}})
-	if s.MayStill("best", 4*time.Second) || s.MayStill("other", 4*time.Second) {
+	if s.MayStill("best", nil, 4*time.Second) || s.MayStill("other", nil, 4*time.Second) {
 		t.Error("one drains, one is gone")
 	}
 }
 
+// A connection that was long in coming must not carry a repeat that is dropped no more. What never ran may go at any
+// time, and so may what may be repeated for ever.
+func TestACallHeldUpPastTheWindowMayNotLeave(t *testing.T) {
+	set := resumeSettings()
+	safe := set.Classes[0]
+	safe.Effect = Safe
+	set.Classes = append(set.Classes, safe)
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ran := &Resumed{Attempts: 1, Ran: true, RanZone: 1, RanAgo: 9 * time.Second}
+	s.Step(time.Second, []Event{
+		twoZones(),
+		{Kind: Taken, ID: 1, Destination: 5, Left: 14 * time.Second, Resumed: ran},
+		{Kind: Taken, ID: 2, Destination: 5, Left: 14 * time.Second},
+		{Kind: Taken, ID: 3, Class: 1, Destination: 5, Left: 14 * time.Second, Resumed: ran},
+	})
+	end := 2*time.Second - endMargin
+	for _, c := range []struct {
+		ids  []uint32
+		at   time.Duration
+		want bool
+	}{
+		{[]uint32{1}, end - 1, true}, {[]uint32{1}, end, false}, {[]uint32{2, 1}, end, false}, {[]uint32{2}, 9 * time.Second, true},
+		{[]uint32{3}, 9 * time.Second, true}, {[]uint32{77}, 9 * time.Second, true},
+	} {
+		if got := s.MayStill("best", c.ids, c.at); got != c.want {
+			t.Errorf("messages %v at %v: %v", c.ids, c.at, got)
+		}
+	}
+}
+
 // A message that no route may ever take again gets its answer then, not at its deadline.
 func TestSpentMessagesEndAtOnce(t *testing.T) {
 	s, err := New(resumeSettings(), 1)
