--- a/internal/sockfault/rule.go
+++ b/internal/sockfault/rule.go
@@ -204,6 +204,7 @@
 	left    int64  // bytes still to pass once matched, or from the start
 	matches int    // still to come before left counts
 	tail    []byte // the last bytes, as far as a match may begin in them
+	missed  bool   // next has just looked through what passed is told of, and found no match
 }
 
 func newTrigger(r Rule) *trigger {
@@ -224,6 +225,7 @@
 	for ; matches > 0; matches-- {
 		end := t.find(tail, data[from:])
 		if end < 0 {
+			t.missed = matches == t.matches
 			return -1
 		}
 		from, tail = from+end, nil // matches do not overlap
@@ -253,12 +255,21 @@
 	if t.done {
 		return
 	}
+	missed := t.missed
+	t.missed = false
 	for t.matches > 0 {
-		end := t.find(t.tail, data)
+		end := int64(-1)
+		if !missed { // what has no match in the whole has none in a part
+			end = t.find(t.tail, data)
+		}
 		if end < 0 {
 			keep := len(t.Match) - 1
+			if len(data) >= keep {
+				t.tail = append(t.tail[:0], data[len(data)-keep:]...)
+				return
+			}
 			t.tail = append(t.tail, data...)
-			t.tail = append([]byte(nil), t.tail[max(0, len(t.tail)-keep):]...)
+			t.tail = append(t.tail[:0], t.tail[max(0, len(t.tail)-keep):]...)
 			return
 		}
 		data, t.tail = data[end:], nil
