standin: keep the relays' addresses while nothing listens on them

Seen under -race with packages side by side: a relay ended with 'address already in use', its port having gone to another process between its choice and the start. A bound socket that does not listen now keeps it, restarts too.

--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -234,10 +234,6 @@
 	if s.opts.Port > 0 {
 		port = s.opts.Port + i
 	}
-	addr, err := freeAddr(port)
-	if err != nil {
-		return err
-	}
 	var list []standin.Member
 	for _, e := range s.plan.Endpoints {
 		if !e.Later {
@@ -248,8 +244,12 @@
 	if err != nil {
 		return err
 	}
+	addr, release, err := reserve(port)
+	if err != nil {
+		return errors.Join(err, agent.Close())
+	}
 	r := &relay{
-		name: name, binary: s.opts.Binary, dir: dir, addr: addr, rec: s.rec, agent: agent, file: s.plan.File,
+		name: name, binary: s.opts.Binary, dir: dir, addr: addr, release: release, rec: s.rec, agent: agent, file: s.plan.File,
 		clients: standin.NewClients(name, addr, s.plan.File, s.rec, s.world),
 	}
 	s.relays[name] = r
@@ -315,6 +315,7 @@
 	for _, r := range s.order {
 		r.clients.Close()
 		r.agent.Close()
+		r.release()
 	}
 	s.world.Close()
 	s.works.Wait()
--- a/internal/rehearsal/relay.go
+++ b/internal/rehearsal/relay.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -36,6 +35,7 @@
 	binary  string
 	dir     string // of its configuration, state and log
 	addr    string
+	release func() // of addr
 	rec     *record.Writer
 	agent   *standin.Agent
 	clients *standin.Clients
@@ -47,17 +47,15 @@
 	ending bool          // it was told to
 }
 
-// freeAddr finds an address that nothing listens on; port 0 lets the system choose.
-func freeAddr(port int) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
-	if err != nil {
-		if errors.Is(err, syscall.EADDRINUSE) {
-			return "", fmt.Errorf("rehearsal: port %d is in use: choose another with -port, or none", port)
-		}
-		return "", fmt.Errorf("rehearsal: %w", err)
+// reserve keeps an address for a relay; port 0 lets the system choose.
+func reserve(port int) (addr string, release func(), err error) {
+	addr, release, err = standin.Reserve("127.0.0.1:" + strconv.Itoa(port))
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return "", nil, fmt.Errorf("rehearsal: port %d is in use: choose another with -port, or none: %w", port, err)
+	} else if err != nil {
+		return "", nil, fmt.Errorf("rehearsal: %w", err)
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addr, release, nil
 }
 
 // config is the relay's configuration file.
--- a/internal/standin/port.go
+++ b/internal/standin/port.go
@@ -84,21 +84,46 @@
 	}
 	p.unblock()
 	p.stop()
-	a, err := net.ResolveTCPAddr("tcp4", p.addr)
+	if fd, _, err := bind(p.addr); err == nil {
+		p.held = fd
+	} // else the address is free, which is as good as long as nobody takes it
+}
+
+// bind binds a socket that does not listen: connections to its address are refused, no other socket comes by it, and
+// whoever asks for just this address may listen on it.
+func bind(addr string) (fd int, bound string, err error) {
+	a, err := net.ResolveTCPAddr("tcp4", addr)
 	if err != nil {
-		return
+		return -1, "", err
 	}
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	fd, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return // the address is free then, which is as good as long as nobody takes it
+		return -1, "", err
 	}
 	sa := &syscall.SockaddrInet4{Port: a.Port}
 	copy(sa.Addr[:], a.IP.To4())
-	if syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) != nil || syscall.Bind(fd, sa) != nil {
+	if err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err == nil {
+		err = syscall.Bind(fd, sa)
+	}
+	var name syscall.Sockaddr
+	if err == nil {
+		name, err = syscall.Getsockname(fd)
+	}
+	if err != nil {
 		syscall.Close(fd)
-		return
+		return -1, "", err
+	}
+	got := name.(*syscall.SockaddrInet4)
+	return fd, (&net.TCPAddr{IP: got.Addr[:], Port: got.Port}).String(), nil
+}
+
+// Reserve keeps an address, such as 127.0.0.1:0, for a process that is to listen on it, also while that is restarted.
+func Reserve(addr string) (reserved string, release func(), err error) {
+	fd, reserved, err := bind(addr)
+	if err != nil {
+		return "", nil, fmt.Errorf("standin: reserve %s: %w", addr, err)
 	}
-	p.held = fd
+	return reserved, sync.OnceFunc(func() { syscall.Close(fd) }), nil
 }
 
 // release gives the address up to whoever listens on it next.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -343,6 +344,28 @@
 	r.seen(record.Call, func(e record.Event) bool { return e.Host == "s-new" })
 }
 
+// A reserved address refuses connections, is found by nobody who asks for any, and serves who asks for it.
+func TestReserve(t *testing.T) {
+	addr, release, err := Reserve("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	if _, err := net.DialTimeout("tcp", addr, patience); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("dialled: %v", err)
+	}
+	for range 2 { // a relay, and the one that comes after it
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Reserve(addr); !errors.Is(err, syscall.EADDRINUSE) {
+			t.Errorf("reserved what is listened on: %v", err)
+		}
+		l.Close()
+	}
+}
+
 func newAgent(t *testing.T, r *rig) *Agent {
 	t.Helper()
 	a, err := NewAgent("r1", r.rec, r.World, []Member{{ID: "s-1", Addr: "x:1", State: record.StateReady, Cell: 1}})
@@ -545,13 +568,12 @@
 
 func TestACloseThatCrossesARequestIsNoLoss(t *testing.T) {
 	r := newRig(t, "")
-	first := true
+	var answered atomic.Bool
 	addr := relayStub(t, func(n int, c net.Conn, _ *http.Request) {
-		if n == 1 && !first {
+		if n == 1 && answered.Swap(true) {
 			c.Close() // between two requests, as the client sees it
 			return
 		}
-		first = false
 		io.WriteString(c, took)
 	})
 	c := newClients(r, addr)
