--- a/internal/sockfault/proxy.go
+++ b/internal/sockfault/proxy.go
@@ -340,7 +340,8 @@
 
 	garble, drop, double int // of the bytes to come
 	with                 []byte
-	cutOff               bool // nothing more goes on
+	again                []byte // of what is doubled, what has come
+	cutOff               bool   // nothing more goes on
 	line                 *delayLine
 
 	pace     sync.Mutex // guards what the delay line reads, too
@@ -540,8 +541,12 @@
 		data = data[n:]
 	}
 	if n := min(f.double, len(data)); n > 0 {
-		f.double -= n
-		data = append(slices.Clone(data[:n]), data...)
+		// All of them come first, and then all of them again, however they are cut up.
+		f.again = append(f.again, data[:n]...)
+		if f.double -= n; f.double == 0 {
+			data = slices.Concat(data[:n], f.again, data[n:])
+			f.again = nil
+		}
 	}
 	if f.line != nil {
 		return f.line.add(data)
