--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -162,11 +162,7 @@
 
 // Judge judges a run. events are in order.
 func Judge(h record.Header, events []record.Event) Verdict {
-	j := &judge{
-		Header: h, events: events, messages: map[string]*message{}, calls: map[uint64]*call{}, hosts: map[string]host{},
-		down: map[string][]span{}, starts: map[string][]time.Duration{},
-	}
-	j.read()
+	j := newJudge(h, events)
 	for _, r := range []struct {
 		Rule
 		check func(*Finding)
@@ -189,6 +185,16 @@
 	return j.verdict
 }
 
+// newJudge returns one that has read the events.
+func newJudge(h record.Header, events []record.Event) *judge {
+	j := &judge{
+		Header: h, events: events, messages: map[string]*message{}, calls: map[uint64]*call{}, hosts: map[string]host{},
+		down: map[string][]span{}, starts: map[string][]time.Duration{},
+	}
+	j.read()
+	return j
+}
+
 func (j *judge) fault(at time.Duration, events []int, format string, args ...any) {
 	if len(j.verdict.Faults) < breaksMost {
 		j.verdict.Faults = append(j.verdict.Faults, Break{At: at, Text: fmt.Sprintf(format, args...), Events: events})
@@ -647,7 +653,7 @@
 			note(c.Relay, c.ended)
 		}
 	}
-	if out.Cause == causeDown {
+	if out.Cause == record.OutageDown {
 		for _, m := range j.order {
 			if during(m.At) && m.Dest == b.Dest && j.taken(m) {
 				note(m.Relay, m.index)
@@ -657,9 +663,6 @@
 	return seen
 }
 
-// causeDown is the cause of an outage in which connections do not come up.
-const causeDown = "down"
-
 // inOrder checks that messages of a key take turns.
 func (j *judge) inOrder(f *Finding) {
 	type key struct{ relay, order string }
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -269,7 +269,7 @@
 
 // Connections that do not come up leave no trace at the host: what a relay had for it tells that it knew.
 func TestRefusedConnectionsCountAsSeen(t *testing.T) {
-	for cause, state := range map[string]State{causeDown: Broken, "silent": NotExercised} {
+	for cause, state := range map[string]State{record.OutageDown: Broken, "silent": NotExercised} {
 		s := newScript()
 		s.add(record.Event{At: second, Kind: record.Outage, Place: "7", Dest: 7, Hosts: []string{"a1"}, Cause: cause})
 		s.offer("m", safe, 2*second, 15*second, 202)
--- a/internal/judge/service.go
+++ b/internal/judge/service.go
@@ -59,10 +59,7 @@
 
 // Tries folds the hand-ins of a record into first tries, in the order in which they were due.
 func Tries(h record.Header, events []record.Event) []Asked {
-	j := &judge{Header: h, events: events, messages: map[string]*message{}, calls: map[uint64]*call{}, hosts: map[string]host{},
-		down: map[string][]span{}, starts: map[string][]time.Duration{}}
-	j.read()
-	return j.tries()
+	return newJudge(h, events).tries()
 }
 
 func (j *judge) tries() []Asked {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -129,6 +129,14 @@
 	CauseHost    = "host"
 )
 
+// Why a place is out of service.
+const (
+	OutageFailing = "failing"
+	OutageShut    = "shut"
+	OutageSilent  = "silent"
+	OutageDown    = "down" // connections do not come up, which leaves no event at its hosts
+)
+
 // States of entries of the list, of processes and of troubles.
 const (
 	StateReady    = "ready"
--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -394,7 +393,7 @@
 		return Result{}, fmt.Errorf("rehearsal: %w", err)
 	}
 	defer f.Close()
-	h, events, err := record.Read(io.Reader(f))
+	h, events, err := record.Read(f)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/rehearsal/relay.go
+++ b/internal/rehearsal/relay.go
@@ -44,7 +44,6 @@
 	mu     sync.Mutex // guards a restart against another
 	cmd    *exec.Cmd
 	exited chan struct{} // closed when the process has ended
-	ending bool          // it was told to
 }
 
 // reserve keeps an address for a relay; port 0 lets the system choose.
@@ -146,7 +145,7 @@
 		return fmt.Errorf("rehearsal: start %s: %w", r.name, err)
 	}
 	exited := make(chan struct{})
-	r.cmd, r.exited, r.ending = cmd, exited, false
+	r.cmd, r.exited = cmd, exited
 	go func() {
 		err := cmd.Wait()
 		cause := ""
@@ -210,7 +209,6 @@
 	if r.cmd == nil {
 		return
 	}
-	r.ending = true
 	r.rec.Add(record.Event{Kind: record.Process, Relay: r.name, State: state})
 	r.cmd.Process.Signal(s) // it may have ended already
 }
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -100,8 +100,7 @@
 // planner draws a plan. Each part has a random stream of its own, so that a change of one leaves the others.
 type planner struct {
 	*Plan
-	serial int // of endpoints
-	gone   []string
+	serial int             // of endpoints
 	busy   map[string]bool // endpoints that a trouble has taken away
 }
 
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -198,7 +199,7 @@
 	for _, m := range members {
 		list = append(list, m)
 	}
-	slices.SortFunc(list, func(a, b Member) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -100,7 +100,7 @@
 	refusals, unanswered := 0, 0
 	for n := 0; ctx.Err() == nil && time.Now().Before(t.deadline); n++ {
 		if n > 0 {
-			t.ID = c.id(a.ID, n)
+			t.ID = fmt.Sprintf("%s-%d", a.ID, n)
 		}
 		heard, advice := c.try(ctx, t, late)
 		late = 0
@@ -131,9 +131,6 @@
 	}
 }
 
-// id is a new one for a further try.
-func (c *Clients) id(first string, n int) string { return fmt.Sprintf("%s-%d", first, n) }
-
 // taken waits until the relay takes connections; false if the time is up before.
 func (c *Clients) taken(ctx context.Context, by time.Time) bool {
 	timer := time.NewTimer(time.Until(by))
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -4,8 +4,10 @@
 package standin
 
 import (
+	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -89,19 +91,10 @@
 			hosts = append(hosts, h)
 		}
 	}
-	slices.SortFunc(hosts, func(a, b *Host) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(hosts, func(a, b *Host) int { return strings.Compare(a.ID, b.ID) })
 	return hosts
 }
 
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	} else if a > b {
-		return 1
-	}
-	return 0
-}
-
 func hostIDs(hosts []*Host) (all []string) {
 	for _, h := range hosts {
 		all = append(all, h.ID)
@@ -137,7 +130,8 @@
 			return // it is out already: the first outage's end ends both
 		}
 		p.outage = map[scenario.Op]string{
-			scenario.OpFail: "failing", scenario.OpShut: "shut", scenario.OpMute: "silent", scenario.OpDown: "down", scenario.OpCut: "down",
+			scenario.OpFail: record.OutageFailing, scenario.OpShut: record.OutageShut, scenario.OpMute: record.OutageSilent,
+			scenario.OpDown: record.OutageDown, scenario.OpCut: record.OutageDown,
 		}[op]
 		hosts = w.placeHosts(name)
 		w.rec.Add(record.Event{Kind: record.Outage, Place: name, Dest: p.dest, Hosts: hostIDs(hosts), Cause: p.outage})
@@ -156,19 +150,12 @@
 		case scenario.OpDown:
 			h.down()
 		case scenario.OpCut:
-			err = firstError(err, h.cut())
+			err = errors.Join(err, h.cut())
 		}
 	}
 	return err
 }
 
-func firstError(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
 // Back ends a place's outage: it returns cold.
 func (w *World) Back(name string) error {
 	var hosts []*Host
@@ -195,7 +182,7 @@
 		return err
 	}
 	for _, h := range hosts {
-		if cause == "silent" || cause == "down" {
+		if cause == record.OutageSilent || cause == record.OutageDown {
 			if err := h.up(); err != nil { // its processes have started anew
 				return err
 			}
