--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -1,5 +1,11 @@
-// Command cherrytrestle is the relay: it takes messages from clients and delivers each by a call to a host of
-// its destination. The environment tells it all; see package relay.
+// Command cherrytrestle is the relay, and what looks into its recordings.
+//
+//	cherrytrestle [serve]         takes messages from clients and delivers each by a call to a host of its destination
+//	cherrytrestle replay FILE     plays a recording to the decision module as built here
+//	cherrytrestle explain FILE    tells what held messages up
+//	cherrytrestle recording ...   lists recordings, or takes them out of a log
+//
+// For serve the environment tells what the platform has to say, see package relay, and the operator's file the rest.
 package main
 
 import (
@@ -12,6 +18,10 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
+	"onyxroad.dev/onyxroad/internal/cli"
+	"onyxroad.dev/onyxroad/internal/operator"
 	"onyxroad.dev/onyxroad/internal/relay"
 )
 
@@ -19,36 +29,62 @@
 // itself and the files of the log.
 const heapShare = 0.7
 
-func main() {
-	if err := run(); err != nil {
-		slog.Error("stopped", "err", err)
-		os.Exit(1)
-	}
+type app struct {
+	Version   kong.VersionFlag `help:"Print the version and end."`
+	Serve     serve            `cmd:"" default:"withargs" help:"Run the relay (the default)."`
+	Replay    replayCommand    `cmd:"" help:"Play recordings to the decision module as built here, and tell whether it decides the same."`
+	Explain   explainCommand   `cmd:"" help:"Tell from recordings what held messages up."`
+	Recording recordingCommand `cmd:"" help:"List recordings, or take them out of a log."`
 }
 
-func run() error {
+func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	reload := make(chan os.Signal, 1) // caught from the start: unhandled, SIGHUP ends the process
+	status := cli.Run(ctx, "cherrytrestle", "A relay for outbound messages.", &app{}, os.Args[1:],
+		cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, cli.Failed)
+	stop()
+	os.Exit(status)
+}
+
+type serve struct {
+	Operator string `help:"The operator's file (TOML): what this installation turns on. None: nothing." env:"CHERRYTRESTLE_OPERATOR" placeholder:"FILE"`
+}
+
+// Run serves until SIGTERM or SIGINT. SIGHUP has the configuration read again, SIGUSR1 the recording kept.
+func (c *serve) Run(ctx context.Context) error {
+	// Caught from the start: unhandled, either ends the process.
+	reload, keep := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	signal.Notify(keep, syscall.SIGUSR1)
+	file, err := operator.Load(c.Operator)
+	if err != nil {
+		return err
+	}
+	log := slog.New(file.Log.Handler(os.Stderr))
+	slog.SetDefault(log)
 	cfg, err := relay.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
+	cfg.Operator, cfg.Version = file, cli.Version()
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	r, err := relay.New(cfg, slog.Default())
+	r, err := relay.New(cfg, log, os.Stderr)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
 	go func() {
-		for range reload {
-			cfg, err := relay.ReloadConfig(os.Getenv)
-			if err != nil {
-				slog.Warn("keeping the configuration", "err", err)
-				continue
+		for {
+			select {
+			case <-keep:
+				r.KeepRecording("SIGUSR1")
+			case <-reload:
+				cfg, err := relay.ReloadConfig(os.Getenv)
+				if err != nil {
+					log.Warn("keeping the configuration", "err", err)
+					continue
+				}
+				r.Reload(cfg)
 			}
-			r.Reload(cfg)
 		}
 	}()
 	return r.Run(ctx)
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,574 @@
+// Package explain tells from a recording what held messages up: for one message, a destination or a stretch of time. It
+// plays the recording and looks, after each step, at a copy of the decision module; it decides nothing and does no I/O.
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/replay"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Bounds of what an explanation keeps.
+const (
+	binsMost        = 600
+	transitionsMost = 100_000
+	spansMost       = 1000 // of one message
+)
+
+// causes are the words for what holds a message.
+var causes = [...]string{
+	policy.Free: "its turn in the queue", policy.Spent: "no attempt or time left", policy.NoService: "no route in service",
+	policy.Turn: "an earlier message of its key", policy.OtherZone: "a repeat is bound to another zone", policy.NoTime: "no time left for an answer",
+	policy.Trial: "a trial call is out", policy.Crammed: "too many calls out or overdue", policy.KeyRest: "its key rests",
+	policy.ToldWait: "told to wait", policy.Skip: "skipped", policy.Recovery: "recovery budget", policy.Pace: "pace",
+	policy.SlotsFull: "no slot free", policy.NoRoute: "no route listed",
+}
+
+// CauseName is a cause in words.
+func CauseName(c policy.Cause) string {
+	if c < 0 || int(c) >= len(causes) {
+		return fmt.Sprintf("cause %d", int(c))
+	}
+	return causes[c]
+}
+
+// outcomes are the words for how a call ended.
+var outcomes = [...]string{
+	policy.OK: "delivered", policy.Error: "error", policy.Full: "refused", policy.Timeout: "timed out",
+	policy.ConnectFailed: "not connected", policy.Reset: "reset", policy.Cancelled: "cancelled", policy.Moot: "not sent",
+}
+
+// OutcomeName is an outcome in words.
+func OutcomeName(o policy.Outcome) string {
+	if o < 0 || int(o) >= len(outcomes) {
+		return fmt.Sprintf("outcome %d", int(o))
+	}
+	return outcomes[o]
+}
+
+// Options say what is looked at.
+type Options struct {
+	From, To time.Duration // of the module's time; To 0: to the end
+	// Every is how often, in recorded time, the messages are looked at; 0: after each step. What holds a message at one
+	// look counts until the next.
+	Every time.Duration
+	// Messages keeps the story of every message, by number; it takes memory in proportion to them.
+	Messages bool
+}
+
+// Waits is how long messages waited for each cause, in message-seconds.
+type Waits map[policy.Cause]float64
+
+// Sum is the time for all causes.
+func (w Waits) Sum() (sum float64) {
+	for _, x := range w {
+		sum += x
+	}
+	return sum
+}
+
+// Sorted are the causes with time, the longest first.
+func (w Waits) Sorted() (causes []policy.Cause) {
+	for c, x := range w {
+		if x > 0 {
+			causes = append(causes, c)
+		}
+	}
+	slices.SortFunc(causes, func(a, b policy.Cause) int { return cmp.Or(cmp.Compare(w[b], w[a]), cmp.Compare(a, b)) })
+	return causes
+}
+
+// Destination is what happened at one destination.
+type Destination struct {
+	ID        int
+	Taken     int
+	Calls     map[policy.Outcome]int // ended, by outcome, counted for each message
+	Sent      int
+	Refused   int
+	Failed    int
+	Waits     Waits
+	WorstWait time.Duration // longest that one message waited in one go
+	MostQueue int
+	Routes    []*Route
+}
+
+// Route is a route's history on the report's axis.
+type Route struct {
+	Name                         string
+	Destination, Zone            int
+	Shared                       string // the first route of its gate, whose pace and limit it shares
+	Listed, Limit                float64
+	Pace, Ceiling, Believed      []float64 // calls a second, at the end of each bin; 0: free, none
+	Queue                        []float64 // messages waiting at the destination, the most in each bin
+	OK, Full, Bad                []float64 // outcomes in each bin
+	Sent                         []float64
+	Skipped, Doubted, ToldToWait []bool
+	last                         policy.View
+	seen                         bool
+}
+
+// Transition is a change in what the module holds of a route.
+type Transition struct {
+	At          time.Duration
+	Destination int
+	Route       string
+	What        string
+	By          string // the outcome that brought it, where one did
+}
+
+// Span is a time in which one cause held a message.
+type Span struct {
+	From, To time.Duration
+	Cause    policy.Cause
+	Route    string
+	Until    time.Duration // as the module saw it; math.MaxInt64: open
+}
+
+// Attempt is a send of a message, and what became of it.
+type Attempt struct {
+	N       int
+	Route   string
+	At      time.Duration
+	CutAt   time.Duration
+	EndedAt time.Duration // 0: not by the end
+	Outcome policy.Outcome
+	Took    time.Duration
+	Wait    time.Duration // told
+}
+
+// Message is the story of one message.
+type Message struct {
+	ID          uint32
+	Trace       string
+	Destination int
+	Class       int
+	TakenAt     time.Duration
+	Left        time.Duration // to its deadline, when it was taken
+	Resumed     bool
+	Earlier     int // attempts of an earlier process
+	Spans       []Span
+	Attempts    []Attempt
+	EndedAt     time.Duration // 0: not by the end
+	End         string
+	Advice      time.Duration // with a refusal
+}
+
+// Report is an explanation of one recording.
+type Report struct {
+	Meta         flight.Meta
+	Replay       replay.Result
+	From, To     time.Duration
+	Bin          time.Duration
+	Bins         int
+	Destinations []*Destination // by number
+	Transitions  []Transition
+	Slots        []float64 // taken, the most in each bin
+	SlotsMost    int       // the settings'
+	Queue        []float64 // messages waiting, the most in each bin
+	Messages     map[uint32]*Message
+	Notes        []string
+	Truncated    bool // more transitions or spans than are kept
+}
+
+// builder is an explanation at work.
+type builder struct {
+	opts    Options
+	rep     *Report
+	dests   map[int]*Destination
+	routes  map[string]*Route
+	dest    map[uint32]int // of messages
+	traces  map[uint32]string
+	held    []policy.Hold // what held each message that waited at the last look
+	since   map[uint32]time.Duration
+	looked  time.Duration
+	some    bool // a look was taken
+	views   []policy.View
+	outcome map[string]string // by route, in the step at hand
+	err     error
+}
+
+// Explain plays a recording and explains it.
+func Explain(data []byte, opts Options) (*Report, error) {
+	from, to, meta, err := extent(data)
+	if err != nil {
+		return nil, err
+	}
+	from = max(from, opts.From)
+	if opts.To > 0 {
+		to = min(to, opts.To)
+	}
+	if to < from {
+		return nil, fmt.Errorf("explain: the recording holds nothing from %v to %v", from, to)
+	}
+	rep := &Report{Meta: meta, From: from, To: to, Bin: 250 * time.Millisecond, SlotsMost: meta.Settings.Slots, Messages: map[uint32]*Message{}}
+	for (to-from)/rep.Bin >= binsMost {
+		rep.Bin *= 2
+	}
+	rep.Bins = int((to-from)/rep.Bin) + 1
+	rep.Slots, rep.Queue = make([]float64, rep.Bins), make([]float64, rep.Bins)
+	b := &builder{
+		opts: opts, rep: rep, dests: map[int]*Destination{}, routes: map[string]*Route{}, dest: map[uint32]int{}, traces: map[uint32]string{},
+		since: map[uint32]time.Duration{}, outcome: map[string]string{},
+	}
+	rep.Replay, err = replay.Play(data, replay.Visitor{Begin: b.begin, Step: b.step, Other: b.other})
+	if err != nil {
+		return nil, err
+	}
+	if b.err != nil {
+		return nil, b.err
+	}
+	b.attribute(to)
+	for _, d := range b.dests {
+		rep.Destinations = append(rep.Destinations, d)
+		slices.SortFunc(d.Routes, func(a, b *Route) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	slices.SortFunc(rep.Destinations, func(a, b *Destination) int { return cmp.Compare(a.ID, b.ID) })
+	return rep, nil
+}
+
+// extent is the time that a recording spans.
+func extent(data []byte) (from, to time.Duration, meta flight.Meta, err error) {
+	r, err := flight.NewReader(data)
+	if err != nil {
+		return 0, 0, meta, err
+	}
+	from = math.MaxInt64
+	for {
+		e, ok, err := r.Next()
+		if err != nil {
+			return 0, 0, meta, err
+		}
+		if !ok {
+			break
+		}
+		switch e.Kind {
+		case flight.Begin:
+			meta = e.Meta
+		case flight.Step:
+			from, to = min(from, e.Now), max(to, e.Now) // a clock may step back
+		}
+	}
+	return min(from, to), to, meta, nil
+}
+
+func (b *builder) bin(at time.Duration) int {
+	return min(b.rep.Bins-1, max(0, int((at-b.rep.From)/b.rep.Bin)))
+}
+
+func (b *builder) in(at time.Duration) bool { return at >= b.rep.From && at <= b.rep.To }
+
+func (b *builder) destination(id int) *Destination {
+	d := b.dests[id]
+	if d == nil {
+		d = &Destination{ID: id, Calls: map[policy.Outcome]int{}, Waits: Waits{}}
+		b.dests[id] = d
+	}
+	return d
+}
+
+func (b *builder) route(v policy.View) *Route {
+	r := b.routes[v.Route]
+	if r == nil {
+		bins := func() []float64 { return make([]float64, b.rep.Bins) }
+		flags := func() []bool { return make([]bool, b.rep.Bins) }
+		r = &Route{
+			Name: v.Route, Destination: v.Destination, Zone: v.Zone, Pace: bins(), Ceiling: bins(), Believed: bins(), Queue: bins(), OK: bins(),
+			Full: bins(), Bad: bins(), Sent: bins(), Skipped: flags(), Doubted: flags(), ToldToWait: flags(),
+		}
+		b.routes[v.Route] = r
+		d := b.destination(v.Destination)
+		d.Routes = append(d.Routes, r)
+	}
+	return r
+}
+
+// begin starts with what a Sender holds that was restored in mid-life.
+func (b *builder) begin(s *policy.Sender, e *flight.Entry) {
+	b.look(s, e.Now)
+}
+
+func (b *builder) other(e *flight.Entry) {
+	switch e.Kind {
+	case flight.Label:
+		b.traces[e.Message] = e.Text
+	case flight.Note:
+		b.rep.Notes = append(b.rep.Notes, e.Text)
+	case flight.Lost:
+		b.held, b.some = nil, false
+	}
+}
+
+func (b *builder) step(s *policy.Sender, e *flight.Entry) {
+	now := e.Now
+	clear(b.outcome)
+	for i := range e.Events {
+		b.event(now, &e.Events[i])
+	}
+	for i := range e.Actions {
+		b.action(now, &e.Actions[i])
+	}
+	if !b.some || now < b.looked || now-b.looked >= b.opts.Every || len(b.outcome) > 0 {
+		b.look(s, now)
+	}
+}
+
+func (b *builder) event(now time.Duration, x *policy.Event) {
+	switch x.Kind {
+	case policy.Taken:
+		b.dest[x.ID] = x.Destination
+		if b.in(now) {
+			b.destination(x.Destination).Taken++
+		}
+		if b.opts.Messages {
+			m := &Message{
+				ID: x.ID, Trace: b.traces[x.ID], Destination: x.Destination, Class: x.Class, TakenAt: now, Left: x.Left, Resumed: x.Resumed != nil,
+			}
+			if m.Resumed {
+				m.Earlier = x.Resumed.Attempts
+			}
+			b.rep.Messages[x.ID] = m
+		}
+		delete(b.traces, x.ID)
+	case policy.Finished:
+		word := OutcomeName(x.Outcome)
+		if x.Wait > 0 {
+			word += fmt.Sprintf(", wait %v", x.Wait)
+		}
+		if known := b.outcome[x.Route]; known != "" && known != word {
+			word = known + "; " + word
+		}
+		b.outcome[x.Route] = word
+		if d, known := b.dest[x.ID]; known && b.in(now) {
+			b.destination(d).Calls[x.Outcome]++
+		}
+		if r := b.routes[x.Route]; r != nil && b.in(now) {
+			series := r.Bad
+			switch x.Outcome {
+			case policy.OK:
+				series = r.OK
+			case policy.Full:
+				series = r.Full
+			}
+			series[b.bin(now)]++
+		}
+		m := b.rep.Messages[x.ID]
+		if m == nil {
+			break
+		}
+		for i := range m.Attempts {
+			if a := &m.Attempts[i]; a.N == x.Attempt && a.EndedAt == 0 {
+				a.EndedAt, a.Outcome, a.Took, a.Wait = now, x.Outcome, x.Took, x.Wait
+			}
+		}
+		if x.Ended && m.EndedAt == 0 {
+			m.EndedAt, m.End = now, "delivered"
+			if x.Outcome != policy.OK {
+				m.End = "over: " + OutcomeName(x.Outcome)
+			}
+		}
+	case policy.Withdrawn:
+		if m := b.rep.Messages[x.ID]; m != nil && m.EndedAt == 0 {
+			m.EndedAt, m.End = now, "withdrawn"
+		}
+	}
+}
+
+func (b *builder) action(now time.Duration, a *policy.Action) {
+	m := b.rep.Messages[a.ID]
+	d, known := b.dest[a.ID]
+	counts := known && b.in(now)
+	switch a.Kind {
+	case policy.Send:
+		if counts {
+			b.destination(d).Sent++
+		}
+		if r := b.routes[a.Route]; r != nil && b.in(now) {
+			r.Sent[b.bin(now)]++
+		}
+		if m != nil {
+			m.Attempts = append(m.Attempts, Attempt{N: m.Earlier + len(m.Attempts), Route: a.Route, At: now, CutAt: a.At})
+		}
+	case policy.Refuse, policy.Fail:
+		if counts && a.Kind == policy.Refuse {
+			b.destination(d).Refused++
+		} else if counts {
+			b.destination(d).Failed++
+		}
+		if m != nil && m.EndedAt == 0 {
+			m.EndedAt, m.End, m.Advice = now, "failed", a.Delay
+			if a.Kind == policy.Refuse {
+				m.End = "refused"
+			}
+		}
+	}
+}
+
+// look sees what the module holds after a step.
+func (b *builder) look(s *policy.Sender, now time.Duration) {
+	b.attribute(now)
+	views, slots := s.Views()
+	if b.in(now) {
+		i := b.bin(now)
+		b.rep.Slots[i] = max(b.rep.Slots[i], float64(slots))
+		queue, counted := 0, map[int]bool{}
+		for k := range views {
+			if v := &views[k]; !counted[v.Destination] {
+				counted[v.Destination] = true
+				queue += v.Queued
+			}
+		}
+		b.rep.Queue[i] = max(b.rep.Queue[i], float64(queue))
+	}
+	b.compare(now, views)
+	b.views, b.looked, b.some = views, now, true
+	waiting := slices.ContainsFunc(views, func(v policy.View) bool { return v.Queued > 0 })
+	if b.held = nil; !waiting && len(b.dests) > 0 && len(views) > 0 {
+		return
+	}
+	// Holds may cast doubt on routes, as dispatch does: a copy is asked.
+	copied, err := policy.Restore(b.rep.Meta.Settings, s.Snapshot(nil))
+	if err != nil {
+		b.err = cmp.Or(b.err, fmt.Errorf("explain: %w", err))
+		return
+	}
+	b.held = binding(copied.Holds())
+}
+
+// binding keeps for each message the hold that ends first: that of the route it will take.
+func binding(holds []policy.Hold) []policy.Hold {
+	kept := holds[:0]
+	for _, h := range holds {
+		if n := len(kept); n > 0 && kept[n-1].ID == h.ID {
+			if h.Until < kept[n-1].Until || h.Until == kept[n-1].Until && h.Cause == policy.Free {
+				kept[n-1] = h
+			}
+			continue
+		}
+		kept = append(kept, h)
+	}
+	return kept
+}
+
+// attribute counts the time since the last look for the causes that were seen then.
+func (b *builder) attribute(now time.Duration) {
+	from, to := max(b.looked, b.rep.From), min(now, b.rep.To)
+	if !b.some || to <= from {
+		return
+	}
+	for _, h := range b.held {
+		id, known := b.dest[h.ID]
+		if !known { // taken before the recording began
+			if r := b.routes[h.Route]; r != nil {
+				id = r.Destination
+			}
+		}
+		d := b.destination(id)
+		d.Waits[h.Cause] += (to - from).Seconds()
+		m := b.rep.Messages[h.ID]
+		if m == nil {
+			continue
+		}
+		if n := len(m.Spans); n > 0 && m.Spans[n-1].To == from && m.Spans[n-1].Cause == h.Cause && m.Spans[n-1].Route == h.Route {
+			m.Spans[n-1].To, m.Spans[n-1].Until = to, h.Until
+		} else if n < spansMost {
+			m.Spans = append(m.Spans, Span{from, to, h.Cause, h.Route, h.Until})
+		} else {
+			b.rep.Truncated = true
+		}
+	}
+}
+
+// compare notes what changed at the routes since the last look.
+func (b *builder) compare(now time.Duration, views []policy.View) {
+	i := b.bin(now)
+	gates := map[int]string{} // the first route of each shared gate
+	for k := range views {
+		v := &views[k]
+		r := b.route(*v)
+		shared := v.Kind < 0 || v.Kind >= len(b.rep.Meta.Settings.Kinds) || !b.rep.Meta.Settings.Kinds[v.Kind].Separate
+		if r.Shared = v.Route; shared {
+			if gates[v.Destination] == "" {
+				gates[v.Destination] = v.Route
+			}
+			r.Shared = gates[v.Destination]
+		}
+		r.Listed, r.Limit = v.Weight, v.Limit
+		if b.in(now) {
+			from := 0
+			if r.seen {
+				from = b.bin(b.looked)
+			}
+			for j := max(from, 0); j <= i; j++ { // what held goes on holding until now
+				was := r.last
+				if j == i || !r.seen {
+					was = *v
+				}
+				r.Pace[j], r.Ceiling[j], r.Believed[j] = was.Pace, was.Ceiling, was.Limit
+				r.Queue[j] = max(r.Queue[j], float64(was.Queued))
+				at := b.rep.From + time.Duration(j)*b.rep.Bin
+				r.Skipped[j] = r.Skipped[j] || was.Down && was.SkipUntil > at
+				r.Doubted[j] = r.Doubted[j] || was.Cold
+				r.ToldToWait[j] = r.ToldToWait[j] || was.Wait > at
+			}
+			d := b.destination(v.Destination)
+			d.MostQueue = max(d.MostQueue, v.Queued)
+		}
+		if r.seen && b.in(now) {
+			b.transitions(now, r, v)
+		}
+		r.last, r.seen = *v, true
+	}
+}
+
+func (b *builder) transitions(now time.Duration, r *Route, v *policy.View) {
+	add := func(format string, args ...any) {
+		if len(b.rep.Transitions) >= transitionsMost {
+			b.rep.Truncated = true
+			return
+		}
+		b.rep.Transitions = append(b.rep.Transitions, Transition{now, v.Destination, v.Route, fmt.Sprintf(format, args...), b.outcome[v.Route]})
+	}
+	was := &r.last
+	switch {
+	case v.InService != was.InService && v.InService:
+		add("in service")
+	case v.InService != was.InService:
+		add("drains")
+	}
+	if r.Shared == v.Route {
+		if v.Halved != was.Halved {
+			add("pace halved from %s to %.2f a second (limit believed %.2f)", rate(was.Pace), v.Pace, v.Limit)
+		}
+		if v.Wait > was.Wait && v.Wait > now {
+			add("told to wait until %v", v.Wait)
+		}
+		if v.Limit != was.Limit {
+			add("limit believed %.2f, was %.2f", v.Limit, was.Limit)
+		}
+	}
+	if v.SkipUntil > was.SkipUntil && v.Down {
+		add("skipped until %v", v.SkipUntil)
+	} else if was.Down && !v.Down {
+		add("answers again: pace restarts at %.2f", v.Pace)
+	}
+	if v.Cold && !was.Cold {
+		add("in doubt: under the recovery budget")
+	} else if was.Cold && !v.Cold {
+		add("no longer in doubt")
+	} else if v.Cold && v.Back == 0 && was.Back != 0 {
+		add("in doubt anew")
+	}
+}
+
+func rate(x float64) string {
+	if x == 0 {
+		return "free"
+	}
+	return fmt.Sprintf("%.2f", x)
+}
--- /dev/null
+++ b/internal/flight/form.go
@@ -0,0 +1,431 @@
+// Package flight is the relay's flight recorder: it keeps what the decision module was told and what it decided, in a
+// bounded ring in memory and, where asked for, in files or in the log, so that a stretch of a relay's life can be played
+// again. It decides nothing and holds up no step: see docs/design/flight-recorder.md for the form.
+//
+// A recording is a run of chunks, each readable by itself: it begins with a header frame and, unless it is the first of
+// a process, with the module's state. Every frame carries a CRC-32C over its length, its payload and its place, so that
+// a cut or a flipped bit is told and never read as something else.
+package flight
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"time"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Format is the version of the form that this package writes, and the newest that it reads.
+const Format = 1
+
+// Sizes of the form, in bytes.
+const (
+	magic       = "CTFLIGHT"
+	idSize      = 8
+	preamble    = len(magic) + idSize + 4 // and the chunk's number
+	frameHeader = 8
+	// FrameMost bounds a frame's payload. A step that does not fit is told as lost, and a new chunk begins.
+	FrameMost = 64 << 20
+	// entriesMost bounds the events, and the actions, of a step.
+	entriesMost = 1 << 20
+)
+
+// The kinds of frame, the first byte of a payload.
+const (
+	frameHead  byte = 'H'
+	frameState byte = 'K'
+	frameStep  byte = 'S'
+	frameClear byte = 'C'
+	frameLabel byte = 'L'
+	frameNote  byte = 'N'
+)
+
+// The errors of reading.
+var (
+	ErrNoRecording = errors.New("flight: not a recording")
+	ErrNewer       = errors.New("flight: written by a newer version")
+	errFrame       = errors.New("flight: malformed frame")
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// frameSum is a frame's checksum: its length, payload and place within a chunk of one recording.
+func frameSum(id uint64, chunk uint32, at int, payload []byte) uint32 {
+	var place [20]byte
+	binary.LittleEndian.PutUint64(place[:], id)
+	binary.LittleEndian.PutUint32(place[8:], chunk)
+	binary.LittleEndian.PutUint32(place[12:], uint32(at))
+	binary.LittleEndian.PutUint32(place[16:], uint32(len(payload)))
+	return crc32.Update(crc32.Checksum(place[:], castagnoli), castagnoli, payload)
+}
+
+// encoder appends one chunk's frames to a buffer. Strings that come again and again are written once in a chunk and
+// named by number from then on.
+type encoder struct {
+	buf     []byte
+	id      uint64
+	chunk   uint32
+	open    int // where the open frame begins
+	names   map[string]uint32
+	lastNow time.Duration
+	lastID  uint32
+}
+
+func (e *encoder) begin(id uint64, chunk uint32, buf []byte) {
+	e.buf = append(buf[:0], magic...)
+	e.buf = binary.LittleEndian.AppendUint64(e.buf, id)
+	e.buf = binary.LittleEndian.AppendUint32(e.buf, chunk)
+	e.id, e.chunk, e.lastNow, e.lastID = id, chunk, 0, 0
+	clear(e.names)
+}
+
+func (e *encoder) frame(kind byte) {
+	e.open = len(e.buf)
+	e.buf = append(e.buf, 0, 0, 0, 0, 0, 0, 0, 0, kind)
+}
+
+func (e *encoder) close() {
+	payload := e.buf[e.open+frameHeader:]
+	binary.LittleEndian.PutUint32(e.buf[e.open:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(e.buf[e.open+4:], frameSum(e.id, e.chunk, e.open, payload))
+}
+
+func (e *encoder) uint(x uint64) { e.buf = binary.AppendUvarint(e.buf, x) }
+func (e *encoder) int(x int64)   { e.buf = binary.AppendVarint(e.buf, x) }
+func (e *encoder) byte(x byte)   { e.buf = append(e.buf, x) }
+
+func (e *encoder) float(x float64) {
+	e.buf = binary.LittleEndian.AppendUint64(e.buf, math.Float64bits(x))
+}
+
+func (e *encoder) text(s string) {
+	e.uint(uint64(len(s)))
+	e.buf = append(e.buf, s...)
+}
+
+// name writes a string that is likely to come again: 0 and its text the first time, then its number.
+func (e *encoder) name(s string) {
+	if n, ok := e.names[s]; ok {
+		e.uint(uint64(n))
+		return
+	}
+	e.byte(0)
+	e.text(s)
+	e.names[s] = uint32(len(e.names) + 1)
+}
+
+// message writes a message's number against the last one: mostly a byte or two.
+func (e *encoder) message(id uint32) {
+	e.int(int64(id) - int64(e.lastID))
+	e.lastID = id
+}
+
+// The bits of an event that say which of its fields follow.
+const (
+	hasEnded byte = 1 << iota
+	hasWait
+	hasReport
+	hasRan
+	hasResumed
+	hasKey
+)
+
+func (e *encoder) event(x *policy.Event) {
+	e.byte(byte(x.Kind))
+	switch x.Kind {
+	case policy.Taken:
+		var has byte
+		if x.Resumed != nil {
+			has |= hasResumed
+			if x.Resumed.Ran {
+				has |= hasRan
+			}
+		}
+		if x.Key != "" {
+			has |= hasKey
+		}
+		e.byte(has)
+		e.message(x.ID)
+		e.int(int64(x.Class))
+		e.int(int64(x.Customer))
+		e.int(int64(x.Destination))
+		e.int(int64(x.Left))
+		if has&hasKey != 0 {
+			e.text(x.Key)
+		}
+		if has&hasResumed != 0 {
+			e.int(int64(x.Resumed.Attempts))
+		}
+		if has&hasRan != 0 {
+			e.int(int64(x.Resumed.RanAgo))
+			e.int(int64(x.Resumed.RanZone))
+		}
+	case policy.Finished, policy.Probed:
+		var has byte
+		if x.Ended {
+			has |= hasEnded
+		}
+		if x.Wait != 0 {
+			has |= hasWait
+		}
+		if x.Report != (policy.Report{}) {
+			has |= hasReport
+		}
+		e.byte(has)
+		e.message(x.ID)
+		e.int(int64(x.Attempt))
+		e.name(x.Route)
+		e.byte(byte(x.Outcome))
+		e.int(int64(x.Took))
+		if has&hasWait != 0 {
+			e.int(int64(x.Wait))
+		}
+		if has&hasReport != 0 {
+			e.bool(x.Report.Told)
+			e.float(x.Report.Left)
+			e.float(x.Report.Limit)
+		}
+	case policy.Withdrawn:
+		e.message(x.ID)
+	case policy.ListWhole, policy.ListChanges:
+		e.uint(uint64(len(x.List)))
+		for i := range x.List {
+			e.listing(&x.List[i])
+		}
+	}
+}
+
+func (e *encoder) bool(x bool) {
+	if x {
+		e.byte(1)
+	} else {
+		e.byte(0)
+	}
+}
+
+func (e *encoder) listing(l *policy.Listing) {
+	var has byte
+	if l.InService {
+		has |= 1
+	}
+	if l.Gone {
+		has |= 2
+	}
+	e.byte(has)
+	e.name(l.Route)
+	e.int(int64(l.Destination))
+	e.int(int64(l.Kind))
+	e.int(int64(l.Zone))
+	e.float(l.Weight)
+}
+
+func (e *encoder) action(a *policy.Action) {
+	e.byte(byte(a.Kind))
+	switch a.Kind {
+	case policy.Send:
+		e.message(a.ID)
+		e.name(a.Route)
+		e.int(int64(a.At))
+	case policy.Refuse, policy.Fail:
+		e.message(a.ID)
+		e.int(int64(a.Delay))
+	case policy.Wake:
+		e.int(int64(a.Delay))
+	case policy.CloseIdle:
+		e.name(a.Route)
+	}
+}
+
+// decoder reads one frame's payload. The first error sticks; whatever it returns after one is zero.
+type decoder struct {
+	data    []byte
+	err     error
+	names   []string
+	lastNow time.Duration
+	lastID  uint32
+}
+
+func (d *decoder) fail() {
+	if d.err == nil {
+		d.err = errFrame
+	}
+	d.data = nil
+}
+
+func (d *decoder) uint() uint64 {
+	x, n := binary.Uvarint(d.data)
+	if n <= 0 {
+		d.fail()
+		return 0
+	}
+	d.data = d.data[n:]
+	return x
+}
+
+func (d *decoder) int() int64 {
+	x, n := binary.Varint(d.data)
+	if n <= 0 {
+		d.fail()
+		return 0
+	}
+	d.data = d.data[n:]
+	return x
+}
+
+func (d *decoder) byte() byte {
+	if len(d.data) == 0 {
+		d.fail()
+		return 0
+	}
+	x := d.data[0]
+	d.data = d.data[1:]
+	return x
+}
+
+func (d *decoder) bool() bool { return d.byte() != 0 }
+
+func (d *decoder) float() float64 {
+	if len(d.data) < 8 {
+		d.fail()
+		return 0
+	}
+	x := math.Float64frombits(binary.LittleEndian.Uint64(d.data))
+	d.data = d.data[8:]
+	return x
+}
+
+func (d *decoder) bytes() []byte {
+	n := d.uint()
+	if n > uint64(len(d.data)) {
+		d.fail()
+		return nil
+	}
+	x := d.data[:n]
+	d.data = d.data[n:]
+	return x
+}
+
+func (d *decoder) name() string {
+	n := d.uint()
+	if n == 0 {
+		s := string(d.bytes())
+		if d.err == nil {
+			d.names = append(d.names, s)
+		}
+		return s
+	}
+	if n > uint64(len(d.names)) {
+		d.fail()
+		return ""
+	}
+	return d.names[n-1]
+}
+
+func (d *decoder) message() uint32 {
+	d.lastID = uint32(int64(d.lastID) + d.int())
+	return d.lastID
+}
+
+// count reads how many entries follow. Each takes a byte at least, so that no length asks for more room than the frame
+// could fill.
+func (d *decoder) count() int {
+	n := d.uint()
+	if n > uint64(len(d.data)) || n > entriesMost {
+		d.fail()
+		return 0
+	}
+	return int(n)
+}
+
+func (d *decoder) event(x *policy.Event) {
+	*x = policy.Event{Kind: policy.EventKind(d.byte())}
+	switch x.Kind {
+	case policy.Taken:
+		has := d.byte()
+		x.ID = d.message()
+		x.Class, x.Customer, x.Destination = int(d.int()), int(d.int()), int(d.int())
+		x.Left = time.Duration(d.int())
+		if has&hasKey != 0 {
+			x.Key = string(d.bytes())
+		}
+		if has&hasResumed != 0 {
+			x.Resumed = &policy.Resumed{Attempts: int(d.int())}
+			if has&hasRan != 0 {
+				x.Resumed.Ran = true
+				x.Resumed.RanAgo, x.Resumed.RanZone = time.Duration(d.int()), int(d.int())
+			}
+		}
+	case policy.Finished, policy.Probed:
+		has := d.byte()
+		x.ID, x.Attempt, x.Route = d.message(), int(d.int()), d.name()
+		x.Outcome, x.Took = policy.Outcome(d.byte()), time.Duration(d.int())
+		x.Ended = has&hasEnded != 0
+		if has&hasWait != 0 {
+			x.Wait = time.Duration(d.int())
+		}
+		if has&hasReport != 0 {
+			x.Report = policy.Report{Told: d.bool(), Left: d.float(), Limit: d.float()}
+		}
+	case policy.Withdrawn:
+		x.ID = d.message()
+	case policy.ListWhole, policy.ListChanges:
+		n := d.count()
+		x.List = make([]policy.Listing, 0, min(n, 1<<16))
+		for range n {
+			x.List = append(x.List, d.listing())
+			if d.err != nil {
+				return
+			}
+		}
+	case policy.ListFailed, policy.Woken:
+	default:
+		d.fail()
+	}
+}
+
+func (d *decoder) listing() policy.Listing {
+	has := d.byte()
+	l := policy.Listing{InService: has&1 != 0, Gone: has&2 != 0, Route: d.name()}
+	l.Destination, l.Kind, l.Zone, l.Weight = int(d.int()), int(d.int()), int(d.int()), d.float()
+	return l
+}
+
+func (d *decoder) action(a *policy.Action) {
+	*a = policy.Action{Kind: policy.ActionKind(d.byte())}
+	switch a.Kind {
+	case policy.Send:
+		a.ID, a.Route, a.At = d.message(), d.name(), time.Duration(d.int())
+	case policy.Refuse, policy.Fail:
+		a.ID, a.Delay = d.message(), time.Duration(d.int())
+	case policy.Wake:
+		a.Delay = time.Duration(d.int())
+	case policy.CloseIdle:
+		a.Route = d.name()
+	case policy.Watch:
+	default:
+		d.fail()
+	}
+}
+
+// readFrame reads the frame that begins at an offset of a chunk's bytes.
+func readFrame(id uint64, chunk uint32, data []byte, at int) (payload []byte, next int, err error) {
+	rest := data[at:]
+	if len(rest) < frameHeader {
+		return nil, at, fmt.Errorf("cut in a frame's header")
+	}
+	n := binary.LittleEndian.Uint32(rest)
+	switch {
+	case n == 0 || n > FrameMost:
+		return nil, at, fmt.Errorf("a frame of %d bytes", n)
+	case int(n) > len(rest)-frameHeader:
+		return nil, at, fmt.Errorf("cut in a frame: %d of %d bytes", len(rest)-frameHeader, n)
+	}
+	payload = rest[frameHeader : frameHeader+int(n)]
+	if frameSum(id, chunk, at, payload) != binary.LittleEndian.Uint32(rest[4:]) {
+		return nil, at, fmt.Errorf("checksum of a frame of %d bytes does not match", n)
+	}
+	return payload, at + frameHeader + int(n), nil
+}
--- /dev/null
+++ b/internal/flight/recorder.go
@@ -0,0 +1,297 @@
+package flight
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Bounds of a Recorder, in bytes.
+const (
+	DefaultRing = 4 << 20
+	// LeastRing holds a few chunks of the least size.
+	LeastRing  = 256 << 10
+	chunkShare = 8 // a ring holds about so many chunks
+	// stateShare bounds what states add: a chunk is at least so many times as long as the state that it begins with.
+	stateShare = 4
+	namesMost  = 1 << 16 // a chunk that names more strings ends
+)
+
+// Meta is what a recording's chunks say of the process that made it.
+type Meta struct {
+	Format   int             `json:"format"`
+	Name     string          `json:"name"`     // the relay's
+	Revision string          `json:"revision"` // of the decision module: policy.Revision
+	Program  string          `json:"program"`  // version of the program, if it is known
+	Seed     uint64          `json:"seed,string"`
+	Settings policy.Settings `json:"settings"`
+	Started  time.Time       `json:"started"` // wall time at the module's time 0
+}
+
+// head is the payload of a chunk's first frame.
+type head struct {
+	Meta
+	Chunk uint32        `json:"chunk"`
+	At    time.Duration `json:"at"`    // the module's time at the chunk's begin, in ns
+	Fresh bool          `json:"fresh"` // the module had been told nothing: no state follows
+}
+
+// Recorder keeps a recording's last chunks. Its methods may be called from any goroutine, on a nil Recorder too, which
+// records nothing.
+type Recorder struct {
+	mu     sync.Mutex
+	meta   Meta
+	state  func([]byte) []byte
+	ring   int // bytes
+	least  int // bytes of a chunk
+	id     uint64
+	enc    encoder
+	chunks []chunk // full ones, oldest first; the open one is enc's
+	spare  []byte  // room of a chunk that was dropped
+	size   int     // bytes of chunks
+	full   int     // the open chunk ends beyond this
+	now    time.Duration
+	taken  bool          // a sink follows the recording
+	more   chan struct{} // tells the sink that there is something
+	lost   int           // steps too large for a frame
+}
+
+type chunk struct {
+	number uint32
+	data   []byte
+}
+
+// NewRecorder returns a Recorder of a module that has been told nothing yet, with a ring of so many bytes (0:
+// DefaultRing, LeastRing at least). state appends the module's state as policy.Sender.Snapshot does; it is called from
+// Step, after the module has taken it.
+func NewRecorder(meta Meta, ring int, state func([]byte) []byte) *Recorder {
+	if ring == 0 {
+		ring = DefaultRing
+	}
+	ring = max(ring, LeastRing)
+	meta.Format = Format
+	r := &Recorder{
+		meta: meta, state: state, ring: ring, least: ring / chunkShare, id: rand.Uint64(),
+		enc: encoder{names: map[string]uint32{}}, more: make(chan struct{}, 1),
+	}
+	r.begin(true)
+	return r
+}
+
+// begin opens a chunk.
+func (r *Recorder) begin(fresh bool) {
+	number := r.enc.chunk
+	if !fresh {
+		number++
+	}
+	room := r.spare
+	if r.spare = nil; room == nil {
+		room = make([]byte, 0, r.least+r.least/4)
+	}
+	r.enc.begin(r.id, number, room)
+	data, err := json.Marshal(head{Meta: r.meta, Chunk: number, At: r.now, Fresh: fresh})
+	if err != nil { // a figure of the settings that is not a number: the module refuses those
+		data = []byte("{}")
+	}
+	r.enc.frame(frameHead)
+	r.enc.buf = append(r.enc.buf, data...)
+	r.enc.close()
+	if !fresh {
+		r.enc.frame(frameState)
+		r.enc.buf = r.state(r.enc.buf)
+		r.enc.close()
+	}
+	r.full = max(r.least, stateShare*len(r.enc.buf))
+}
+
+// end closes the open chunk and drops the oldest ones that no longer fit.
+func (r *Recorder) end() {
+	r.chunks = append(r.chunks, chunk{r.enc.chunk, r.enc.buf})
+	r.size += len(r.enc.buf)
+	drop := 0
+	for drop < len(r.chunks) && r.size > r.ring-r.full {
+		r.size -= len(r.chunks[drop].data)
+		r.spare = r.chunks[drop].data
+		drop++
+	}
+	if drop > 0 {
+		r.chunks = append(r.chunks[:0], r.chunks[drop:]...)
+	}
+}
+
+// Step records a step: what the module was told at now, and what it decided. It is called after the module's own Step.
+func (r *Recorder) Step(now time.Duration, events []policy.Event, actions []policy.Action) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := &r.enc
+	e.frame(frameStep)
+	e.int(int64(now - e.lastNow))
+	e.lastNow, r.now = now, now
+	e.uint(uint64(len(events)))
+	for i := range events {
+		e.event(&events[i])
+	}
+	e.uint(uint64(len(actions)))
+	for i := range actions {
+		e.action(&actions[i])
+	}
+	if len(e.buf)-e.open-frameHeader > FrameMost || max(len(events), len(actions)) > entriesMost {
+		e.buf = e.buf[:e.open] // the chunk that begins here holds the state behind it
+		r.lost++
+		r.next()
+		return
+	}
+	e.close()
+	r.roll()
+}
+
+func (r *Recorder) roll() {
+	if len(r.enc.buf) >= r.full || len(r.enc.names) > namesMost {
+		r.next()
+	}
+	if r.taken {
+		select {
+		case r.more <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (r *Recorder) next() {
+	r.end()
+	r.begin(false)
+}
+
+// Cleared records an answer of policy.Sender.MayStill.
+func (r *Recorder) Cleared(now time.Duration, route string, ids []uint32, may bool) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := &r.enc
+	e.frame(frameClear)
+	e.int(int64(now - e.lastNow))
+	e.lastNow = now
+	e.bool(may)
+	e.name(route)
+	e.uint(uint64(len(ids)))
+	for _, id := range ids {
+		e.message(id)
+	}
+	e.close()
+}
+
+// Label records the trace id under which clients and hosts know a message. It is called before the step that takes it.
+func (r *Recorder) Label(id uint32, trace string) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := &r.enc
+	e.frame(frameLabel)
+	e.message(id)
+	e.text(trace)
+	e.close()
+}
+
+// Note records a remark: a signal, a crash, a reason why the recording was kept.
+func (r *Recorder) Note(text string) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.note(text)
+}
+
+func (r *Recorder) note(text string) {
+	r.enc.frame(frameNote)
+	r.enc.text(text)
+	r.enc.close()
+	r.roll()
+}
+
+// WriteTo writes what the ring holds: whole chunks, oldest first, and the open one. The ring goes on meanwhile.
+func (r *Recorder) WriteTo(w io.Writer) (int64, error) {
+	if r == nil {
+		return 0, nil
+	}
+	r.mu.Lock()
+	data := make([]byte, 0, r.size+len(r.enc.buf))
+	for _, c := range r.chunks {
+		data = append(data, c.data...)
+	}
+	data = append(data, r.enc.buf...)
+	r.mu.Unlock()
+	n, err := w.Write(data)
+	if err != nil {
+		err = fmt.Errorf("flight: keep the ring: %w", err)
+	}
+	return int64(n), err
+}
+
+// place is how far a sink has followed a recording.
+type place struct {
+	chunk  uint32
+	offset int
+}
+
+// piece is a part of a chunk that a sink has not had yet.
+type piece struct {
+	chunk  uint32
+	offset int // 0: the chunk begins here
+	data   []byte
+}
+
+// after copies what came after a place, and returns the place behind it. lost counts the chunks that left the ring
+// before they were followed to their ends; at most one of them had been followed all the way.
+func (r *Recorder) after(p place) (pieces []piece, to place, lost int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	follow := func(c chunk) {
+		if c.number < p.chunk {
+			return
+		}
+		if c.number > p.chunk {
+			lost += int(c.number - p.chunk)
+			p = place{chunk: c.number}
+		}
+		if p.offset < len(c.data) {
+			pieces = append(pieces, piece{c.number, p.offset, bytes.Clone(c.data[p.offset:])})
+		}
+		p.offset = len(c.data)
+	}
+	for _, c := range r.chunks {
+		if follow(c); c.number == p.chunk {
+			p = place{chunk: c.number + 1}
+		}
+	}
+	follow(chunk{r.enc.chunk, r.enc.buf})
+	return pieces, p, lost
+}
+
+// follow has the recording told on the channel that it returns.
+func (r *Recorder) follow() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taken = true
+	return r.more
+}
+
+// Size is how many bytes the ring holds.
+func (r *Recorder) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.size + len(r.enc.buf)
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,110 @@
+// Package operator reads the operator's file: what this installation turns on beyond what the platform tells a relay.
+// All of it is off where the file does not set it, and the file may be missing altogether.
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/stricttoml"
+)
+
+// File is the operator's file.
+type File struct {
+	Log      Log      `toml:"log"`
+	Recorder Recorder `toml:"recorder"`
+}
+
+// Log says how the program's log is written.
+type Log struct {
+	Format string `toml:"format"` // "text", the default, or "json"
+	Level  string `toml:"level"`  // "debug", "info" (the default), "warn" or "error"
+}
+
+// Recorder says whether the decisions are recorded, and where recordings go.
+type Recorder struct {
+	Enabled  bool    `toml:"enabled"`
+	RingMB   float64 `toml:"ring_mb"`   // of memory; default 4, 0.25 at least
+	Write    string  `toml:"write"`     // "kept", the default: the ring on SIGUSR1 or a crash; "all": everything as it comes
+	Folder   string  `toml:"folder"`    // for the files; empty: recordings go into the log, as lines of text
+	FolderMB float64 `toml:"folder_mb"` // of the files in the folder; default 64, 1 at least
+}
+
+// Modes of Recorder.Write.
+const (
+	WriteKept = "kept"
+	WriteAll  = "all"
+)
+
+// Load reads a file; an empty path is an empty file.
+func Load(path string) (File, error) {
+	if path == "" {
+		return Parse("", nil)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return File{}, fmt.Errorf("operator's file: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads a file's text; name is for its errors, which are told all at once.
+func Parse(name string, data []byte) (File, error) {
+	var f File
+	if err := stricttoml.Decode(name, data, &f); err != nil {
+		return File{}, fmt.Errorf("operator's file: %w", err)
+	}
+	setDefault(&f.Log.Format, "text")
+	setDefault(&f.Log.Level, "info")
+	setDefault(&f.Recorder.RingMB, flight.DefaultRing>>20)
+	setDefault(&f.Recorder.Write, WriteKept)
+	setDefault(&f.Recorder.FolderMB, 64)
+	if err := f.check(); err != nil {
+		return File{}, fmt.Errorf("operator's file: %s: %w", name, err)
+	}
+	return f, nil
+}
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+func (f *File) check() error {
+	var errs []error
+	bad := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	r := f.Recorder
+	bad(f.Log.Format == "text" || f.Log.Format == "json", `log.format is %q, not "text" or "json"`, f.Log.Format)
+	var level slog.Level
+	bad(level.UnmarshalText([]byte(f.Log.Level)) == nil, `log.level is %q, not "debug", "info", "warn" or "error"`, f.Log.Level)
+	bad(r.RingMB >= 0.25 && r.RingMB <= 4096, "recorder.ring_mb is %g, not from 0.25 to 4096", r.RingMB)
+	bad(r.Write == WriteKept || r.Write == WriteAll, `recorder.write is %q, not "kept" or "all"`, r.Write)
+	bad(r.FolderMB >= 1 && r.FolderMB <= 1<<20, "recorder.folder_mb is %g, not from 1 to 1048576", r.FolderMB)
+	bad(r.Folder == "" || r.RingMB <= r.FolderMB, "recorder.ring_mb is %g: a kept ring does not fit into folder_mb = %g", r.RingMB, r.FolderMB)
+	return errors.Join(errs...)
+}
+
+// Ring is the recorder's memory, in bytes.
+func (r Recorder) Ring() int { return int(r.RingMB * (1 << 20)) }
+
+// Handler writes the log as the file says.
+func (l Log) Handler(w *os.File) slog.Handler {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		level = slog.LevelInfo // check lets none pass
+	}
+	opts := &slog.HandlerOptions{Level: level}
+	if l.Format == "json" {
+		return slog.NewJSONHandler(w, opts)
+	}
+	return slog.NewTextHandler(w, opts)
+}
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -306,7 +306,7 @@
 	if err := old.wal.Flush(); err != nil {
 		t.Fatal(err)
 	}
-	r, err := New(old.cfg, quiet())
+	r, err := New(old.cfg, quiet(), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/operator"
 	"onyxroad.dev/onyxroad/internal/wire"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -39,6 +40,9 @@
 	Tick           time.Duration // the module is asked no more often than this
 	MayDuplicate   bool          // two attempts of a message may be out at once
 	Reports        []string      // fields of the hosts' load reports; empty: none are sent
+
+	Operator operator.File
+	Version  string // of the program
 }
 
 // Limits are those of the relay's machine.
--- /dev/null
+++ b/internal/relay/recorder.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/operator"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// recording is the relay's flight recorder and where its recordings go. A nil one records nothing.
+type recording struct {
+	*flight.Recorder
+	set    operator.Recorder
+	folder flight.Folder
+	out    io.Writer // the log, where there is no folder
+	log    *slog.Logger
+}
+
+func newRecording(cfg Config, log *slog.Logger, out io.Writer, started time.Time, sender *policy.Sender) *recording {
+	set := cfg.Operator.Recorder
+	if !set.Enabled {
+		return &recording{}
+	}
+	return &recording{
+		Recorder: flight.NewRecorder(flight.Meta{
+			Name: cfg.Name, Revision: policy.Revision(), Program: cfg.Version, Seed: cfg.Seed, Settings: cfg.Settings, Started: started.Round(0),
+		}, set.Ring(), sender.Snapshot),
+		set: set, folder: flight.Folder{Path: set.Folder, Limit: int64(set.FolderMB * (1 << 20)), Name: cfg.Name}, out: out, log: log,
+	}
+}
+
+// run writes the recording out as it goes on, where that is asked for, until ctx ends.
+func (r *recording) run(ctx context.Context) {
+	if r.Recorder == nil || r.set.Write != operator.WriteAll {
+		return
+	}
+	var err error
+	if r.set.Folder != "" {
+		err = r.folder.Follow(ctx, r.Recorder)
+	} else {
+		err = flight.FollowLog(ctx, r.Recorder, r.out)
+	}
+	if err != nil {
+		r.log.Warn("recorder: no longer written", "err", err)
+	}
+}
+
+// keep writes out what the ring holds.
+func (r *recording) keep(reason string) {
+	if r.Recorder == nil {
+		r.log.Warn("no recording is kept: the recorder is off")
+		return
+	}
+	path, err := "the log", error(nil)
+	if r.set.Folder != "" {
+		path, err = r.folder.Keep(r.Recorder, reason)
+	} else {
+		err = flight.KeepInLog(r.Recorder, reason, r.out)
+	}
+	if err != nil {
+		r.log.Warn("recording not kept", "reason", reason, "err", err)
+		return
+	}
+	r.log.Info("recording kept", "reason", reason, "in", path)
+}
+
+// KeepRecording keeps what the flight recorder's ring holds. It may be called at any time, from any goroutine.
+func (r *Relay) KeepRecording(reason string) { r.rec.keep(reason) }
+
+// keepOnPanic keeps the recording of a loop that panics, and lets it. It must be deferred.
+func (r *Relay) keepOnPanic() {
+	if x := recover(); x != nil {
+		r.rec.keep("crash")
+		panic(x)
+	}
+}
+
+// decide has the module take a step, and records it.
+func (r *Relay) decide(now time.Duration, events []policy.Event) []policy.Action {
+	acts := r.sender.Step(now, events)
+	r.rec.Step(now, events, acts)
+	return acts
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -80,6 +81,7 @@
 	clients *clients
 	finals  *finals
 	agent   *agent
+	rec     *recording
 	events  chan any
 	over    chan struct{} // closed when the loop has ended
 	idle    chan struct{} // closed when the relay is stopping and nothing is left to wait for
@@ -115,7 +117,8 @@
 }
 
 // New returns a relay that has read what an earlier process left in the log.
-func New(cfg Config, log *slog.Logger) (*Relay, error) {
+// What is recorded into the log goes to out.
+func New(cfg Config, log *slog.Logger, out io.Writer) (*Relay, error) {
 	sender, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
@@ -124,10 +127,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
+	started := time.Now().Add(-clockStart)
 	r := &Relay{
-		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgent(cfg.Discovery),
+		cfg: cfg, log: log, rec: newRecording(cfg, log, out, started, sender), hosts: newHosts(cfg), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
-		started: time.Now().Add(-clockStart), sender: sender, wal: w,
+		started: started, sender: sender, wal: w,
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 		cells: map[int]bool{},
 	}
@@ -150,6 +154,10 @@
 	defer stopCalls()
 	r.callCtx = callCtx
 	r.resume() // before clients are told that the relay is ready
+	recorded := make(chan struct{})
+	recCtx, stopRecording := context.WithCancel(context.Background())
+	go func() { defer close(recorded); r.rec.run(recCtx) }()
+	defer func() { stopRecording(); <-recorded }()
 	go r.loop(work)
 	go r.finals.run(work)
 	list := watcher{
@@ -239,13 +247,14 @@
 			r.notify(m)
 		default:
 			r.held++
+			r.rec.Label(m.ID, m.Trace)
 			evs = append(evs, r.resumed(m))
 		}
 	}
 	if len(found.Messages) > 0 || found.Damaged {
 		r.log.Info("recovered", "messages", len(found.Messages), "damaged", found.Damaged)
 	}
-	r.carryOut(r.sender.Step(r.now(), evs), nil)
+	r.carryOut(r.decide(r.now(), evs), nil)
 }
 
 // resumed tells the module of a message of an earlier process, in the module's own time.
@@ -271,6 +280,7 @@
 // the settings' tick: what comes together can then travel together.
 func (r *Relay) loop(ctx context.Context) {
 	defer close(r.over)
+	defer r.keepOnPanic()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var batch []any
@@ -368,12 +378,15 @@
 				evs = append(evs, r.taken(m))
 			}
 		}
-		r.carryOut(r.sender.Step(now, evs), waiting)
+		r.carryOut(r.decide(now, evs), waiting)
 	} else {
 		r.carryOut(nil, waiting)
 	}
 	for _, c := range asked {
-		c.reply <- !r.noSends && r.sender.MayStill(c.route, c.ids, r.now())
+		at := r.now()
+		may := r.sender.MayStill(c.route, c.ids, at)
+		r.rec.Cleared(at, c.route, c.ids, may)
+		c.reply <- may && !r.noSends
 	}
 	if r.stopping && !r.idled && (r.owesNothing() || r.noSends && r.out == 0) {
 		r.idled = true
@@ -423,6 +436,7 @@
 			old.next = m
 		}
 		r.msgs[m.ID], r.traces[m.Trace] = m, m
+		r.rec.Label(m.ID, m.Trace)
 		r.held++
 		in.as = m
 		waiting, ms = append(waiting, in), append(ms, in.m)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -75,7 +75,7 @@
 		t.Fatal(err)
 	}
 	c.StateDir = t.TempDir()
-	r, err := New(c, quiet())
+	r, err := New(c, quiet(), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -384,7 +384,7 @@
 	if err := os.WriteFile(filepath.Join(cfg.StateDir, "wal.log"), data, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	again, err := New(cfg, quiet())
+	again, err := New(cfg, quiet(), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/replay/replay.go
@@ -0,0 +1,257 @@
+// Package replay feeds a recording of a relay's decisions to the decision module as it is built into this program, in
+// the recording's own time, and tells whether it decides the same. It does no I/O.
+package replay
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// ErrNoStart tells that a recording holds no place from which it can be played.
+var ErrNoStart = errors.New("replay: no chunk of the recording can be played from")
+
+// Visitor sees a replay as it goes. Any of its functions may be nil.
+type Visitor struct {
+	// Begin is called with each Sender that a stretch is played on, before its first step.
+	Begin func(s *policy.Sender, e *flight.Entry)
+	// Step is called after a step was played. The Sender must only be asked, not stepped.
+	Step  func(s *policy.Sender, e *flight.Entry)
+	Other func(e *flight.Entry) // labels, notes, and what is lost
+}
+
+// Difference is where a recording and the module part.
+type Difference struct {
+	Step     int           // number of the step, from 1
+	Offset   int64         // in the recording
+	Now      time.Duration // the module's time
+	What     string
+	Recorded string // the first action that differs; empty: none
+	Replayed string
+}
+
+func (d *Difference) String() string {
+	return fmt.Sprintf("step %d at %v (offset %d): %s: recorded %s, replayed %s", d.Step, d.Now, d.Offset, d.What,
+		orNone(d.Recorded), orNone(d.Replayed))
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+// Result is what a replay told.
+type Result struct {
+	Meta       flight.Meta
+	Revision   string // of the module that played
+	Chunks     int
+	Stretches  int // played without a gap
+	Steps      int
+	Events     int
+	Actions    int
+	Cleared    int
+	States     int // compared byte by byte at the begins of chunks
+	From, To   time.Duration
+	Lost       []string // what could not be read, or not be played
+	Difference *Difference
+}
+
+// SameRevision tells whether the recording was made by the module as built here.
+func (r *Result) SameRevision() bool { return r.Meta.Revision == r.Revision }
+
+// player is a replay at work.
+type player struct {
+	visit  Visitor
+	res    Result
+	sender *policy.Sender // nil: waits for a chunk to begin with
+	skip   bool           // within a chunk that cannot be played
+}
+
+// Play plays a recording, up to the first action that differs. The error tells that nothing could be played.
+func Play(data []byte, visit Visitor) (Result, error) {
+	r, err := flight.NewReader(data)
+	if err != nil {
+		return Result{}, err
+	}
+	p := &player{visit: visit}
+	p.res.Revision = policy.Revision()
+	for p.res.Difference == nil {
+		e, ok, err := r.Next()
+		if err != nil {
+			return p.res, err
+		}
+		if !ok {
+			break
+		}
+		p.take(&e)
+	}
+	if p.res.Stretches == 0 {
+		return p.res, fmt.Errorf("%w: %v", ErrNoStart, p.res.Lost)
+	}
+	return p.res, nil
+}
+
+func (p *player) take(e *flight.Entry) {
+	switch e.Kind {
+	case flight.Begin:
+		p.begin(e)
+	case flight.Step:
+		if p.sender != nil {
+			p.step(e)
+		}
+	case flight.Cleared:
+		if p.sender != nil {
+			p.res.Cleared++
+			if may := p.sender.MayStill(e.Route, e.IDs, e.Now); may != e.May {
+				p.differ(e, "whether a call to "+e.Route+" may still leave", fmt.Sprint(e.May), fmt.Sprint(may))
+			}
+		}
+	case flight.Lost:
+		p.lose(fmt.Sprintf("offset %d: %s", e.At, e.Text))
+		p.sender = nil
+	}
+	if (e.Kind == flight.Label || e.Kind == flight.Note || e.Kind == flight.Lost) && p.visit.Other != nil {
+		p.visit.Other(e)
+	}
+}
+
+// lostMost bounds what is told of a recording that is damaged all over.
+const lostMost = 100
+
+func (p *player) lose(what string) {
+	if len(p.res.Lost) < lostMost {
+		p.res.Lost = append(p.res.Lost, what)
+	}
+}
+
+// begin goes on in a new chunk, or starts there. The state that a chunk begins with is compared with the one that was
+// reached, so that a Sender that went astray without showing it is found at the next chunk.
+func (p *player) begin(e *flight.Entry) {
+	if p.res.Chunks++; p.res.Chunks == 1 {
+		p.res.Meta, p.res.From = e.Meta, e.Now
+	}
+	if p.sender != nil {
+		if p.res.SameRevision() {
+			p.res.States++
+			if reached := p.sender.Snapshot(nil); !bytes.Equal(reached, e.State) {
+				p.differ(e, "state", fmt.Sprintf("%d bytes", len(e.State)), fmt.Sprintf("%d bytes, from byte %d on", len(reached), parting(reached, e.State)))
+			}
+		}
+		return
+	}
+	var err error
+	if e.Fresh {
+		p.sender, err = policy.New(e.Meta.Settings, e.Meta.Seed)
+	} else {
+		p.sender, err = restore(e)
+	}
+	if err != nil {
+		p.sender = nil
+		p.lose(fmt.Sprintf("chunk %d cannot be played from: %v", e.Chunk, err))
+		return
+	}
+	p.res.Stretches++
+	if p.visit.Begin != nil {
+		p.visit.Begin(p.sender, e)
+	}
+}
+
+// restore reads a state. One that some other build wrote may be such as the module never reaches.
+func restore(e *flight.Entry) (s *policy.Sender, err error) {
+	defer func() {
+		if x := recover(); x != nil {
+			s, err = nil, fmt.Errorf("replay: a state that the module does not know: %v", x)
+		}
+	}()
+	return policy.Restore(e.Meta.Settings, e.State)
+}
+
+func parting(a, b []byte) int {
+	n := min(len(a), len(b))
+	for i := range n {
+		if a[i] != b[i] {
+			return i
+		}
+	}
+	return n
+}
+
+func (p *player) step(e *flight.Entry) {
+	p.res.Steps++
+	p.res.Events += len(e.Events)
+	p.res.Actions += len(e.Actions)
+	p.res.To = e.Now
+	acts, err := step(p.sender, e)
+	if err != nil {
+		p.differ(e, "the module gave up", "", err.Error())
+		return
+	}
+	if i := firstDifference(e.Actions, acts); i >= 0 {
+		p.differ(e, fmt.Sprintf("action %d of %d", i+1, max(len(e.Actions), len(acts))), text(e.Actions, i), text(acts, i))
+		return
+	}
+	if p.visit.Step != nil {
+		p.visit.Step(p.sender, e)
+	}
+}
+
+// step guards against a module that panics, on what another one was told.
+func step(s *policy.Sender, e *flight.Entry) (acts []policy.Action, err error) {
+	defer func() {
+		if x := recover(); x != nil {
+			err = fmt.Errorf("panic: %v", x)
+		}
+	}()
+	return s.Step(e.Now, e.Events), nil
+}
+
+func firstDifference(a, b []policy.Action) int {
+	if slices.Equal(a, b) {
+		return -1
+	}
+	for i := range min(len(a), len(b)) {
+		if a[i] != b[i] {
+			return i
+		}
+	}
+	return min(len(a), len(b))
+}
+
+func text(acts []policy.Action, i int) string {
+	if i >= len(acts) {
+		return ""
+	}
+	return Describe(acts[i])
+}
+
+// Describe is an action as text.
+func Describe(a policy.Action) string {
+	switch a.Kind {
+	case policy.Send:
+		return fmt.Sprintf("send %d to %s until %v", a.ID, a.Route, a.At)
+	case policy.Refuse:
+		return fmt.Sprintf("refuse %d, again after %v", a.ID, a.Delay)
+	case policy.Fail:
+		return fmt.Sprintf("fail %d", a.ID)
+	case policy.Wake:
+		return fmt.Sprintf("wake after %v", a.Delay)
+	case policy.CloseIdle:
+		return "close idle " + a.Route
+	case policy.Watch:
+		return "watch"
+	}
+	return fmt.Sprintf("action %d", a.Kind)
+}
+
+func (p *player) differ(e *flight.Entry, what, recorded, replayed string) {
+	p.res.Difference = &Difference{
+		Step: p.res.Steps, Offset: e.At, Now: e.Now, What: what, Recorded: recorded, Replayed: replayed,
+	}
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,253 @@
+package replay
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/flight/flighttest"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+func written(t testing.TB, rec *flight.Recorder) []byte {
+	t.Helper()
+	var b bytes.Buffer
+	if _, err := rec.WriteTo(&b); err != nil {
+		t.Fatal(err)
+	}
+	return b.Bytes()
+}
+
+// Whatever is recorded replays without a difference, from its begin and from any chunk that the ring still holds.
+func TestWhatIsRecordedReplays(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		span := time.Duration(rapid.IntRange(2, 25).Draw(rt, "seconds")) * time.Second
+		ring := rapid.SampledFrom([]int{flight.LeastRing, 64 << 20}).Draw(rt, "ring")
+		_, rec := flighttest.Drive(seed, span, ring, nil)
+		res, err := Play(written(t, rec), Visitor{})
+		if err != nil || res.Difference != nil || len(res.Lost) > 0 || res.Steps == 0 || res.Stretches != 1 {
+			rt.Fatalf("%v, %+v", err, res)
+		}
+	})
+}
+
+// A ring that was overwritten many times still begins at a place from which it plays, and within its bound.
+func TestTheRingIsBoundedAndPlays(t *testing.T) {
+	most := 0
+	_, rec := flighttest.Drive(3, 4*time.Minute, flight.LeastRing, func(_ *policy.Sender, rec *flight.Recorder) { most = max(most, rec.Size()) })
+	data := written(t, rec)
+	if most > flight.LeastRing*5/4 || len(data) < flight.LeastRing/2 {
+		t.Errorf("held %d bytes at most, %d at the end, of %d", most, len(data), flight.LeastRing)
+	}
+	res, err := Play(data, Visitor{})
+	if err != nil || res.Difference != nil || res.From == 0 || res.Chunks < 2 || res.States != res.Chunks-1 {
+		t.Errorf("%v, %+v", err, res)
+	}
+}
+
+// edit plays a recording again with something of it changed, and has it recorded so.
+func edit(t *testing.T, data []byte, revision string, change func(n int, e *flight.Entry)) []byte {
+	t.Helper()
+	r, err := flight.NewReader(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rec *flight.Recorder
+	for n := 0; ; n++ {
+		e, ok, err := r.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !ok {
+			return written(t, rec)
+		}
+		change(n, &e)
+		switch e.Kind {
+		case flight.Begin:
+			if rec == nil {
+				meta := e.Meta
+				meta.Revision = revision
+				rec = flight.NewRecorder(meta, 64<<20, func(b []byte) []byte { return b })
+			}
+		case flight.Step:
+			rec.Step(e.Now, e.Events, e.Actions)
+		case flight.Cleared:
+			rec.Cleared(e.Now, e.Route, e.IDs, e.May)
+		}
+	}
+}
+
+// The first action that differs is shown, whatever it is: a replay that cannot fail shows nothing.
+func TestTheFirstDifferenceIsShown(t *testing.T) {
+	_, rec := flighttest.Drive(5, 10*time.Second, 64<<20, nil)
+	data := written(t, rec)
+	for _, c := range []struct {
+		name   string
+		change func(a *policy.Action) bool
+		want   string
+	}{
+		{"another route", func(a *policy.Action) bool { a.Route += "x"; return a.Kind == policy.Send }, "send"},
+		{"another time-out", func(a *policy.Action) bool { a.At++; return a.Kind == policy.Send }, "send"},
+		{"another wake", func(a *policy.Action) bool { a.Delay++; return a.Kind == policy.Wake }, "wake"},
+		{"another advice", func(a *policy.Action) bool { a.Delay++; return a.Kind == policy.Refuse }, "refuse"},
+	} {
+		done, at := false, time.Duration(0)
+		bad := edit(t, data, policy.Revision(), func(n int, e *flight.Entry) {
+			for i := range e.Actions {
+				if x := e.Actions[i]; !done && n > 20 && c.change(&x) {
+					e.Actions[i], done, at = x, true, e.Now
+				}
+			}
+		})
+		res, err := Play(bad, Visitor{})
+		if err != nil || res.Difference == nil || !done {
+			t.Errorf("%s: %v, %+v", c.name, err, res)
+			continue
+		}
+		if d := res.Difference; d.Now != at || !strings.Contains(d.Replayed, c.want) || d.Recorded == d.Replayed {
+			t.Errorf("%s at %v: %v", c.name, at, d)
+		}
+	}
+	dropped := false
+	bad := edit(t, data, policy.Revision(), func(n int, e *flight.Entry) {
+		if n > 20 && !dropped && len(e.Actions) > 0 {
+			e.Actions, dropped = slices.Clone(e.Actions[:len(e.Actions)-1]), true
+		}
+	})
+	if res, err := Play(bad, Visitor{}); err != nil || res.Difference == nil || res.Difference.Recorded != "" {
+		t.Errorf("an action that was dropped: %v, %+v", err, res)
+	}
+	bad = edit(t, data, policy.Revision(), func(_ int, e *flight.Entry) { e.May = !e.May })
+	if res, err := Play(bad, Visitor{}); err != nil || res.Difference == nil || !strings.Contains(res.Difference.What, "still leave") {
+		t.Errorf("another clearance: %v, %+v", err, res)
+	}
+}
+
+// A recording of another revision is told and played; from its middle only where the form of states allows it.
+func TestAnotherRevision(t *testing.T) {
+	_, rec := flighttest.Drive(5, 10*time.Second, 64<<20, nil)
+	res, err := Play(edit(t, written(t, rec), "0123", func(int, *flight.Entry) {}), Visitor{})
+	if err != nil || res.Difference != nil || res.SameRevision() || res.Steps == 0 {
+		t.Errorf("%v, %+v", err, res)
+	}
+	// A state that this build does not know.
+	s, err := policy.New(flighttest.Settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	odd := flight.NewRecorder(flight.Meta{Revision: "0123", Settings: flighttest.Settings()}, flight.LeastRing, func(b []byte) []byte { return append(b, 0xfe, 0xff, 1) })
+	for i := range 40000 {
+		now := time.Second + time.Duration(i)*time.Millisecond
+		evs := []policy.Event{{Kind: policy.Woken}}
+		odd.Step(now, evs, s.Step(now, evs))
+	}
+	if res, err := Play(written(t, odd), Visitor{}); err == nil || len(res.Lost) == 0 {
+		t.Errorf("a state of no known form: %v, %+v", err, res)
+	}
+}
+
+// A clock that steps is part of what was told: the module is played with it as it was.
+func TestClockSteps(t *testing.T) {
+	s, err := policy.New(flighttest.Settings(), 9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec := flight.NewRecorder(flight.Meta{Revision: policy.Revision(), Seed: 9, Settings: flighttest.Settings()}, flight.LeastRing, s.Snapshot)
+	list := policy.Event{Kind: policy.ListWhole, List: []policy.Listing{{Route: "a", Weight: 3, InService: true}}}
+	for i, now := range []time.Duration{time.Second, 2 * time.Second, time.Hour, 30 * time.Second, 31 * time.Second, -time.Second, time.Minute} {
+		evs := []policy.Event{list, {Kind: policy.Taken, ID: uint32(i + 1), Left: 16 * time.Second}}
+		rec.Step(now, evs, s.Step(now, evs))
+	}
+	var seen []time.Duration
+	res, err := Play(written(t, rec), Visitor{Step: func(_ *policy.Sender, e *flight.Entry) { seen = append(seen, e.Now) }})
+	if err != nil || res.Difference != nil || len(seen) != 7 || seen[3] != 30*time.Second || seen[5] != -time.Second {
+		t.Errorf("%v, %+v, %v", err, res, seen)
+	}
+}
+
+// A recording cut at any byte plays as far as it goes, and one with any byte changed never differs from itself unseen:
+// what cannot be read is told.
+func TestCutAndDamagedRecordings(t *testing.T) {
+	_, rec := flighttest.Drive(7, 2500*time.Millisecond, flight.LeastRing, nil)
+	data := written(t, rec)
+	whole, err := Play(data, Visitor{})
+	if err != nil || whole.Difference != nil {
+		t.Fatalf("%v, %+v", err, whole)
+	}
+	last := 0
+	for cut := range data {
+		res, err := Play(data[:cut], Visitor{})
+		if err != nil {
+			if last > 0 {
+				t.Fatalf("cut at %d: %v", cut, err)
+			}
+			continue
+		}
+		if res.Difference != nil || res.Steps < last || res.Steps == whole.Steps && cut < len(data)-200 {
+			t.Fatalf("cut at %d of %d: %+v", cut, len(data), res)
+		}
+		last = res.Steps
+	}
+	for at := 0; at < len(data); at += 1 + at%3 {
+		bad := bytes.Clone(data)
+		bad[at] ^= 1 << (at % 8)
+		res, err := Play(bad, Visitor{})
+		if err == nil && (res.Difference != nil || len(res.Lost) == 0) {
+			t.Fatalf("byte %d changed: %+v", at, res)
+		}
+	}
+}
+
+// After a damaged chunk the next one is played from.
+func TestADamagedMiddleIsPassedOver(t *testing.T) {
+	_, rec := flighttest.Drive(8, 3*time.Minute, 8*flight.LeastRing, nil)
+	data := written(t, rec)
+	whole, err := Play(data, Visitor{})
+	if err != nil || whole.Chunks < 3 {
+		t.Fatalf("%v, %+v", err, whole)
+	}
+	bad := bytes.Clone(data)
+	bad[len(bad)/2] ^= 4
+	res, err := Play(bad, Visitor{})
+	if err != nil || res.Difference != nil || len(res.Lost) == 0 || res.Stretches != 2 || res.Steps < whole.Steps/2 || res.Steps >= whole.Steps {
+		t.Errorf("%v, %d steps of %d: %+v", err, res.Steps, whole.Steps, res)
+	}
+}
+
+func FuzzPlay(f *testing.F) {
+	_, rec := flighttest.Drive(2, 1500*time.Millisecond, flight.LeastRing, nil)
+	data := written(f, rec)
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > 1<<20 {
+			return
+		}
+		Play(data, Visitor{}) // must end, and not panic
+		if found, err := flight.Split(data); err == nil {
+			for _, x := range found {
+				Play(x.Data, Visitor{})
+			}
+		}
+	})
+}
+
+func BenchmarkReplay(b *testing.B) {
+	_, rec := flighttest.Drive(4, time.Minute, 64<<20, nil)
+	data := written(b, rec)
+	events := 0
+	for b.Loop() {
+		res, err := Play(data, Visitor{})
+		if err != nil || res.Difference != nil {
+			b.Fatal(err, res.Difference)
+		}
+		events += res.Events
+	}
+	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -16,10 +16,9 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"onyxroad.dev/onyxroad/internal/partner"
 	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/internal/stricttoml"
 )
 
 // Bounds of a scenario: what one machine can play.
@@ -231,24 +230,8 @@
 // told at once.
 func Parse(name string, data []byte) (File, error) {
 	var f File
-	d := toml.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&f); err != nil {
-		var unknown *toml.StrictMissingError
-		var bad *toml.DecodeError
-		switch {
-		case errors.As(err, &unknown):
-			var all []error
-			for _, e := range unknown.Errors {
-				line, _ := e.Position()
-				all = append(all, fmt.Errorf("scenario %s:%d: unknown key %s", name, line, strings.Join(e.Key(), ".")))
-			}
-			return File{}, errors.Join(all...)
-		case errors.As(err, &bad):
-			line, column := bad.Position()
-			return File{}, fmt.Errorf("scenario %s:%d:%d: %s", name, line, column, strings.TrimPrefix(bad.Error(), "toml: "))
-		}
-		return File{}, fmt.Errorf("scenario %s: %w", name, err)
+	if err := stricttoml.Decode("scenario "+name, data, &f); err != nil {
+		return File{}, err
 	}
 	f.setDefaults()
 	if err := f.check(); err != nil {
--- /dev/null
+++ b/policy/inspect_test.go
@@ -0,0 +1,197 @@
+package policy
+
+import (
+	"bytes"
+	"math"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// settle clears what a Sender keeps only as scratch, or to have room.
+func settle(s *Sender) {
+	s.acts, s.ready = nil, nil
+	for _, d := range s.order {
+		d.cand, d.candRt = nil, nil
+		for _, g := range d.gates {
+			g.sent = append([]time.Duration(nil), g.sent...)
+		}
+	}
+	for _, list := range []*[]*dest{&s.order, &s.active, &s.bare} {
+		if len(*list) == 0 {
+			*list = nil
+		}
+	}
+}
+
+// A restored Sender equals the one that was found, field by field: whoever adds a field and leaves it out of the
+// snapshot is told here.
+func TestSnapshotHoldsEverything(t *testing.T) {
+	for seed := range uint64(4) {
+		n, compared := 0, 0
+		swap := func(s *Sender) *Sender {
+			if n++; n%7 != 0 {
+				return s
+			}
+			data := s.Snapshot(nil)
+			copied, err := Restore(s.set, data)
+			if err != nil {
+				t.Fatalf("seed %d, step %d: %v", seed, n, err)
+			}
+			if again := copied.Snapshot(nil); !bytes.Equal(again, data) {
+				t.Fatalf("seed %d, step %d: the copy's snapshot differs", seed, n)
+			}
+			if n%49 == 0 {
+				settle(s)
+				settle(copied)
+				if diff := difference("s", reflect.ValueOf(s), reflect.ValueOf(copied), map[[2]uintptr]bool{}); diff != "" {
+					t.Fatalf("seed %d, step %d: %s", seed, n, diff)
+				}
+				compared++
+			}
+			return copied // and goes on as the other would have
+		}
+		with, without := play(t, seed, blind{swap: swap}), play(t, seed, blind{})
+		if with.ends != without.ends || with.answered != without.answered {
+			t.Errorf("seed %d: goes on otherwise after a restore: %v %d, %v %d", seed, with.ends, with.answered, without.ends, without.answered)
+		}
+		if compared < 20 {
+			t.Errorf("seed %d: compared %d times only", seed, compared)
+		}
+	}
+}
+
+// difference names the first field that differs; reflect.DeepEqual does not, and takes nil and empty for different.
+func difference(at string, a, b reflect.Value, seen map[[2]uintptr]bool) string {
+	switch a.Kind() {
+	case reflect.Pointer:
+		if a.IsNil() || b.IsNil() {
+			if a.IsNil() != b.IsNil() {
+				return at + ": one is nil"
+			}
+			return ""
+		}
+		pair := [2]uintptr{a.Pointer(), b.Pointer()}
+		if seen[pair] {
+			return ""
+		}
+		seen[pair] = true
+		return difference(at, a.Elem(), b.Elem(), seen)
+	case reflect.Struct:
+		for i := range a.NumField() {
+			if d := difference(at+"."+a.Type().Field(i).Name, a.Field(i), b.Field(i), seen); d != "" {
+				return d
+			}
+		}
+	case reflect.Slice:
+		if a.Len() != b.Len() {
+			return at + ": lengths differ"
+		}
+		for i := range a.Len() {
+			if d := difference(at+"[]", a.Index(i), b.Index(i), seen); d != "" {
+				return d
+			}
+		}
+	case reflect.Map:
+		if a.Len() != b.Len() {
+			return at + ": lengths differ"
+		}
+		for _, k := range a.MapKeys() {
+			v := b.MapIndex(k)
+			if !v.IsValid() {
+				return at + ": a key is missing"
+			}
+			if d := difference(at+"{}", a.MapIndex(k), v, seen); d != "" {
+				return d
+			}
+		}
+	case reflect.Interface:
+		return difference(at, a.Elem(), b.Elem(), seen)
+	default:
+		if !a.Equal(b) {
+			return at + ": values differ"
+		}
+	}
+	return ""
+}
+
+func TestRestoreRefusesWhatNoSnapshotHolds(t *testing.T) {
+	s, err := New(randomSettings(newWorld(1).rng), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(time.Second, []Event{{Kind: ListWhole, List: []Listing{{Route: "r", InService: true, Weight: 3}}}, {Kind: Taken, ID: 1, Left: time.Second}})
+	data := s.Snapshot(nil)
+	for cut := range data {
+		if _, err := Restore(s.set, data[:cut]); err == nil {
+			t.Errorf("a snapshot cut at byte %d of %d is taken", cut, len(data))
+		}
+	}
+	if _, err := Restore(s.set, append(slices.Clone(data), 0)); err == nil {
+		t.Error("a snapshot with a byte more is taken")
+	}
+	other := s.set
+	other.Customers = nil
+	if _, err := Restore(other, data); err == nil {
+		t.Error("a snapshot is taken under settings with fewer customers")
+	}
+}
+
+// What holds a message is told for each cause that a test can bring about on given times.
+func TestHoldsTellTheCause(t *testing.T) {
+	set := Settings{
+		Classes: []Class{{Effect: Keyed, Window: 10 * time.Second, Aim: 3 * time.Second, GiveUp: 16 * time.Second}, {Effect: Safe, Ordered: true, GiveUp: 16 * time.Second}},
+		Kinds:   []Kind{{PerCall: 1}}, Senders: 1, Slots: 10, OverloadFactor: 2,
+	}
+	take := func(id uint32, class int, key string) Event {
+		return Event{Kind: Taken, ID: id, Class: class, Key: key, Left: 16 * time.Second}
+	}
+	done := func(id uint32, n int, o Outcome, wait time.Duration) Event {
+		return Event{Kind: Finished, ID: id, Attempt: n, Route: "r", Outcome: o, Wait: wait, Ended: o == OK, Took: 100 * time.Millisecond}
+	}
+	listed := Event{Kind: ListWhole, List: []Listing{{Route: "r", InService: true, Weight: 50}}}
+	drained := Event{Kind: ListChanges, List: []Listing{{Route: "r", Weight: 50}}}
+	for _, c := range []struct {
+		name  string
+		steps [][]Event // a tenth of a second apart
+		id    uint32
+		want  Cause
+	}{
+		{"no route", [][]Event{{take(1, 0, "")}}, 1, NoRoute},
+		{"draining", [][]Event{{listed}, {drained, take(1, 0, "")}}, 1, NoService},
+		{"told wait", [][]Event{{listed, take(1, 0, "")}, {done(1, 0, Full, 2*time.Second)}}, 1, ToldWait},
+		{"crammed", [][]Event{{listed, take(1, 0, "")}, {done(1, 0, OK, 0)}, {take(2, 0, ""), take(3, 0, ""), take(4, 0, ""), take(5, 0, ""), take(6, 0, "")}}, 6, Crammed},
+		{"turn", [][]Event{{listed, take(1, 1, "k"), take(2, 1, "k")}}, 2, Turn},
+		{"pace", [][]Event{{listed, take(1, 0, "")}, {done(1, 0, Full, 0)}, {take(2, 0, ""), take(3, 0, ""), take(4, 0, "")}}, 4, Pace},
+		{"skip", [][]Event{{listed, take(1, 0, ""), take(2, 0, ""), take(3, 0, "")}, {done(1, 0, ConnectFailed, 0)}, {done(2, 0, ConnectFailed, 0)},
+			{done(3, 0, ConnectFailed, 0)}, {done(1, 1, ConnectFailed, 0), done(2, 1, ConnectFailed, 0)}, {take(9, 0, "")}}, 9, Skip},
+	} {
+		s, err := New(set, 5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Second
+		for _, evs := range c.steps {
+			s.Step(now, evs)
+			now += 100 * time.Millisecond
+		}
+		before := s.Snapshot(nil)
+		copied, err := Restore(set, before)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []Hold
+		for _, h := range copied.Holds() {
+			if h.ID == c.id {
+				got = append(got, h)
+			}
+		}
+		if len(got) != 1 || got[0].Cause != c.want || got[0].Until <= s.now && got[0].Until < math.MaxInt64 {
+			t.Errorf("%s: %+v, want cause %d", c.name, got, c.want)
+		}
+		if views, _ := s.Views(); !bytes.Equal(s.Snapshot(nil), before) {
+			t.Errorf("%s: looking changed the Sender: %v", c.name, views)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -110,8 +110,9 @@
 	set.WarmWithin = cmp.Or(max(0, set.WarmWithin), 30*time.Second)
 	set.OverloadWindow = cmp.Or(set.OverloadWindow, 3*time.Second)
 	set.OverloadFactor = cmp.Or(max(0, set.OverloadFactor), 1)
+	pcg := rand.NewPCG(seed, 0x6f6e7978)
 	return &Sender{
-		set: set, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
+		set: set, pcg: pcg, rng: rand.New(pcg),
 		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
 		scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
 		shares: make([]bucket, len(set.Customers)),
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -18,6 +18,7 @@
 	rule     int
 	settings func(*Settings)
 	event    func(*Event)
+	swap     func(*Sender) *Sender // after each step
 }
 
 type trial struct {
@@ -401,6 +402,9 @@
 		}
 		if len(evs) > 0 {
 			w.act(s.Step(w.now, evs))
+			if b.swap != nil {
+				s = b.swap(s)
+			}
 		}
 		for id, m := range w.msgs {
 			over := m.ended && !slices.ContainsFunc(m.tries, func(t trial) bool { return t.out })
--- a/policy/state.go
+++ b/policy/state.go
@@ -125,6 +125,7 @@
 // Sender decides for one relay. It is a pure state machine: equal events give equal actions.
 type Sender struct {
 	set      Settings
+	pcg      *rand.PCG // of rng
 	rng      *rand.Rand
 	now      time.Duration
 	routes   map[string]*route // looked up, never iterated
