Serve on after lost answers: blocked repeats hide no message, late calls cast no doubt

Change: 500 messages are looked at instead of 24; a call that had less time than an answer takes says nothing of a route that answered of late; a route that comes back restarts the pace only where no sibling answered.

--- a/cmd/cherrytrestle/explain.go
+++ b/cmd/cherrytrestle/explain.go
@@ -15,10 +15,10 @@
 type explainCommand struct {
 	Files       []string      `arg:"" name:"file" help:"Recordings: files of a recorder's folder, or logs that hold them." type:"existingfile"`
 	Message     string        `help:"Tell the story of this message: its trace id, or its number." xor:"what"`
-	Destination int           `help:"Tell what changed at this destination's routes." default:"-1" xor:"what"`
+	Destination *int          `help:"Tell what changed at this destination's routes." xor:"what" placeholder:"N"`
 	From        time.Duration `help:"Look from this time on, since the relay's start."`
 	To          time.Duration `help:"And up to this time; 0: to the end."`
-	Every       time.Duration `help:"How often, in recorded time, to look at what waits; 0: after each step." default:"5ms"`
+	Every       time.Duration `help:"How often, in recorded time, to look at what waits; 0: after each step." default:"25ms"`
 	Format      string        `help:"text, jsonl (JSON Lines, with all messages) or html (one page with plots)." enum:"text,jsonl,html" default:"text"`
 	Out         string        `help:"File to write; default: standard output." placeholder:"FILE"`
 	Recording   string        `help:"Only the recording whose id begins with this." placeholder:"ID"`
@@ -80,8 +80,8 @@
 		return explain.WriteJSON(out, rep)
 	case c.Format == "html":
 		return explain.WriteHTML(out, rep)
-	case c.Destination >= 0:
-		return explain.WriteTransitions(out, rep, c.Destination)
+	case c.Destination != nil:
+		return explain.WriteTransitions(out, rep, *c.Destination)
 	}
 	return explain.WriteText(out, rep)
 }
--- /dev/null
+++ b/cmd/cherrytrestle/recording_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/cli"
+	"onyxroad.dev/onyxroad/internal/flight"
+)
+
+func command(args ...string) (status int, out, errs string) {
+	var o, e bytes.Buffer
+	status = cli.Run(context.Background(), "cherrytrestle", "", &app{}, args, cli.Streams{Out: &o, Err: &e}, cli.Failed)
+	return status, o.String(), e.String()
+}
+
+// recorded has a real relay record while hosts refuse, answer and die, and returns where the recordings are.
+func recorded(t *testing.T, operator string) (r *relayProcess) {
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	must(t, os.WriteFile(path, []byte(operator), 0o600))
+	t.Setenv("CHERRYTRESTLE_OPERATOR", path)
+	p := newPlatform(t)
+	refusals := 3
+	var h *host
+	h = newHost(t, func(w http.ResponseWriter, _ *http.Request, _ []string) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if refusals--; refusals >= 0 {
+			w.Header().Set("Retry-After", "0.2")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	})
+	r = newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, nil)
+	for _, id := range []string{"m1", "m2", "m3", "m4"} {
+		r.take(id, 10*time.Second)
+	}
+	eventually(t, "all delivered, after the refusals", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.seen) >= 7
+	})
+	return r
+}
+
+// A relay of its own process, asked for its recording by a signal: it replays without a difference in this process, and
+// tells why a message waited.
+func TestARecordingOfARealRelay(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "kept")
+	r := recorded(t, "[recorder]\nenabled = true\nfolder = \""+dir+"\"\n")
+	must(t, r.cmd.Process.Signal(syscall.SIGUSR1))
+	var paths []string
+	eventually(t, "a recording", func() bool {
+		paths, _ = filepath.Glob(filepath.Join(dir, "n0-*-sigusr1"+flight.Ext))
+		return len(paths) == 1
+	})
+	r.kill()
+	status, out, errs := command("replay", paths[0])
+	if status != 0 || !strings.Contains(out, "no difference") {
+		t.Errorf("%d, %s%s", status, out, errs)
+	}
+	status, out, errs = command("explain", "--message", "m2", paths[0])
+	if status != 0 || !strings.Contains(out, "told to wait") || !strings.Contains(out, "delivered") || !strings.Contains(out, "(m2)") {
+		t.Errorf("%d, %s%s", status, out, errs)
+	}
+	for _, format := range []string{"text", "jsonl", "html"} {
+		if status, out, errs := command("explain", "--format", format, paths[0]); status != 0 || len(out) < 200 {
+			t.Errorf("%s: %d, %s%s", format, status, out, errs)
+		}
+	}
+	if status, out, _ := command("recording", "info", paths[0]); status != 0 || !strings.Contains(out, "kept: SIGUSR1") {
+		t.Errorf("%d, %s", status, out)
+	}
+	// A recording that says otherwise is told to.
+	data, err := os.ReadFile(paths[0])
+	must(t, err)
+	found, err := flight.Split(data)
+	must(t, err)
+	bad := filepath.Join(t.TempDir(), "bad")
+	must(t, os.WriteFile(bad, data[:len(data)-3], 0o600))
+	if status, out, _ := command("replay", bad); status != 0 || !strings.Contains(out, "not read") || len(found) != 1 {
+		t.Errorf("%d, %s", status, out)
+	}
+}
+
+// Where a platform keeps nothing but the log, recordings go there, and what a killed process wrote is taken out of it.
+func TestARecordingInTheLog(t *testing.T) {
+	r := recorded(t, "[recorder]\nenabled = true\nwrite = \"all\"\n[log]\nformat = \"json\"\n")
+	log := filepath.Join(r.dir, "log")
+	eventually(t, "the recording in the log", func() bool {
+		status, out, _ := command("explain", "--message", "m4", log)
+		return status == 0 && strings.Contains(out, "delivered")
+	})
+	r.kill()
+	out := t.TempDir()
+	status, text, errs := command("recording", "extract", "--out", out, log)
+	path := strings.TrimSpace(text)
+	if status != 0 || filepath.Dir(path) != out {
+		t.Fatalf("%d, %s%s", status, text, errs)
+	}
+	if status, text, errs := command("replay", path, log); status != 0 || strings.Count(text, "no difference") != 1 {
+		t.Errorf("%d, %s%s", status, text, errs)
+	}
+	if status, _, errs := command("recording", "extract", "--out", out, log); status != 1 || !strings.Contains(errs, "exists") {
+		t.Errorf("a file was written over: %d, %s", status, errs)
+	}
+	data, err := os.ReadFile(log)
+	must(t, err)
+	for line := range strings.Lines(string(data)) {
+		if !strings.HasPrefix(line, "flight ") && !json.Valid([]byte(line)) {
+			t.Errorf("a line of the log that is neither: %.60s", line)
+		}
+	}
+}
+
+func TestWhatIsWrongWithACommandIsSaid(t *testing.T) {
+	junk := filepath.Join(t.TempDir(), "junk")
+	must(t, os.WriteFile(junk, []byte("[recorder]\nenabeld = true\n"), 0o600))
+	for _, c := range []struct {
+		args   []string
+		status int
+		want   string
+	}{
+		{[]string{"replay"}, cli.Usage, `expected "<file> ..."`},
+		{[]string{"replay", "/nonexistent"}, cli.Usage, "/nonexistent"},
+		{[]string{"replay", junk}, cli.Failed, "not a recording"},
+		{[]string{"explain", "--format", "pdf", junk}, cli.Usage, "--format"},
+		{[]string{"explain", "--message", "m", "--destination", "3", junk}, cli.Usage, "can't be used together"},
+		{[]string{"dance"}, cli.Usage, "dance"},
+		{[]string{"serve", "--operator", junk}, cli.Failed, "junk:2: unknown key recorder.enabeld"},
+		{[]string{"serve", "--operator", "/nonexistent"}, cli.Failed, "no such file"},
+		{nil, cli.Failed, "config"},
+	} {
+		status, _, errs := command(c.args...)
+		if status != c.status || !strings.Contains(errs, c.want) {
+			t.Errorf("%v: %d, %s, want %q", c.args, status, errs, c.want)
+		}
+	}
+	if status, out, _ := command("--version"); status != 0 || !strings.Contains(out, "cherrytrestle") {
+		t.Errorf("%d, %s", status, out)
+	}
+}
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -25,6 +24,9 @@
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
+
+	"onyxroad.dev/onyxroad/internal/cli"
 	"onyxroad.dev/onyxroad/internal/judge"
 	"onyxroad.dev/onyxroad/internal/rehearsal"
 	"onyxroad.dev/onyxroad/internal/report"
@@ -47,91 +49,61 @@
 	os.Exit(command(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
+type app struct {
+	Version kong.VersionFlag `help:"Print the version and end."`
+	Run     runCommand       `cmd:"" default:"withargs" help:"Play scenarios, one after the other (the default)."`
+	List    listCommand      `cmd:"" help:"List the scenarios that come with it."`
+	Report  reportCommand    `cmd:"" help:"Judge and show again what a run recorded."`
+	Plan    planCommand      `cmd:"" help:"Print the plan of a scenario's events."`
+}
+
 // command runs a command line and returns the exit status.
 func command(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	name := "run"
-	if len(args) > 0 {
-		name, args = args[0], args[1:]
-	}
-	var status int
-	var err error
-	switch name {
-	case "list":
-		err = list(stdout)
-	case "run":
-		status, err = run(ctx, args, stdout, stderr)
-	case "report":
-		status, err = show(args, stdout, stderr)
-	case "plan":
-		err = plan(args, stdout, stderr)
-	case "help", "-h", "-help", "--help":
-		fmt.Fprint(stdout, usage)
-	default:
-		err = fmt.Errorf("unknown command %q\n%s", name, usage)
-	}
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		return exitHeld
-	case err != nil:
-		fmt.Fprintln(stderr, "rehearse:", err)
-		return exitFailed
-	}
-	return status
+	return cli.Run(ctx, "rehearse", "Plays partner failures against real relay processes on loopback, and tells of each of the six rules whether it held.",
+		&app{}, args, cli.Streams{Out: stdout, Err: stderr}, exitFailed)
 }
 
-const usage = `usage: rehearse                        play the small first run
-       rehearse list                   list the scenarios that come with it
-       rehearse run [flags] NAME|FILE  play a scenario, or each of several; all: every one that comes with it
-       rehearse report [flags] DIR     judge and show again what a run recorded
-       rehearse plan [flags] NAME|FILE print the plan of a scenario's events
-`
+type listCommand struct{}
 
-func list(w io.Writer) error {
+func (listCommand) Run(s *cli.Streams) error {
 	for _, name := range scenario.Shipped() {
 		f, err := scenario.Load(name)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "%-18s %4v  %s\n", name, f.Length.D(), f.About)
+		fmt.Fprintf(s.Out, "%-18s %4v  %s\n", name, f.Length.D(), f.About)
 	}
 	return nil
 }
 
-func newFlags(name string, stderr io.Writer) *flag.FlagSet {
-	fs := flag.NewFlagSet("rehearse "+name, flag.ContinueOnError)
-	fs.SetOutput(stderr)
-	return fs
+type planCommand struct {
+	Scenario string `arg:"" help:"A scenario that comes with it, or a file."`
+	Seed     uint64 `help:"Seed of the plan; 0: the scenario's own."`
 }
 
-func plan(args []string, stdout, stderr io.Writer) error {
-	fs := newFlags("plan", stderr)
-	seed := fs.Uint64("seed", 0, "seed of the plan; 0: the scenario's own")
-	if err := fs.Parse(args); err != nil {
-		return err
-	}
-	if fs.NArg() != 1 {
-		return errors.New("plan takes one scenario")
-	}
-	f, err := scenario.Load(fs.Arg(0))
+func (c *planCommand) Run(s *cli.Streams) error {
+	f, err := scenario.Load(c.Scenario)
 	if err != nil {
 		return err
 	}
-	_, err = f.Draw(*seed).WriteTo(stdout)
+	_, err = f.Draw(c.Seed).WriteTo(s.Out)
 	return err
 }
 
-// run plays scenarios one after the other.
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) (int, error) {
-	fs := newFlags("run", stderr)
-	seed := fs.Uint64("seed", 0, "seed of the plan; 0: the scenario's own")
-	binary := fs.String("relay", "", "the relay's program; default: cherrytrestle beside this one, else built from this folder")
-	out := fs.String("out", "rehearsals", "folder in which each run gets one of its own")
-	port := fs.Int("port", 0, "port of the first relay, the others come after it; 0: any that are free")
-	quiet := fs.Bool("quiet", false, "show no progress")
-	if err := fs.Parse(args); err != nil {
-		return 0, err
-	}
-	names := fs.Args()
+type runCommand struct {
+	Scenarios []string `arg:"" optional:"" name:"scenario" help:"Scenarios that come with it, or files; all: every one that comes with it. Default: first-run."`
+	Seed      uint64   `help:"Seed of the plan; 0: the scenario's own."`
+	Relay     string   `help:"The relay's program; default: cherrytrestle beside this one, else built from this folder." placeholder:"FILE"`
+	Out       string   `help:"Folder in which each run gets one of its own." default:"rehearsals"`
+	Port      int      `help:"Port of the first relay, the others come after it; 0: any that are free."`
+	Record    bool     `help:"Have the relays record their decisions; the recordings are kept where a rule was broken."`
+	KeepAll   bool     `help:"With --record: keep the recordings whatever came of it."`
+	Quiet     bool     `help:"Show no progress." short:"q"`
+}
+
+// Run plays scenarios one after the other.
+func (c *runCommand) Run(ctx context.Context, s *cli.Streams) error {
+	names := c.Scenarios
 	switch {
 	case len(names) == 0:
 		names = []string{firstRun}
@@ -142,43 +114,69 @@
 	for _, name := range names {
 		f, err := scenario.Load(name)
 		if err != nil {
-			return 0, err
+			return err
 		}
 		files = append(files, f)
 	}
-	path, clean, err := relayBinary(ctx, *binary, stderr)
+	path, clean, err := relayBinary(ctx, c.Relay, s.Err)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer clean()
 	worst := exitHeld
 	var summary []string
 	for _, f := range files {
-		opts := rehearsal.Options{Dir: folder(*out, f.Name), Binary: path, Seed: *seed, Port: *port}
-		if !*quiet {
-			fmt.Fprintf(stderr, "%s: %s\n", f.Name, f.About)
-			opts.Progress = func(p rehearsal.Progress) { progress(stderr, p) }
+		opts := rehearsal.Options{Dir: folder(c.Out, f.Name), Binary: path, Seed: c.Seed, Port: c.Port, Record: c.Record || c.KeepAll}
+		if !c.Quiet {
+			fmt.Fprintf(s.Err, "%s: %s\n", f.Name, f.About)
+			opts.Progress = func(p rehearsal.Progress) { progress(s.Err, p) }
 		}
 		r, err := rehearsal.Run(ctx, f, opts)
-		if !*quiet {
-			fmt.Fprintln(stderr)
+		if !c.Quiet {
+			fmt.Fprintln(s.Err)
 		}
 		if err != nil {
 			if len(r.Events) > 0 {
 				err = fmt.Errorf("%w\nwhat was seen until then is kept in %s", err, opts.Dir)
 			}
-			return 0, err
+			return err
 		}
-		if err := tell(stdout, opts.Dir, r); err != nil {
-			return 0, err
+		if err := tell(s.Out, opts.Dir, r); err != nil {
+			return err
+		}
+		if opts.Record {
+			if err := c.recordings(s.Out, opts.Dir, r); err != nil {
+				return err
+			}
 		}
 		worst = max(worst, status(r.Verdict))
 		summary = append(summary, fmt.Sprintf("%-18s %s", f.Name, report.Summary(r.Verdict)))
 	}
 	if len(files) > 1 {
-		fmt.Fprintf(stdout, "\n%s\n", strings.Join(summary, "\n"))
+		fmt.Fprintf(s.Out, "\n%s\n", strings.Join(summary, "\n"))
+	}
+	return exit(worst)
+}
+
+// recordings keeps what the relays recorded if a rule was broken, and clears it away if not.
+func (c *runCommand) recordings(out io.Writer, dir string, r rehearsal.Result) error {
+	if c.KeepAll || status(r.Verdict) == exitBroken {
+		fmt.Fprintf(out, "recordings: %s\n", filepath.Join(dir, "*", rehearsal.RecordingsName))
+		return nil
+	}
+	found, err := filepath.Glob(filepath.Join(dir, "*", rehearsal.RecordingsName))
+	for _, path := range found {
+		err = errors.Join(err, os.RemoveAll(path))
+	}
+	return err
+}
+
+// exit ends the program with a status that tells of rules.
+func exit(status int) error {
+	if status == exitHeld {
+		return nil
 	}
-	return worst, nil
+	return cli.Exit(status)
 }
 
 func status(v judge.Verdict) int {
@@ -225,23 +223,25 @@
 	return err
 }
 
-func show(args []string, stdout, stderr io.Writer) (int, error) {
-	fs := newFlags("report", stderr)
-	asJSON := fs.Bool("json", false, "print the verdict as JSON, and write no files")
-	if err := fs.Parse(args); err != nil {
-		return 0, err
+type reportCommand struct {
+	Dir  string `arg:"" help:"The folder of one run."`
+	JSON bool   `name:"json" help:"Print the verdict as JSON, and write no files."`
+}
+
+func (c *reportCommand) Run(s *cli.Streams) error {
+	r, err := rehearsal.ReadRecord(c.Dir)
+	if err != nil {
+		return err
 	}
-	if fs.NArg() != 1 {
-		return 0, errors.New("report takes the folder of one run")
+	if c.JSON {
+		err = report.JSON(s.Out, r.Header, r.Verdict)
+	} else {
+		err = tell(s.Out, c.Dir, r)
 	}
-	r, err := rehearsal.ReadRecord(fs.Arg(0))
 	if err != nil {
-		return 0, err
-	}
-	if *asJSON {
-		return status(r.Verdict), report.JSON(stdout, r.Header, r.Verdict)
+		return err
 	}
-	return status(r.Verdict), tell(stdout, fs.Arg(0), r)
+	return exit(status(r.Verdict))
 }
 
 // relayBinary finds the relay's program, or builds it. clean removes what was built.
@@ -278,7 +278,7 @@
 	build.Stdout, build.Stderr = stderr, stderr
 	if err := build.Run(); err != nil {
 		clean()
-		return "", func() {}, fmt.Errorf("no relay beside this program, and none could be built here: %w (name one with -relay)", err)
+		return "", func() {}, fmt.Errorf("no relay beside this program, and none could be built here: %w (name one with --relay)", err)
 	}
 	return path, clean, nil
 }
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -35,7 +35,7 @@
 	}
 	_, one, _ := call("plan", "quiet-day")
 	_, two, _ := call("plan", "quiet-day")
-	_, other, _ := call("plan", "-seed", "2", "quiet-day")
+	_, other, _ := call("plan", "--seed", "2", "quiet-day")
 	if one == "" || one != two || one == other {
 		t.Error("the plan of a seed is not one plan")
 	}
@@ -50,22 +50,22 @@
 		args []string
 		want string
 	}{
-		{[]string{"dance"}, `unknown command "dance"`},
+		{[]string{"dance"}, "neither shipped"},
 		{[]string{"run", "no-such"}, "neither shipped"},
 		{[]string{"run", bad}, "bad.toml:2: unknown key lenght"},
-		{[]string{"run", "-relay", "/nonexistent", "quiet-day"}, "no such file"},
-		{[]string{"run", "-relay", t.TempDir(), "quiet-day"}, "is no program"},
-		{[]string{"run", "-colour"}, "not defined"},
-		{[]string{"report"}, "the folder of one run"},
+		{[]string{"run", "--relay", "/nonexistent", "quiet-day"}, "no such file"},
+		{[]string{"run", "--relay", t.TempDir(), "quiet-day"}, "is no program"},
+		{[]string{"run", "--colour"}, "unknown flag --colour"},
+		{[]string{"report"}, `expected "<dir>"`},
 		{[]string{"report", t.TempDir()}, "record.jsonl"},
-		{[]string{"plan"}, "takes one scenario"},
+		{[]string{"plan"}, `expected "<scenario>"`},
 	} {
 		status, out, errs := call(c.args...)
 		if status != exitFailed || !strings.Contains(errs, c.want) || out != "" {
 			t.Errorf("%v: %d %q %q, want %q", c.args, status, out, errs, c.want)
 		}
 	}
-	if status, out, _ := call("help"); status != 0 || !strings.Contains(out, "usage") {
+	if status, out, _ := call("--help"); status != 0 || !strings.Contains(out, "Usage") {
 		t.Error("no help")
 	}
 }
@@ -96,7 +96,7 @@
 		if status != c.status || !strings.Contains(out, c.want) {
 			t.Errorf("status %d, want %d: %s", status, c.status, out)
 		}
-		status, out, _ = call("report", "-json", dir)
+		status, out, _ = call("report", "--json", dir)
 		if status != c.status || status != exitFailed && !json.Valid([]byte(out)) {
 			t.Errorf("as JSON: status %d, want %d: %s", status, c.status, out)
 		}
@@ -121,7 +121,7 @@
 func TestSignalsLeaveNothingBehind(t *testing.T) {
 	for _, sig := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM, syscall.SIGKILL} {
 		dir := t.TempDir()
-		cmd := exec.Command(os.Args[0], "run", "-quiet", "-out", dir, "quiet-day")
+		cmd := exec.Command(os.Args[0], "run", "--quiet", "--out", dir, "quiet-day")
 		cmd.Env = append(os.Environ(), "REHEARSE_TEST_MAIN=1")
 		var errs bytes.Buffer
 		cmd.Stderr = &errs
--- a/cmd/sockfault/main.go
+++ b/cmd/sockfault/main.go
@@ -1,14 +1,13 @@
 // Command sockfault stands between two sockets and spoils what passes, as rules say: see package sockfault.
 //
-//	sockfault -target 127.0.0.1:3000 'dir=up match="\r\n\r\n" do=reset'
+//	sockfault --target 127.0.0.1:3000 'dir=up match="\r\n\r\n" do=reset'
 //
-// It prints where it listens, and with -control where it takes commands. It ends on SIGINT or SIGTERM.
+// It prints where it listens, and with --control where it takes commands. It ends on SIGINT or SIGTERM.
 package main
 
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -17,41 +16,41 @@
 	"strings"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
+	"onyxroad.dev/onyxroad/internal/cli"
 	"onyxroad.dev/onyxroad/internal/sockfault"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	err := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-	case err != nil:
-		fmt.Fprintln(os.Stderr, "sockfault:", err)
-		os.Exit(1)
-	}
+	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status)
 }
 
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) error {
-	fs := flag.NewFlagSet("sockfault", flag.ContinueOnError)
-	fs.SetOutput(stderr)
-	listen := fs.String("listen", "127.0.0.1:0", "address to listen on")
-	target := fs.String("target", "", "address that connections go to")
-	control := fs.String("control", "", "take commands here: a path (a local socket) or a loopback address")
-	script := fs.String("script", "", "carry out the commands of this file")
-	seed := fs.Uint64("seed", 1, "seed of what garbled bytes become")
-	if err := fs.Parse(args); err != nil {
-		return err
-	}
-	if *target == "" {
-		return errors.New("-target must be set")
-	}
-	p, err := sockfault.Start(*listen, *target, *seed)
+type app struct {
+	Version kong.VersionFlag `help:"Print the version and end."`
+	Listen  string           `help:"Address to listen on." default:"127.0.0.1:0" placeholder:"ADDR"`
+	Target  string           `help:"Address that connections go to." required:"" placeholder:"ADDR"`
+	Control string           `help:"Take commands here: a path (a local socket) or a loopback address." placeholder:"PATH|ADDR"`
+	Script  string           `help:"Carry out the commands of this file." placeholder:"FILE"`
+	Seed    uint64           `help:"Seed of what garbled bytes become." default:"1"`
+	Rules   []string         `arg:"" optional:"" name:"rule" help:"Rules in force from the start, such as 'dir=up match=x do=reset'."`
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	return cli.Run(ctx, "sockfault", "Stands between two sockets and spoils what passes, as rules say.", &app{}, args,
+		cli.Streams{Out: stdout, Err: stderr}, cli.Failed)
+}
+
+func (a *app) Run(ctx context.Context, s *cli.Streams) error {
+	p, err := sockfault.Start(a.Listen, a.Target, a.Seed)
 	if err != nil {
 		return err
 	}
 	defer p.Close()
-	for _, text := range fs.Args() {
+	for _, text := range a.Rules {
 		r, err := sockfault.ParseRule(text)
 		if err != nil {
 			return err
@@ -60,27 +59,27 @@
 			return err
 		}
 	}
-	fmt.Fprintln(stdout, "listening", p.Addr())
+	fmt.Fprintln(s.Out, "listening", p.Addr())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if *control != "" {
-		l, err := controlListener(*control)
+	if a.Control != "" {
+		l, err := controlListener(a.Control)
 		if err != nil {
 			return err
 		}
 		defer l.Close()
-		fmt.Fprintln(stdout, "control", l.Addr())
+		fmt.Fprintln(s.Out, "control", l.Addr())
 		go func() { cancel(p.Control(ctx, l)) }()
 	}
-	if *script != "" {
-		f, err := os.Open(*script)
+	if a.Script != "" {
+		f, err := os.Open(a.Script)
 		if err != nil {
 			return err
 		}
 		defer f.Close()
 		go func() {
-			if err := p.Script(ctx, f, func(line, answer string) { fmt.Fprintf(stdout, "%s: %s\n", line, answer) }); err != nil {
-				cancel(fmt.Errorf("%s: %w", *script, err))
+			if err := p.Script(ctx, f, func(line, answer string) { fmt.Fprintf(s.Out, "%s: %s\n", line, answer) }); err != nil {
+				cancel(fmt.Errorf("%s: %w", a.Script, err))
 			}
 		}()
 	}
--- a/cmd/sockfault/main_test.go
+++ b/cmd/sockfault/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -43,7 +44,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r, w := io.Pipe()
 	done := make(chan error, 1)
-	go func() { err := run(ctx, args, w, io.Discard); w.Close(); done <- err }()
+	go func() {
+		var errs strings.Builder
+		var err error
+		if run(ctx, args, w, &errs) != 0 {
+			err = errors.New(errs.String())
+		}
+		w.Close()
+		done <- err
+	}()
 	t.Cleanup(cancel)
 	return bufio.NewReader(r), func() error {
 		cancel()
@@ -75,7 +84,7 @@
 
 func TestRulesFromTheCommandLineAndTheControlSocket(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "control")
-	lines, end := start(t, "-target", echo(t), "-control", path, `dir=down match="c" do=halfclose`)
+	lines, end := start(t, "--target", echo(t), "--control", path, `dir=down match="c" do=halfclose`)
 	addr := word(t, lines, "listening")
 	if got := word(t, lines, "control"); got != path {
 		t.Errorf("control at %s", got)
@@ -108,10 +117,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	var out strings.Builder
-	err := run(ctx, []string{"-target", "127.0.0.1:1", "-script", path}, &out, io.Discard)
-	if err == nil || !strings.Contains(err.Error(), "line 2: unknown command") || !strings.Contains(out.String(), "add do=refuse: 1") {
-		t.Errorf("%v, %s", err, out.String())
+	var out, errs strings.Builder
+	status := run(ctx, []string{"--target", "127.0.0.1:1", "--script", path}, &out, &errs)
+	if status != 1 || !strings.Contains(errs.String(), "line 2: unknown command") || !strings.Contains(out.String(), "add do=refuse: 1") {
+		t.Errorf("%d, %s, %s", status, errs.String(), out.String())
 	}
 }
 
@@ -120,14 +129,15 @@
 		args []string
 		want string
 	}{
-		{nil, "-target must be set"},
-		{[]string{"-target", "127.0.0.1:1", "do=melt"}, "unknown fault"},
-		{[]string{"-target", "127.0.0.1:1", "-listen", "nowhere"}, "nowhere"},
-		{[]string{"-target", "127.0.0.1:1", "-control", "0.0.0.0:0"}, "no loopback address"},
-		{[]string{"-target", "127.0.0.1:1", "-script", "/nonexistent"}, "no such file"},
+		{nil, "missing flags: --target"},
+		{[]string{"--target", "127.0.0.1:1", "do=melt"}, "unknown fault"},
+		{[]string{"--target", "127.0.0.1:1", "--listen", "nowhere"}, "nowhere"},
+		{[]string{"--target", "127.0.0.1:1", "--control", "0.0.0.0:0"}, "no loopback address"},
+		{[]string{"--target", "127.0.0.1:1", "--script", "/nonexistent"}, "no such file"},
 	} {
-		if err := run(context.Background(), c.args, io.Discard, io.Discard); err == nil || !strings.Contains(err.Error(), c.want) {
-			t.Errorf("%v: %v, want %q", c.args, err, c.want)
+		var errs strings.Builder
+		if status := run(context.Background(), c.args, io.Discard, &errs); status == 0 || !strings.Contains(errs.String(), c.want) {
+			t.Errorf("%v: %d, %s, want %q", c.args, status, errs.String(), c.want)
 		}
 	}
 }
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,215 @@
+package explain
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/flight/flighttest"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// script records a Sender that is told things on given times, and woken as it asks.
+type script struct {
+	s    *policy.Sender
+	rec  *flight.Recorder
+	now  time.Duration
+	wake time.Duration
+	out  map[uint32]int // sends
+}
+
+func newScript(t *testing.T, set policy.Settings) *script {
+	t.Helper()
+	s, err := policy.New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &script{s: s, now: time.Second, out: map[uint32]int{},
+		rec: flight.NewRecorder(flight.Meta{Name: "n1", Revision: policy.Revision(), Seed: 1, Settings: set}, 0, s.Snapshot)}
+}
+
+func (x *script) step(evs ...policy.Event) {
+	acts := x.s.Step(x.now, evs)
+	x.rec.Step(x.now, evs, acts)
+	for _, a := range acts {
+		switch a.Kind {
+		case policy.Wake:
+			x.wake = x.now + a.Delay
+		case policy.Send:
+			x.out[a.ID]++
+		}
+	}
+}
+
+// until lets time pass, with the wakes that were asked for.
+func (x *script) until(at time.Duration) {
+	for x.wake > x.now && x.wake <= at {
+		x.now, x.wake = x.wake, 0
+		x.step(policy.Event{Kind: policy.Woken})
+	}
+	x.now = at
+}
+
+func (x *script) explain(t *testing.T, opts Options) *Report {
+	t.Helper()
+	var b bytes.Buffer
+	if _, err := x.rec.WriteTo(&b); err != nil {
+		t.Fatal(err)
+	}
+	rep, err := Explain(b.Bytes(), opts)
+	if err != nil || rep.Replay.Difference != nil {
+		t.Fatalf("%v, %+v", err, rep)
+	}
+	return rep
+}
+
+func settings() policy.Settings {
+	return policy.Settings{
+		Classes: []policy.Class{{Effect: policy.Safe, Aim: 3 * time.Second, GiveUp: 16 * time.Second}},
+		Kinds:   []policy.Kind{{PerCall: 1}}, Senders: 1, Slots: 10, MaxAttempts: 8, OverloadFactor: 2,
+	}
+}
+
+func take(id uint32) policy.Event {
+	return policy.Event{Kind: policy.Taken, ID: id, Destination: 7, Left: 16 * time.Second}
+}
+
+// A message that is refused with a wait is held by it for just that long, and its story tells so.
+func TestTheStoryOfAMessage(t *testing.T) {
+	x := newScript(t, settings())
+	x.rec.Label(1, "trace-one")
+	x.step(policy.Event{Kind: policy.ListWhole, List: []policy.Listing{{Route: "r", Destination: 7, Weight: 50, InService: true}}}, take(1))
+	x.until(1100 * time.Millisecond)
+	x.step(policy.Event{Kind: policy.Finished, ID: 1, Route: "r", Outcome: policy.Full, Wait: 2 * time.Second, Took: 100 * time.Millisecond})
+	x.until(4 * time.Second)
+	x.step(policy.Event{Kind: policy.Finished, ID: 1, Attempt: 1, Route: "r", Outcome: policy.OK, Took: 500 * time.Millisecond, Ended: true})
+	rep := x.explain(t, Options{Messages: true})
+	d := rep.Destinations[0]
+	if d.ID != 7 || d.Taken != 1 || d.Sent != 2 || d.Calls[policy.OK] != 1 || d.Calls[policy.Full] != 1 {
+		t.Errorf("%+v", d)
+	}
+	if w := d.Waits[policy.ToldWait]; math.Abs(w-2) > 0.01 || math.Abs(d.Waits.Sum()-w) > 0.01 {
+		t.Errorf("waits %v", d.Waits)
+	}
+	m := rep.Messages[1]
+	if len(m.Spans) != 1 || m.Spans[0].Cause != policy.ToldWait || len(m.Attempts) != 2 || m.End != "delivered" || m.Attempts[0].Wait != 2*time.Second {
+		t.Errorf("%+v", m)
+	}
+	var text, jsonl, html, changes strings.Builder
+	if err := WriteMessage(&text, m); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"trace-one", "waits  2.000s: told to wait r", "refused after 0.100s, told to wait 2s", "delivered, 3.000s after it was taken"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is not told:\n%s", want, text.String())
+		}
+	}
+	if err := WriteJSON(&jsonl, rep); err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[string]int{}
+	for line := range strings.Lines(jsonl.String()) {
+		var x struct{ Kind string }
+		if err := json.Unmarshal([]byte(line), &x); err != nil {
+			t.Errorf("%s: %v", line, err)
+		}
+		kinds[x.Kind]++
+	}
+	if kinds["report"] != 1 || kinds["destination"] != 1 || kinds["message"] != 1 || kinds["transition"] < 2 {
+		t.Errorf("%v", kinds)
+	}
+	if err := WriteHTML(&html, rep); err != nil || strings.Contains(html.String(), "<script") || strings.Count(html.String(), "<svg") < 4 {
+		t.Errorf("%v: %d bytes", err, html.Len())
+	}
+	if err := WriteTransitions(&changes, rep, 7); err != nil || !strings.Contains(changes.String(), "pace halved from free to") || !strings.Contains(changes.String(), "(refused, wait 2s)") {
+		t.Errorf("%v\n%s", err, changes.String())
+	}
+}
+
+// Shares of the time by cause come out as they were made: a skip after failures in a row, and the pace after it.
+func TestSharesByCause(t *testing.T) {
+	x := newScript(t, settings())
+	x.step(policy.Event{Kind: policy.ListWhole, List: []policy.Listing{{Route: "r", Destination: 7, Weight: 50, InService: true}}}, take(1), take(2), take(3))
+	for id := range uint32(3) {
+		x.until(x.now + 10*time.Millisecond)
+		x.step(policy.Event{Kind: policy.Finished, ID: id + 1, Route: "r", Outcome: policy.ConnectFailed})
+	}
+	x.until(x.now + 10*time.Millisecond)
+	var failed []policy.Event
+	for id, n := range x.out {
+		if n == 2 {
+			failed = append(failed, policy.Event{Kind: policy.Finished, ID: id, Attempt: 1, Route: "r", Outcome: policy.ConnectFailed})
+		}
+	}
+	x.step(failed...)
+	from := x.now
+	x.until(from + time.Second)
+	x.step(policy.Event{Kind: policy.Woken})
+	rep := x.explain(t, Options{From: from})
+	d := rep.Destinations[0]
+	if share := d.Waits[policy.Skip] / d.Waits.Sum(); share < 0.99 || d.Waits.Sum() < 2.5 || d.MostQueue != 3 {
+		t.Errorf("%v, %+v", share, d)
+	}
+	var text strings.Builder
+	if err := WriteText(&text, rep); err != nil || !strings.Contains(text.String(), "skipped 100 %") {
+		t.Errorf("%v\n%s", err, text.String())
+	}
+}
+
+// An explanation of a history with everything in it adds up: what waits is accounted for, and none waits longer than it
+// was there.
+func TestExplanationsAddUp(t *testing.T) {
+	for seed := range uint64(3) {
+		_, rec := flighttest.Drive(seed, 30*time.Second, 64<<20, nil)
+		var b bytes.Buffer
+		if _, err := rec.WriteTo(&b); err != nil {
+			t.Fatal(err)
+		}
+		rep, err := Explain(b.Bytes(), Options{Messages: true})
+		if err != nil || rep.Replay.Difference != nil || len(rep.Destinations) != 5 {
+			t.Fatalf("%v, %+v", err, rep.Replay)
+		}
+		sum, spans := 0.0, 0.0
+		causes := Waits{}
+		for _, d := range rep.Destinations {
+			sum += d.Waits.Sum()
+			for c, x := range d.Waits {
+				causes[c] += x
+			}
+		}
+		for _, m := range rep.Messages {
+			waited := 0.0
+			for _, s := range m.Spans {
+				waited += (s.To - s.From).Seconds()
+			}
+			end := m.EndedAt
+			if end == 0 {
+				end = rep.To
+			}
+			if spans += waited; waited > (end-m.TakenAt).Seconds()+0.011 {
+				t.Errorf("seed %d: message %d waited %.3fs within %v", seed, m.ID, waited, end-m.TakenAt)
+			}
+		}
+		if math.Abs(sum-spans) > 0.001*sum || sum == 0 || len(causes.Sorted()) < 5 {
+			t.Errorf("seed %d: %v message-seconds by destination, %v by message; %v", seed, sum, spans, causes)
+		}
+	}
+	if _, err := Explain(nil, Options{}); err == nil {
+		t.Error("nothing was explained")
+	}
+}
+
+func TestNamesForAll(t *testing.T) {
+	for c := policy.Free; c <= policy.NoRoute; c++ {
+		if CauseName(c) == "" {
+			t.Errorf("cause %d has no name", c)
+		}
+	}
+	if CauseName(-1) != "cause -1" || OutcomeName(99) != "outcome 99" || OutcomeName(policy.Moot) == "" {
+		t.Error("odd causes and outcomes have no name")
+	}
+}
--- a/internal/flight/load.go
+++ b/internal/flight/load.go
@@ -36,7 +36,7 @@
 			return nil, fmt.Errorf("flight: %w", err)
 		}
 		if !bytes.HasPrefix(data, []byte(magic)) {
-			if inLog := fromLog(data); len(inLog) > 0 {
+			if inLog := FromLog(data); len(inLog) > 0 {
 				data = inLog
 			}
 		}
@@ -49,9 +49,9 @@
 	return found, nil
 }
 
-// fromLog decodes the lines of a log that hold parts of recordings, in their order. A line that cannot be decoded is
+// FromLog decodes the lines of a log that hold parts of recordings, in their order. A line that cannot be decoded is
 // passed over: what it held is told as lost by the Reader.
-func fromLog(log []byte) (data []byte) {
+func FromLog(log []byte) (data []byte) {
 	lines := bufio.NewScanner(bytes.NewReader(log))
 	lines.Buffer(nil, lineMost)
 	for lines.Scan() {
--- a/internal/flight/reader.go
+++ b/internal/flight/reader.go
@@ -59,6 +59,7 @@
 	dec   decoder
 	told  bool // the place at hand was told as lost
 	any   bool // chunks of any recording are read
+	scan  bool // damage was met: what comes next may lie inside a payload
 }
 
 // NewReader returns a Reader of a recording, or ErrNoRecording if no chunk begins anywhere in it.
@@ -94,7 +95,7 @@
 		}
 		if err != nil {
 			// Frames behind it depend on what it held: the chunk ends here.
-			r.start, r.at = -1, at+1
+			r.start, r.at, r.scan = -1, at+1, true
 			return Entry{Kind: Lost, At: int64(at), Text: err.Error()}, true, nil
 		}
 		r.at = r.start + next
@@ -136,7 +137,8 @@
 		if err == ErrNewer {
 			return Entry{}, false, fmt.Errorf("%w: format %d, this one reads %d", err, e.Meta.Format, Format)
 		}
-		if err != nil {
+		// A payload may hold an earlier chunk of this recording, if someone could read that: chunks only go forward.
+		if err != nil || r.scan && r.some && id == r.id && number <= r.last {
 			r.at++
 			continue
 		}
@@ -144,7 +146,7 @@
 			r.told = true
 			return Entry{Kind: Lost, At: int64(r.at), Text: fmt.Sprintf("chunks between %d and %d are missing", r.last, number)}, true, nil
 		}
-		r.told = false
+		r.told, r.scan = false, false
 		r.id, r.known, r.chunk, r.last, r.some = id, true, number, number, true
 		r.start, r.at = r.at, next
 		r.dec = decoder{}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,52 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestDefaults(t *testing.T) {
+	f, err := Load("")
+	if err != nil || f.Recorder.Enabled || f.Recorder.Write != WriteKept || f.Recorder.Ring() != 4<<20 || f.Log.Format != "text" {
+		t.Errorf("%+v, %v", f, err)
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none")); !errors.Is(err, os.ErrNotExist) {
+		t.Error(err)
+	}
+	shipped, err := Load("../../deploy/cherrytrestle.toml")
+	if err != nil || shipped != f {
+		t.Errorf("the shipped file turns something on: %+v, %v", shipped, err)
+	}
+}
+
+// Every error of a file is told, with its line or its key.
+func TestBadFiles(t *testing.T) {
+	for text, wants := range map[string][]string{
+		"[recorder]\nenabeld = true\n[lgo]\nx = 1\n": {"f.toml:2: unknown key recorder.enabeld", "f.toml:3: unknown key lgo"},
+		"[recorder]\nenabled = \"yes\"\n":            {"f.toml:2:"},
+		"[recorder\n":                                {"f.toml:1:"},
+		"[recorder]\nring_mb = 0.1\nwrite = \"some\"\nfolder_mb = -1\n[log]\nformat = \"xml\"\nlevel = \"loud\"\n": {
+			"recorder.ring_mb is 0.1", `recorder.write is "some"`, "recorder.folder_mb is -1", `log.format is "xml"`, `log.level is "loud"`},
+		"[recorder]\nring_mb = 100\nfolder = \"/x\"\nfolder_mb = 50\n": {"does not fit into folder_mb = 50"},
+		"[recorder]\nring_mb = nan\n":                                  {"recorder.ring_mb is NaN"},
+	} {
+		_, err := Parse("f.toml", []byte(text))
+		for _, want := range wants {
+			if err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%q: %v, want %q", text, err, want)
+			}
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[recorder]\nenabled = true\nring_mb = 1\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if file, err := Parse("f", data); err == nil && file.check() != nil {
+			t.Errorf("taken, and wrong: %+v", file)
+		}
+	})
+}
--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -27,6 +27,9 @@
 // RecordName is the file of a rehearsal's folder that holds its record.
 const RecordName = "record.jsonl"
 
+// RecordingsName is the folder, in each relay's own, that holds what its flight recorder wrote.
+const RecordingsName = "recordings"
+
 // Options say how a rehearsal is run.
 type Options struct {
 	Dir    string // in which all is kept; made if need be
@@ -36,6 +39,7 @@
 	// Progress is told once a second how it goes; nil: nothing is told.
 	Progress    func(Progress)
 	ReadyWithin time.Duration // 0: 30 s
+	Record      bool          // the relays record their decisions, whole
 }
 
 // Progress is how a rehearsal goes.
@@ -248,7 +252,7 @@
 		return errors.Join(err, agent.Close())
 	}
 	r := &relay{
-		name: name, binary: s.opts.Binary, dir: dir, addr: addr, release: release, rec: s.rec, agent: agent, file: s.plan.File,
+		name: name, binary: s.opts.Binary, dir: dir, addr: addr, release: release, rec: s.rec, agent: agent, file: s.plan.File, record: s.opts.Record,
 		clients: standin.NewClients(name, addr, s.plan.File, s.rec, s.world),
 	}
 	s.relays[name] = r
--- a/internal/rehearsal/relay.go
+++ b/internal/rehearsal/relay.go
@@ -40,6 +40,7 @@
 	agent   *standin.Agent
 	clients *standin.Clients
 	file    scenario.File
+	record  bool // it records its decisions
 
 	mu     sync.Mutex // guards a restart against another
 	cmd    *exec.Cmd
@@ -124,6 +125,19 @@
 	return nil
 }
 
+// operator writes the operator's file, if there is anything to set, and returns the arguments that name it.
+func (r *relay) operator() (args []string, err error) {
+	if !r.record {
+		return nil, nil
+	}
+	path := filepath.Join(r.dir, "operator.toml")
+	text := fmt.Sprintf("[recorder]\nenabled = true\nwrite = \"all\"\nfolder = %q\nfolder_mb = 1024\n", filepath.Join(r.dir, RecordingsName))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("rehearsal: %w", err)
+	}
+	return []string{"serve", "--operator", path}, nil
+}
+
 // start starts the process and waits until it is ready.
 func (r *relay) start(ctx context.Context, within time.Duration) error {
 	if err := r.writeConfig(); err != nil {
@@ -134,7 +148,11 @@
 		return fmt.Errorf("rehearsal: %w", err)
 	}
 	defer log.Close()
-	cmd := exec.Command(r.binary)
+	args, err := r.operator()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(r.binary, args...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), "ROUTER_NAME="+r.name, "ROUTER_LISTEN="+r.addr, "ROUTER_DISCOVERY="+r.agent.Addr(),
 		"ROUTER_STATE="+filepath.Join(r.dir, "state"), "ROUTER_CONFIG="+filepath.Join(r.dir, "config.json"))
--- a/internal/relay/recorder.go
+++ b/internal/relay/recorder.go
@@ -23,7 +23,7 @@
 func newRecording(cfg Config, log *slog.Logger, out io.Writer, started time.Time, sender *policy.Sender) *recording {
 	set := cfg.Operator.Recorder
 	if !set.Enabled {
-		return &recording{}
+		return &recording{log: log}
 	}
 	return &recording{
 		Recorder: flight.NewRecorder(flight.Meta{
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,7 @@
 	gateShare    = 0.4                     // share of the slots that one gate may fill
 	overShare    = 0.5                     // of its time left: how much later traffic over its share queues
 	lateShare    = 0.5                     // of its time left: how much later a message past its aim queues
-	scanDepth    = 24                      // messages of a destination looked at for one that may go
+	scanDepth    = 500                     // messages of a destination looked at for one that may go
 	aliveSpan    = 3 * time.Second         // a route that answered within this is alive
 	retryAdvice  = 500 * time.Millisecond  // least advice with a refusal
 	leastLimit   = 1.0                     // calls a second that any destination takes
@@ -269,10 +269,7 @@
 // only an outcome can open it.
 func (s *Sender) opensAt(r *route) time.Duration {
 	g := r.gate
-	if !r.InService || r.Gone {
-		return math.MaxInt64
-	}
-	if r.down && len(r.calls) > 0 || s.crammed(r) {
+	if !r.InService || r.Gone || r.down && len(r.calls) > 0 || s.crammed(r) {
 		return math.MaxInt64
 	}
 	at := max(g.wait, r.skipUntil, s.coldUntil(r))
@@ -372,7 +369,9 @@
 			// Calls may be lost with the connection that carries them: the next one takes a fresh one.
 			s.act(Action{Kind: CloseIdle, Route: r.Route})
 			// A later call was answered, or the route lives: this one says nothing of its standing.
-			if r.okSent >= o.sent || o.outcome == Reset && s.alive(r) {
+			// So does a call that had less time than an answer may take. Guards against a backlog that keeps a
+			// route in doubt for good, since its oldest messages leave with little time.
+			if r.okSent >= o.sent || (o.outcome == Reset || o.short) && s.alive(r) {
 				return
 			}
 		}
@@ -491,7 +490,10 @@
 	s.answered(r, took)
 	if r.down {
 		r.down, r.skipUntil, r.skipLen = false, 0, 0
-		g.pace, g.tokens, g.tokensAt = paceRestart, 0, s.now
+		// Where a sibling answered all the while, the destination was not away: its pace stands.
+		if !slices.ContainsFunc(g.routes, func(x *route) bool { return x != r && s.alive(x) }) {
+			g.pace, g.tokens, g.tokensAt = paceRestart, 0, s.now
+		}
 	}
 	s.count(g)
 	if r.run++; r.cold && r.back == 0 {
@@ -885,15 +887,11 @@
 	if !s.mayRefuse(m) {
 		return
 	}
-	after := time.Duration(0)
-	if s.set.MaxRetryAfter > 0 {
-		after = retryAdvice
-		for _, g := range m.dest.gates {
-			after = max(after, g.wait-s.now)
-		}
-		after = min(after, s.set.MaxRetryAfter)
+	after := retryAdvice
+	for _, g := range m.dest.gates {
+		after = max(after, g.wait-s.now)
 	}
-	s.act(Action{Kind: Refuse, ID: m.id, Delay: after})
+	s.act(Action{Kind: Refuse, ID: m.id, Delay: min(after, s.set.MaxRetryAfter)})
 	s.over(m)
 }
 
