--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -67,6 +67,7 @@
 	Refused   int // final answers
 	Failed    int
 	Offered   int
+	Taken     []time.Duration // when each was offered
 }
 
 // Delivery is a message that was delivered.
@@ -209,6 +210,7 @@
 func (w *World) Offer(n, dest, class int) {
 	r := w.relays[n]
 	w.Offered++
+	w.Taken = append(w.Taken, w.now)
 	r.nextID++
 	r.msgs[r.nextID] = &message{id: r.nextID, dest: dest, taken: w.now}
 	r.tell(policy.Event{Kind: policy.Taken, ID: r.nextID, Class: class, Customer: -1, Destination: dest, Left: w.cfg.Settings.Classes[class].GiveUp})
--- a/policy/inspect.go
+++ b/policy/inspect.go
@@ -31,7 +31,7 @@
 // The state of a Sender as bytes, for recordings that begin in mid-life: one description for both directions.
 
 // snapshotForm is raised with every change of what follows: one of another form is refused.
-const snapshotForm = 1
+const snapshotForm = 2
 
 // Snapshot appends the Sender's state, between two steps, to buf. Equal states give equal bytes.
 func (s *Sender) Snapshot(buf []byte) []byte {
@@ -120,7 +120,7 @@
 	c.Text(&r.Route)
 	c.Ints(&r.Destination, &r.Kind, &r.Zone, &r.run, &r.streak, &r.refusals)
 	c.Floats(&r.Weight)
-	c.Bools(&r.InService, &r.Gone, &r.down, &r.cold, &r.slight)
+	c.Bools(&r.InService, &r.Gone, &r.down, &r.cold, &r.slight, &r.lost)
 	c.Times(&r.skipUntil, &r.skipLen, &r.back, &r.refusedAt, &r.okAt, &r.okSent, &r.mean, &r.dev)
 	archive.Uint(c, &r.lot)
 	archive.Uint(c, &r.recent)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -367,6 +367,7 @@
 		r.refusals++
 		s.hint(r)
 	default:
+		r.lost = r.lost || o.outcome == Reset
 		if o.outcome == Timeout || o.outcome == Reset {
 			// Calls may be lost with the connection that carries them: the next one takes a fresh one.
 			s.act(Action{Kind: CloseIdle, Route: r.Route})
@@ -487,7 +488,7 @@
 
 func (s *Sender) delivered(r *route, sent, took time.Duration) {
 	g := r.gate
-	r.okAt, r.okSent, r.streak, r.refusals = s.now, max(r.okSent, sent), 0, 0
+	r.okAt, r.okSent, r.streak, r.refusals, r.lost = s.now, max(r.okSent, sent), 0, 0, false
 	r.recent, g.streak, g.tights = r.recent<<1, 0, 0
 	s.answered(r, took)
 	if r.down {
@@ -581,8 +582,7 @@
 		return
 	}
 	s.report(r, e.Report)
-	c.left--
-	c.ok = c.ok || e.Outcome == OK
+	c.left, c.ok = c.left-1, c.ok || e.Outcome == OK
 	if c.left == 0 {
 		s.end(c)
 		o := e.Outcome
@@ -795,17 +795,18 @@
 	return 1
 }
 
-// launch starts a call with the destination's next message and, where its kind allows, with further ones for
-// the same route: it counts once against a limit. They share one fate: after a failure it carries one.
+// launch starts a call with the destination's next message and, where its kind allows, with further ones.
+// They share one fate: after a failure it carries one, after an answer that was lost half as many.
 func (s *Sender) launch(d *dest) {
 	r := d.candRt
 	c := &call{r: r, sent: s.now, expect: s.now + s.expect(r, lateDevs)}
 	room := s.perCall(r.Kind)
 	if r.streak > 0 || r.down {
 		room = 1
+	} else if r.lost {
+		room = (room + 1) / 2
 	}
-	s.send(d.cand, c)
-	if c.left == 0 {
+	if !s.send(d.cand, c) {
 		return
 	}
 	for i := 0; c.left < room && i < len(d.queue) && i < scanDepth; {
--- a/policy/state.go
+++ b/policy/state.go
@@ -47,6 +47,7 @@
 	skipLen   time.Duration // length of the last skip; 0 in good standing
 	down      bool          // skipped, and nothing delivered since
 	cold      bool          // may be in an outage or coming back from one
+	lost      bool          // an answer was, and none came since
 	slight    bool          // on one failure alone: one delivery clears it
 	back      time.Duration // first delivery since the last failure while cold; 0: none yet
 	run       int           // deliveries in a row since the last doubt
