--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -4,6 +4,7 @@
 //	cherrytrestle replay FILE     plays a recording to the decision module as built here
 //	cherrytrestle explain FILE    tells what held messages up
 //	cherrytrestle recording ...   lists recordings, or takes them out of a log
+//	cherrytrestle journal ...     looks into a relay's journal
 //
 // For serve the environment tells what the platform has to say, see package relay, and the operator's file the rest.
 package main
@@ -35,6 +36,7 @@
 	Replay    replayCommand    `cmd:"" help:"Play recordings to the decision module as built here, and tell whether it decides the same."`
 	Explain   explainCommand   `cmd:"" help:"Tell from recordings what held messages up."`
 	Recording recordingCommand `cmd:"" help:"List recordings, or take them out of a log."`
+	Journal   journalCommand   `cmd:"" help:"Look into a relay's journal, running or not."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/journal/bench_test.go
@@ -0,0 +1,235 @@
+package journal
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/store"
+	"onyxroad.dev/onyxroad/internal/wal"
+)
+
+// The benchmarks run the log of the form before and the journal side by side, on files: go test -run '^$' -bench . and
+// with -large at 512 MB, too.
+var large = flag.Bool("large", false, "benchmarks at 512 MB and a million records")
+
+const bodySize = 1000
+
+func limits() map[string]int64 {
+	all := map[string]int64{"3MB": 3e6, "64MB": 64e6}
+	if *large {
+		all["512MB"] = 512e6
+	}
+	return all
+}
+
+// subject is either of the two.
+type subject interface {
+	accept(id uint32) error
+	end(id uint32) error
+	close() error
+}
+
+type oldSubject struct {
+	l  *wal.Log
+	ms map[uint32]*wal.Message
+}
+
+func (s *oldSubject) accept(id uint32) error {
+	m := &wal.Message{ID: id, Trace: "9b1f03aa5c7e2d41", Key: "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", Deadline: time.Unix(1e9, 0), Body: make([]byte, bodySize)}
+	s.ms[id] = m
+	return s.l.Accept(m)
+}
+
+func (s *oldSubject) end(id uint32) error {
+	s.l.End(s.ms[id])
+	delete(s.ms, id)
+	return s.l.Flush()
+}
+
+func (s *oldSubject) close() error { return s.l.Close() }
+
+type newSubject struct {
+	j  *Journal
+	ms map[uint32]*Message
+}
+
+func (s *newSubject) accept(id uint32) error {
+	m := &Message{ID: id, Trace: "9b1f03aa5c7e2d41", Key: "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", Deadline: time.Unix(1e9, 0), Body: make([]byte, bodySize)}
+	s.ms[id] = m
+	return s.j.Accept(m)
+}
+
+func (s *newSubject) end(id uint32) error {
+	s.j.End(s.ms[id])
+	delete(s.ms, id)
+	return s.j.Flush()
+}
+
+func (s *newSubject) close() error { return s.j.Close() }
+
+func openSubject(b testing.TB, kind, dir string, limit int64) subject {
+	b.Helper()
+	if kind == "log" {
+		l, found, err := wal.Open(dir, limit)
+		must(b, err)
+		s := &oldSubject{l, map[uint32]*wal.Message{}}
+		for _, m := range found.Messages {
+			s.ms[m.ID] = m
+		}
+		return s
+	}
+	j, rec, err := OpenFolder(dir, Options{Limit: limit})
+	must(b, err)
+	s := &newSubject{j, map[uint32]*Message{}}
+	for _, m := range rec.Messages {
+		s.ms[m.ID] = m
+	}
+	return s
+}
+
+// BenchmarkAcceptAndEnd takes a message on and ends the oldest, with 30 % of the limit live, and tells the longest accept:
+// the one in which the old log writes itself anew.
+func BenchmarkAcceptAndEnd(b *testing.B) {
+	for _, name := range []string{"3MB", "64MB", "512MB"} {
+		limit, ok := limits()[name]
+		if !ok {
+			continue
+		}
+		for _, kind := range []string{"log", "journal"} {
+			b.Run(kind+"/"+name, func(b *testing.B) {
+				dir := b.TempDir()
+				s := openSubject(b, kind, dir, limit)
+				live := uint32(float64(limit) * 0.3 / 1300)
+				next := uint32(0)
+				for next < live {
+					next++
+					must(b, s.accept(next))
+				}
+				var times []time.Duration
+				b.ReportAllocs()
+				for b.Loop() {
+					next++
+					began := time.Now()
+					err := s.accept(next)
+					times = append(times, time.Since(began))
+					must(b, err)
+					must(b, s.end(next-live))
+				}
+				b.StopTimer()
+				slices.Sort(times)
+				b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "longest-ms")
+				b.ReportMetric(float64(times[len(times)*999/1000].Microseconds()), "p99.9-us")
+				b.ReportMetric(float64(live), "live")
+				if s, ok := s.(*newSubject); ok {
+					st := s.j.Stats()
+					b.ReportMetric(float64(st.Committed+st.Copied)/float64(st.Committed), "write-amp")
+					b.ReportMetric(float64(st.DiskBytes)/float64(st.LiveBytes), "disk/live")
+				}
+				must(b, s.close())
+				began := time.Now()
+				s = openSubject(b, kind, dir, limit)
+				b.ReportMetric(float64(time.Since(began).Microseconds())/1000, "open-ms")
+				must(b, s.close())
+			})
+		}
+	}
+}
+
+// BenchmarkOpen recovers stores of so many live records.
+func BenchmarkOpen(b *testing.B) {
+	counts := []int{1000, 100_000}
+	if *large {
+		counts = append(counts, 1_000_000)
+	}
+	for _, n := range counts {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			dir := b.TempDir()
+			s, _, err := store.Open(store.Dir(dir), store.Options{Limit: max(store.LeastLimit, int64(n)*3000)})
+			must(b, err)
+			value := make([]byte, bodySize)
+			for i := 0; i < n; i += 100 {
+				batch := s.Begin()
+				for range 100 {
+					batch.Put(value)
+				}
+				must(b, s.Commit(batch))
+			}
+			must(b, s.Close())
+			var bytes int64
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			for b.Loop() {
+				s, rec, err := store.Open(store.Dir(dir), store.Options{Limit: max(store.LeastLimit, int64(n)*3000)})
+				must(b, err)
+				if len(rec.Keys) != n {
+					b.Fatal(len(rec.Keys))
+				}
+				bytes += rec.Bytes()
+				b.StopTimer()
+				rec = nil
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(s)
+				must(b, s.Close())
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(bytes)/1e6/b.Elapsed().Seconds(), "MB/s")
+			b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc))/float64(n), "B/live")
+		})
+	}
+}
+
+// BenchmarkCommit is the store alone: a put, a delta and a delete in a commit.
+func BenchmarkCommit(b *testing.B) {
+	s, _, err := store.Open(store.Dir(b.TempDir()), store.Options{Limit: 64e6})
+	must(b, err)
+	value, delta := make([]byte, bodySize), make([]byte, 30)
+	var keys []uint64
+	b.ReportAllocs()
+	for b.Loop() {
+		batch := s.Begin()
+		keys = append(keys, batch.Put(value))
+		batch.Append(keys[len(keys)-1], delta)
+		if len(keys) > 1000 {
+			batch.Delete(keys[0])
+			keys = append(keys[:0], keys[1:]...)
+		}
+		must(b, s.Commit(batch))
+		if s.Due() {
+			_, err := s.Compact(8 << 10)
+			must(b, err)
+		}
+	}
+	must(b, s.Close())
+}
+
+// BenchmarkDiskForAMessage tells how many bytes a message takes on disk.
+func BenchmarkDiskForAMessage(b *testing.B) {
+	for _, kind := range []string{"log", "journal"} {
+		b.Run(kind, func(b *testing.B) {
+			for b.Loop() {
+				dir := b.TempDir()
+				s := openSubject(b, kind, dir, 64e6)
+				for id := range uint32(1000) {
+					must(b, s.accept(id+1))
+				}
+				must(b, s.close())
+				var sum int64
+				must(b, filepath.Walk(dir, func(_ string, info os.FileInfo, err error) error {
+					if err == nil && info.Mode().IsRegular() {
+						sum += info.Size()
+					}
+					return err
+				}))
+				b.ReportMetric(float64(sum)/1000-bodySize, "B/message-beside-body")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/journal/form.go
@@ -0,0 +1,146 @@
+package journal
+
+import (
+	"encoding/binary"
+	"time"
+)
+
+// The form of what is in the store. A value is a message: a version, then its fields as zigzag varints and strings with
+// their lengths, then the body as the rest. A delta is a kind and its fields.
+
+const version = 1
+
+// The kinds of delta.
+const (
+	deltaSend byte = iota + 1
+	deltaNeverRan
+	deltaFinal
+	deltaWithdrawn
+)
+
+func appendInt(b []byte, x int64) []byte { return binary.AppendVarint(b, x) }
+
+func appendText(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+// appendTime writes a wall time in nanoseconds.
+func appendTime(b []byte, t time.Time) []byte { return appendInt(b, t.UnixNano()) }
+
+func appendAttempt(b []byte, a *Attempt) []byte {
+	b = appendInt(b, int64(a.N))
+	b = appendText(b, a.Host)
+	b = appendInt(b, int64(a.Zone))
+	return appendTime(b, a.At)
+}
+
+func appendFinal(b []byte, f *Final) []byte {
+	deferred := int64(0)
+	if f.Deferred {
+		deferred = 1
+	}
+	return appendInt(appendInt(b, deferred), int64(f.Again))
+}
+
+// encode appends all of a message but its body.
+func (m *Message) encode(b []byte) []byte {
+	b = append(b, version)
+	for _, x := range []int64{int64(m.ID), int64(m.Class), int64(m.Customer), int64(m.Dest)} {
+		b = appendInt(b, x)
+	}
+	b = appendTime(b, m.Deadline)
+	b = appendText(appendText(appendText(b, m.Trace), m.Key), m.Order)
+	b = appendInt(b, int64(m.Attempts))
+	b = appendInt(b, int64(len(m.MayRun)))
+	for i := range m.MayRun {
+		b = appendAttempt(b, &m.MayRun[i])
+	}
+	return b
+}
+
+// reader reads fields; the first that is not there makes all behind it zero and bad true.
+type reader struct {
+	data []byte
+	bad  bool
+}
+
+func (r *reader) int() int64 {
+	x, n := binary.Varint(r.data)
+	if n <= 0 {
+		r.bad, r.data = true, nil
+		return 0
+	}
+	r.data = r.data[n:]
+	return x
+}
+
+func (r *reader) text() string {
+	n, k := binary.Uvarint(r.data)
+	if k <= 0 || n > uint64(len(r.data)-k) {
+		r.bad, r.data = true, nil
+		return ""
+	}
+	s := string(r.data[k : k+int(n)])
+	r.data = r.data[k+int(n):]
+	return s
+}
+
+func (r *reader) time() time.Time { return time.Unix(0, r.int()) }
+
+func (r *reader) attempt() Attempt {
+	return Attempt{N: int(r.int()), Host: r.text(), Zone: int(r.int()), At: r.time()}
+}
+
+// decode reads a message; false if the value is none of this form.
+func decode(value []byte) (*Message, bool) {
+	if len(value) == 0 || value[0] != version {
+		return nil, false
+	}
+	r := &reader{data: value[1:]}
+	m := &Message{ID: uint32(r.int()), Class: int(r.int()), Customer: int(r.int()), Dest: int(r.int()), Deadline: r.time()}
+	m.Trace, m.Key, m.Order = r.text(), r.text(), r.text()
+	m.Attempts = int(r.int())
+	n := r.int()
+	if n < 0 || n > int64(len(r.data)) {
+		return nil, false
+	}
+	for range n {
+		m.MayRun = append(m.MayRun, r.attempt())
+	}
+	if r.bad {
+		return nil, false
+	}
+	if len(r.data) > 0 {
+		m.Body = append([]byte(nil), r.data...)
+	}
+	return m, true
+}
+
+// apply applies a delta; false if it is none of this form.
+func (m *Message) apply(delta []byte) bool {
+	if len(delta) == 0 {
+		return false
+	}
+	r := &reader{data: delta[1:]}
+	switch delta[0] {
+	case deltaSend:
+		a := r.attempt()
+		if !r.bad {
+			m.sent(a)
+		}
+	case deltaNeverRan:
+		if n := r.int(); !r.bad {
+			m.neverRan(int(n))
+		}
+	case deltaFinal:
+		f := Final{Deferred: r.int() == 1, Again: time.Duration(r.int())}
+		if !r.bad {
+			m.Final = &f
+		}
+	case deltaWithdrawn:
+		m.Withdrawn = true
+	default:
+		return false
+	}
+	return !r.bad && len(r.data) == 0
+}
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,327 @@
+// Package journal is what a relay must remember over its restarts, on the embedded store: the messages that it has taken
+// on, their attempts, what may have run, and the notices that end them. What was written outlasts the process; nothing
+// is decided here. A Journal is for one goroutine.
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/store"
+)
+
+// ErrFull tells that there is no room for new work. Ends and outcomes still find room.
+var ErrFull = errors.New("journal: no room for new work")
+
+// Message is a message that was taken on, with what the journal knows of its fate.
+type Message struct {
+	ID       uint32 // the relay's number for it
+	Trace    string // the client's
+	Key      string // idempotency key; "" if none
+	Order    string // what it is about, in a class that keeps order; "" if none
+	Class    int
+	Customer int
+	Dest     int
+	Deadline time.Time
+	Body     []byte // nil where it was left on disk: Journal.Body
+
+	Attempts int       // sends so far
+	MayRun   []Attempt // those of them that have no outcome or one that does not prove that they never ran
+	Final    *Final    // the notice that ends it, once decided
+
+	// Withdrawn tells that nothing is owed, since its client left without an answer. It may have run, and should it
+	// be handed in once more, that must be known.
+	Withdrawn bool
+	// Doubtful tells that records which could not be read may have been about it: it may have run, anywhere.
+	Doubtful bool
+
+	key  uint64 // in the store; 0: not in it
+	size int    // of the body
+}
+
+// Attempt is one send.
+type Attempt struct {
+	N    int
+	Host string
+	Zone int
+	At   time.Time
+}
+
+// Final is the notice that ends a message which was not delivered.
+type Final struct {
+	Deferred bool // the client may safely come again
+	Again    time.Duration
+}
+
+// Send is an attempt about to be made, and whose.
+type Send struct {
+	Message *Message
+	Attempt Attempt
+}
+
+// Recovery is what Open found.
+type Recovery struct {
+	Messages []*Message // unfinished, in the order in which they were taken on
+	Store    *store.Recovery
+	// Carried is how many messages came over from a log of the form before this one.
+	Carried int
+	// Unreadable are values of the store that hold no message of this form.
+	Unreadable int
+}
+
+// Sound tells whether all that was ever written could be read.
+func (r *Recovery) Sound() bool { return r.Store.Sound() && r.Unreadable == 0 }
+
+// Options are those of a Journal.
+type Options struct {
+	Limit    int64 // bytes on disk
+	Sync     store.SyncPolicy
+	Interval time.Duration
+	// Bodies bounds the bodies that are kept in memory beside the store, in bytes; 0: all are.
+	Bodies int64
+}
+
+// Steps of compaction, for each write.
+const (
+	compactLeast = 8 << 10
+	compactShare = 3 // so many times what was written
+)
+
+// Journal is an open journal.
+type Journal struct {
+	store   *store.Store
+	opt     Options
+	live    map[uint32]*Message
+	byKey   int // messages in the store
+	notes   []note
+	scratch []byte
+	bodies  int64
+	stalled error // compaction could not go on; told once
+}
+
+// note is an outcome or an end that is not written yet.
+type note struct {
+	m    *Message
+	kind byte // of a delta; 0: the message ends
+	n    int
+}
+
+// Open reads the journal in a folder, or begins one.
+func Open(fs store.FS, opt Options) (*Journal, *Recovery, error) { return open(fs, opt, false) }
+
+func open(fs store.FS, opt Options, readOnly bool) (*Journal, *Recovery, error) {
+	s, found, err := store.Open(fs, store.Options{Limit: opt.Limit, Sync: opt.Sync, Interval: opt.Interval, ReadOnly: readOnly})
+	if err != nil {
+		return nil, nil, fmt.Errorf("journal: %w", err)
+	}
+	j := &Journal{store: s, opt: opt, live: map[uint32]*Message{}}
+	rec := &Recovery{Store: found}
+	for _, key := range found.Keys {
+		value, err := s.Get(key, j.scratch[:0])
+		if err != nil {
+			return nil, nil, errors.Join(fmt.Errorf("journal: %w", err), s.Close())
+		}
+		j.scratch = value
+		m, ok := decode(value)
+		if !ok {
+			rec.Unreadable++
+			continue
+		}
+		m.key, m.Doubtful = key, found.Doubtful(key)
+		for _, d := range found.Deltas(key) {
+			if !m.apply(d) {
+				m.Doubtful = true
+			}
+		}
+		if was := j.live[m.ID]; was != nil { // the carrying over of an older log was cut off between two writes
+			continue
+		}
+		j.live[m.ID] = m
+		j.keep(m)
+		rec.Messages = append(rec.Messages, m)
+	}
+	slices.SortFunc(rec.Messages, func(a, b *Message) int { return int(int64(a.ID) - int64(b.ID)) })
+	return j, rec, nil
+}
+
+// keep leaves a body on disk where the bodies in memory would be too many.
+func (j *Journal) keep(m *Message) {
+	m.size = len(m.Body)
+	if j.opt.Bodies > 0 && j.bodies+int64(m.size) > j.opt.Bodies {
+		m.Body = nil
+		return
+	}
+	j.bodies += int64(m.size)
+}
+
+// Body is a message's body, from memory or from the store.
+func (j *Journal) Body(m *Message) ([]byte, error) {
+	if m.Body != nil || m.size == 0 {
+		return m.Body, nil
+	}
+	value, err := j.store.Get(m.key, nil)
+	if err != nil {
+		return nil, fmt.Errorf("journal: body: %w", err)
+	}
+	return value[len(value)-m.size:], nil
+}
+
+// Close writes what is noted and closes the store.
+func (j *Journal) Close() error { return errors.Join(j.Flush(), j.store.Close()) }
+
+// Stats tells how the store fares.
+func (j *Journal) Stats() store.Stats { return j.store.Stats() }
+
+// Owes tells whether m has no end yet.
+func (j *Journal) Owes(m *Message) bool { return j.live[m.ID] == m }
+
+// Accept records that ms are taken on, all or none. With ErrFull nothing of them is in the journal.
+func (j *Journal) Accept(ms ...*Message) error {
+	b := j.begin()
+	keys := make([]uint64, 0, 16)
+	for _, m := range ms {
+		j.scratch = m.encode(j.scratch[:0])
+		keys = append(keys, b.Put(j.scratch, m.Body))
+	}
+	if err := j.commit(b); err != nil {
+		return err
+	}
+	for i, m := range ms {
+		m.key = keys[i]
+		j.live[m.ID] = m
+		j.keep(m)
+	}
+	return nil
+}
+
+// Sent records attempts before their first byte, all or none.
+func (j *Journal) Sent(sends ...Send) error {
+	b := j.begin()
+	for i := range sends {
+		s := &sends[i]
+		j.scratch = appendAttempt(append(j.scratch[:0], deltaSend), &s.Attempt)
+		b.Append(s.Message.key, j.scratch)
+	}
+	if err := j.commit(b); err != nil {
+		return err
+	}
+	for _, s := range sends {
+		s.Message.sent(s.Attempt)
+	}
+	return nil
+}
+
+// NeverRan notes an outcome which proves that attempt n took no effect. Any other outcome changes nothing of what a
+// restart has to go by.
+func (j *Journal) NeverRan(m *Message, n int) {
+	if !j.Owes(m) {
+		return
+	}
+	m.neverRan(n)
+	j.notes = append(j.notes, note{m, deltaNeverRan, n})
+}
+
+// Decide notes the notice that will end m.
+func (j *Journal) Decide(m *Message, f Final) {
+	if !j.Owes(m) {
+		return
+	}
+	m.Final = &f
+	j.notes = append(j.notes, note{m, deltaFinal, 0})
+}
+
+// Withdraw notes that nothing is owed for m but to remember what may have run, until End.
+func (j *Journal) Withdraw(m *Message) {
+	if !j.Owes(m) {
+		return
+	}
+	m.Withdrawn = true
+	j.notes = append(j.notes, note{m, deltaWithdrawn, 0})
+}
+
+// End notes that nothing more is owed for m.
+func (j *Journal) End(m *Message) {
+	if !j.Owes(m) {
+		return
+	}
+	delete(j.live, m.ID)
+	if m.Body != nil {
+		j.bodies -= int64(m.size)
+	}
+	j.notes = append(j.notes, note{m, 0, 0})
+}
+
+// Flush writes what is noted. After an error the notes are kept for the next write.
+func (j *Journal) Flush() error {
+	if len(j.notes) == 0 {
+		return nil
+	}
+	return j.commit(j.begin())
+}
+
+// begin is a batch with all that is noted.
+func (j *Journal) begin() *store.Batch {
+	b := j.store.Begin()
+	for _, n := range j.notes {
+		switch n.kind {
+		case 0:
+			b.Delete(n.m.key)
+		case deltaNeverRan:
+			j.scratch = appendInt(append(j.scratch[:0], deltaNeverRan), int64(n.n))
+			b.Append(n.m.key, j.scratch)
+		case deltaFinal:
+			j.scratch = appendFinal(append(j.scratch[:0], deltaFinal), n.m.Final)
+			b.Append(n.m.key, j.scratch)
+		case deltaWithdrawn:
+			b.Append(n.m.key, []byte{deltaWithdrawn})
+		}
+	}
+	return b
+}
+
+// commit writes a batch, which begins with the notes, and has the store compact in proportion. Where new work finds no
+// room the notes are written by themselves.
+func (j *Journal) commit(b *store.Batch) error {
+	before := j.store.Stats().Committed
+	err := j.store.Commit(b)
+	if errors.Is(err, store.ErrFull) {
+		err = ErrFull
+		if len(j.notes) > 0 {
+			if e := j.store.Commit(j.begin()); e != nil {
+				return errors.Join(err, e)
+			}
+			j.notes = j.notes[:0]
+		}
+	}
+	if err == nil {
+		j.notes = j.notes[:0]
+	}
+	if j.store.Due() {
+		written := int(j.store.Stats().Committed - before)
+		if _, e := j.store.Compact(max(compactLeast, compactShare*written)); e != nil && j.stalled == nil {
+			j.stalled = e // the next step tries again
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	return nil
+}
+
+// Stalled is the first error that kept compaction from going on, if any did since it was last asked for.
+func (j *Journal) Stalled() error {
+	err := j.stalled
+	j.stalled = nil
+	return err
+}
+
+func (m *Message) sent(a Attempt) {
+	m.Attempts = max(m.Attempts, a.N+1)
+	m.MayRun = append(m.MayRun, a)
+}
+
+func (m *Message) neverRan(n int) {
+	m.MayRun = slices.DeleteFunc(m.MayRun, func(a Attempt) bool { return a.N == n })
+}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,287 @@
+package journal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"onyxroad.dev/onyxroad/internal/store"
+	"onyxroad.dev/onyxroad/internal/store/faultfs"
+)
+
+func opened(t testing.TB, fs store.FS) (*Journal, *Recovery) {
+	t.Helper()
+	j, rec, err := Open(fs, Options{Limit: store.LeastLimit})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j, rec
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func message(id uint32) *Message {
+	return &Message{
+		ID: id, Trace: fmt.Sprint("trace-", id), Key: "key", Order: "order", Class: 2, Customer: -1, Dest: 7,
+		Deadline: time.Unix(1e9, int64(id)), Body: []byte(fmt.Sprint("body of ", id)),
+	}
+}
+
+// same tells whether two messages are alike in all that must last.
+func same(a, b *Message) bool {
+	x, y := *a, *b
+	for _, m := range []*Message{&x, &y} {
+		m.key, m.size = 0, 0
+		if len(m.MayRun) == 0 {
+			m.MayRun = nil
+		}
+		m.MayRun = slices.Clone(m.MayRun)
+		for i := range m.MayRun {
+			m.MayRun[i].At = m.MayRun[i].At.Round(0).UTC()
+		}
+		m.Deadline = m.Deadline.Round(0).UTC()
+	}
+	return reflect.DeepEqual(x, y)
+}
+
+func TestWhatIsUnfinishedComesBack(t *testing.T) {
+	fs := faultfs.New()
+	j, rec := opened(t, fs)
+	if len(rec.Messages) != 0 || !rec.Sound() {
+		t.Fatalf("%+v", rec)
+	}
+	var ms []*Message
+	for id := range uint32(6) {
+		ms = append(ms, message(id+1))
+	}
+	ms[5].Body, ms[5].Attempts, ms[5].MayRun = nil, 2, []Attempt{{N: 1, Host: "h", Zone: 1, At: time.Unix(5, 5)}}
+	must(t, j.Accept(ms...))
+	at := time.Unix(7, 8)
+	must(t, j.Sent(Send{ms[0], Attempt{0, "s-1", 1, at}}, Send{ms[1], Attempt{0, "s-2", 0, at}}))
+	must(t, j.Sent(Send{ms[0], Attempt{1, "s-3", 1, at}}))
+	j.NeverRan(ms[0], 0)
+	j.Decide(ms[1], Final{Deferred: true, Again: 500 * time.Millisecond})
+	j.Decide(ms[2], Final{})
+	j.Withdraw(ms[3])
+	j.End(ms[4])
+	must(t, j.Flush())
+	if j.Owes(ms[4]) || !j.Owes(ms[3]) {
+		t.Error("owes the wrong ones")
+	}
+	_, rec = opened(t, fs.Reboot())
+	if len(rec.Messages) != 5 {
+		t.Fatalf("%d messages", len(rec.Messages))
+	}
+	for i, m := range rec.Messages {
+		if want := ms[[]int{0, 1, 2, 3, 5}[i]]; !same(m, want) {
+			t.Errorf("%+v, want %+v", m, want)
+		}
+	}
+}
+
+// Over many lives, with crashes at any call of the file system, no message that was taken on is forgotten, none that
+// ended comes back, and what may have run is never taken for what did not.
+func TestNothingIsForgottenOverCrashes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 3))
+		fs := faultfs.New()
+		owed, sent, next := map[uint32]bool{}, map[uint32]map[int]bool{}, uint32(0)
+		for range rapid.IntRange(1, 5).Draw(rt, "lives") {
+			fs = fs.Reboot()
+			j, rec, err := Open(fs, Options{Limit: store.LeastLimit, Bodies: 2000})
+			if err != nil {
+				rt.Fatal(err)
+			}
+			there := map[uint32]*Message{}
+			for _, m := range rec.Messages {
+				there[m.ID] = m
+				next = max(next, m.ID)
+				body, err := j.Body(m)
+				if err != nil || !bytes.HasPrefix(body, []byte(fmt.Sprint("body of ", m.ID))) {
+					rt.Fatalf("body of %d: %.30q, %v", m.ID, body, err)
+				}
+				for n := range sent[m.ID] {
+					if !slices.ContainsFunc(m.MayRun, func(a Attempt) bool { return a.N == n }) {
+						rt.Fatalf("message %d: attempt %d may have run, and is not known", m.ID, n)
+					}
+				}
+			}
+			for id := range owed {
+				if there[id] == nil {
+					rt.Fatalf("message %d is forgotten", id)
+				}
+			}
+			if !rec.Sound() {
+				rt.Fatalf("%+v", rec.Store)
+			}
+			clear(owed)
+			ms := rec.Messages
+			for _, m := range ms {
+				owed[m.ID] = true
+			}
+			fs.StopAt(1+rng.IntN(400), rng.IntN(6000))
+			for err == nil {
+				switch n := rng.IntN(10); {
+				case n < 4 || len(ms) == 0:
+					next++
+					m := message(next)
+					m.Body = append(m.Body, make([]byte, rng.IntN(4000))...)
+					if err = j.Accept(m); errors.Is(err, ErrFull) {
+						err = nil
+						if len(ms) > 0 {
+							j.End(ms[0])
+							if err = j.Flush(); err == nil {
+								delete(owed, ms[0].ID)
+							}
+							ms = ms[1:]
+						}
+					} else if err == nil {
+						owed[m.ID] = true
+						ms = append(ms, m)
+					}
+				case n < 6:
+					m := ms[rng.IntN(len(ms))]
+					a := Attempt{N: m.Attempts, Host: "s", At: time.Unix(1, 0)}
+					if err = j.Sent(Send{m, a}); err == nil {
+						if sent[m.ID] == nil {
+							sent[m.ID] = map[int]bool{}
+						}
+						sent[m.ID][a.N] = true
+					}
+				case n < 7:
+					m := ms[rng.IntN(len(ms))]
+					if len(m.MayRun) > 0 {
+						n := m.MayRun[0].N
+						delete(sent[m.ID], n) // from the note on either is right
+						j.NeverRan(m, n)
+						err = j.Flush()
+					}
+				default:
+					i := rng.IntN(min(len(ms), 10))
+					m := ms[i]
+					ms = slices.Delete(slices.Clone(ms), i, i+1)
+					delete(owed, m.ID) // from the note on either is right
+					j.End(m)
+					err = j.Flush()
+				}
+			}
+			if !errors.Is(err, faultfs.ErrStopped) {
+				rt.Fatal(err)
+			}
+		}
+	})
+}
+
+// Where new work finds no room, ends and outcomes do, and they are written although the new work was not.
+func TestAFullJournalRefusesNewWorkOnly(t *testing.T) {
+	fs := faultfs.New()
+	j, _ := opened(t, fs)
+	var ms []*Message
+	for id := uint32(1); ; id++ {
+		m := message(id)
+		m.Body = make([]byte, 900)
+		err := j.Accept(m)
+		if errors.Is(err, ErrFull) {
+			break
+		}
+		must(t, err)
+		ms = append(ms, m)
+	}
+	if j.Owes(&Message{ID: uint32(len(ms) + 1)}) {
+		t.Error("the one that was refused is owed")
+	}
+	for i, m := range ms {
+		must(t, j.Sent(Send{m, Attempt{0, "s-0123456789", 1, time.Unix(1, 1)}}))
+		if i%2 == 0 {
+			j.NeverRan(m, 0)
+			if err := j.Accept(&Message{ID: 1e6, Body: make([]byte, 100000)}); !errors.Is(err, ErrFull) {
+				t.Fatal(err)
+			}
+		}
+	}
+	_, rec := opened(t, fs.Reboot())
+	if len(rec.Messages) != len(ms) {
+		t.Fatalf("%d messages, want %d", len(rec.Messages), len(ms))
+	}
+	for i, m := range rec.Messages {
+		if len(m.MayRun) != i%2 {
+			t.Errorf("message %d: %d may have run", m.ID, len(m.MayRun))
+		}
+	}
+	for _, m := range ms {
+		j.End(m)
+		must(t, j.Flush())
+	}
+	must(t, j.Accept(message(1)))
+	if err := j.Stalled(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Damage touches the messages that it may be about, and no others.
+func TestDamageTouchesWhatItIsAbout(t *testing.T) {
+	fs := faultfs.New()
+	j, _ := opened(t, fs)
+	for id := range uint32(40) {
+		m := message(id + 1)
+		m.Body = make([]byte, 3000)
+		must(t, j.Accept(m))
+	}
+	name := fs.Files()[0]
+	data := fs.Data(name)
+	data[len(data)/2] ^= 1
+	_, rec := opened(t, fs.Reboot())
+	doubtful := 0
+	for _, m := range rec.Messages {
+		if m.Doubtful {
+			doubtful++
+		}
+	}
+	if rec.Sound() || len(rec.Messages) < 37 || doubtful < 15 || doubtful > 25 {
+		t.Errorf("%d messages, %d doubtful: %+v", len(rec.Messages), doubtful, rec.Store)
+	}
+}
+
+func TestDecodeRefusesWhatItNeverWrote(t *testing.T) {
+	value := append(message(3).encode(nil), "body"...)
+	for cut := range len(value) - len("body") {
+		if m, ok := decode(value[:cut]); ok {
+			t.Errorf("a message cut at byte %d is taken: %+v", cut, m)
+		}
+	}
+	m := message(1)
+	for _, d := range [][]byte{nil, {99}, {deltaSend}, {deltaFinal, 2}, {deltaWithdrawn, 1}, append([]byte{deltaNeverRan, 2}, strings.Repeat("x", 9)...)} {
+		if m.apply(d) {
+			t.Errorf("delta %v is taken", d)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(append(message(3).encode(nil), "body"...))
+	f.Add(appendAttempt([]byte{deltaSend}, &Attempt{1, "h", 2, time.Unix(1, 2)}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, ok := decode(data)
+		if !ok {
+			message(1).apply(data)
+			return
+		}
+		again, ok := decode(append(m.encode(nil), m.Body...))
+		if !ok || !same(m, again) {
+			t.Errorf("%+v, %+v", m, again)
+		}
+	})
+}
--- /dev/null
+++ b/internal/journal/legacy.go
@@ -0,0 +1,87 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"onyxroad.dev/onyxroad/internal/store"
+	"onyxroad.dev/onyxroad/internal/wal"
+)
+
+const (
+	folder    = "journal" // of a state folder
+	legacyLog = "wal.log"
+)
+
+// Folder is where the journal of a state folder stands.
+func Folder(state string) string { return filepath.Join(state, folder) }
+
+// OpenFolder opens the journal in a relay's state folder, or begins one. What a log of the form before this one holds is
+// carried over first, and the log removed once all of it is in the journal: a crash on the way leaves the log, and what
+// came over before it is not taken twice.
+func OpenFolder(state string, opt Options) (*Journal, *Recovery, error) {
+	dir := Folder(state)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("journal: %w", err)
+	}
+	j, rec, err := Open(store.Dir(dir), opt)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := j.carryOver(state, rec); err != nil {
+		return nil, nil, errors.Join(err, j.store.Close())
+	}
+	return j, rec, nil
+}
+
+// carryOver takes in what an older log holds, if there is one.
+func (j *Journal) carryOver(state string, rec *Recovery) error {
+	path := filepath.Join(state, legacyLog)
+	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
+		return nil
+	} else if err != nil {
+		return fmt.Errorf("journal: carry over: %w", err)
+	}
+	log, found, err := wal.Open(state, 1<<40)
+	if err != nil {
+		return fmt.Errorf("journal: carry over: %w", err)
+	}
+	defer log.Close()
+	for _, old := range found.Messages {
+		if j.live[old.ID] != nil {
+			continue // it came over before a crash
+		}
+		m := &Message{
+			ID: old.ID, Trace: old.Trace, Key: old.Key, Order: old.Order, Class: old.Class, Customer: old.Customer, Dest: old.Dest,
+			Deadline: old.Deadline, Body: old.Body, Attempts: old.Attempts, Doubtful: found.Damaged,
+		}
+		for _, a := range old.MayRun {
+			m.MayRun = append(m.MayRun, Attempt(a))
+		}
+		if err := j.Accept(m); err != nil {
+			return fmt.Errorf("journal: carry over: %w", err)
+		}
+		if old.Final != nil {
+			j.Decide(m, Final(*old.Final))
+		}
+		if old.Withdrawn {
+			j.Withdraw(m)
+		}
+		if err := j.Flush(); err != nil {
+			return fmt.Errorf("journal: carry over: %w", err)
+		}
+		rec.Messages = append(rec.Messages, m)
+		rec.Carried++
+	}
+	if err := os.Remove(path); err != nil {
+		return fmt.Errorf("journal: carry over: %w", err)
+	}
+	return nil
+}
+
+// Read reads the journal of a state folder, of a relay that runs or not, and changes nothing.
+func Read(state string, limit int64) (*Journal, *Recovery, error) {
+	return open(store.Dir(Folder(state)), Options{Limit: limit}, true)
+}
--- /dev/null
+++ b/internal/journal/legacy_test.go
@@ -0,0 +1,81 @@
+package journal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/store"
+	"onyxroad.dev/onyxroad/internal/wal"
+)
+
+// oldLog writes a log of the older form.
+func oldLog(t *testing.T, dir string, n int) []*wal.Message {
+	t.Helper()
+	l, _, err := wal.Open(dir, 3e6)
+	must(t, err)
+	var ms []*wal.Message
+	for id := range uint32(n) {
+		m := &wal.Message{ID: id + 1, Trace: fmt.Sprint("t", id), Key: "k", Class: 1, Dest: 7, Deadline: time.Unix(1e9, 0), Body: []byte("body")}
+		must(t, l.Accept(m))
+		must(t, l.Sent(wal.Send{Message: m, Attempt: wal.Attempt{Host: "h", Zone: 1, At: time.Unix(2, 0)}}))
+		ms = append(ms, m)
+	}
+	l.NeverRan(ms[0], 0)
+	l.Decide(ms[1], wal.Final{Deferred: true, Again: time.Second})
+	l.Withdraw(ms[2])
+	l.End(ms[3])
+	must(t, l.Close())
+	return ms
+}
+
+func TestAnOlderLogIsCarriedOver(t *testing.T) {
+	dir := t.TempDir()
+	oldLog(t, dir, 6)
+	for life := range 2 {
+		j, rec, err := OpenFolder(dir, Options{Limit: 3e6})
+		must(t, err)
+		if len(rec.Messages) != 5 || rec.Carried != 5*(1-life) {
+			t.Fatalf("life %d: %d messages, %d carried over", life, len(rec.Messages), rec.Carried)
+		}
+		m := rec.Messages
+		if len(m[0].MayRun) != 0 || m[1].Final == nil || m[1].Final.Again != time.Second || !m[2].Withdrawn || len(m[3].MayRun) != 1 || m[3].MayRun[0].Zone != 1 {
+			t.Errorf("life %d: %+v", life, m)
+		}
+		if _, err := os.Stat(filepath.Join(dir, legacyLog)); !os.IsNotExist(err) {
+			t.Errorf("the older log is still there: %v", err)
+		}
+		must(t, j.Close())
+	}
+}
+
+// A crash anywhere on the way leaves the log; the next start takes what is missing, once.
+func TestACarryOverThatIsCutOff(t *testing.T) {
+	for cut := range 40 {
+		dir := t.TempDir()
+		oldLog(t, dir, 6)
+		log, err := os.ReadFile(filepath.Join(dir, legacyLog))
+		must(t, err)
+		j, _, err := OpenFolder(dir, Options{Limit: 3e6})
+		must(t, err)
+		must(t, j.Close())
+		// As if the process had died with a part of the store written, before the log was removed.
+		must(t, os.WriteFile(filepath.Join(dir, legacyLog), log, 0o600))
+		names, err := store.Dir(Folder(dir)).List()
+		must(t, err)
+		for _, name := range names {
+			path := filepath.Join(Folder(dir), name)
+			data, err := os.ReadFile(path)
+			must(t, err)
+			must(t, os.WriteFile(path, data[:len(data)*cut/40], 0o600))
+		}
+		j, rec, err := OpenFolder(dir, Options{Limit: 3e6})
+		must(t, err)
+		if len(rec.Messages) != 5 {
+			t.Errorf("cut at %d of 40: %d messages", cut, len(rec.Messages))
+		}
+		must(t, j.Close())
+	}
+}
--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -20,9 +20,11 @@
 func (s *Store) Due() bool { return s.victim != nil || s.pick() != nil }
 
 // pick chooses the segment to compact: of those that are not written to, the one with the least that lives for its size,
-// once garbage takes more than what lives and some segments.
+// once garbage takes more than what lives and some segments, or room gets short. A segment that is nearly all alive is
+// left until room is very short: it would be written again for little.
 func (s *Store) pick() *segment {
-	if s.opt.ReadOnly || len(s.segs) < 2 || s.disk <= 2*s.live+slackSegments*s.segSize && len(s.segs) < 2*segments {
+	limit := s.opt.Limit
+	if s.opt.ReadOnly || len(s.segs) < 2 || len(s.segs) < 2*segments && s.disk <= min(2*s.live+slackSegments*s.segSize, limit*6/10) {
 		return nil
 	}
 	var best *segment
@@ -31,8 +33,8 @@
 			best = g
 		}
 	}
-	if len(s.segs) < 2*segments && share(best) > 0.95 {
-		return nil // nothing to win
+	if x := share(best); len(s.segs) < 2*segments && x > 0.75 && (x > 0.97 || s.disk <= limit*3/4) {
+		return nil
 	}
 	return best
 }
@@ -252,6 +254,7 @@
 	s.next++
 	seg.end = s.next
 	s.stats.Copied += int64(len(s.buf))
+	at = begins(at)
 	return seg, at, seg.size - at, nil
 }
 
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -85,7 +85,6 @@
 	gone map[uint32]bool
 	// tombs are deletes: bytes by the segment that they stand in and the one that held the put.
 	tombs map[[2]uint32]uint32
-	live  map[uint32]int64
 }
 
 // Open opens the store in a folder, or begins one. It changes nothing but to remove what was done with.
@@ -105,7 +104,7 @@
 	}
 	r := &recovery{
 		s: s, rec: &Recovery{deltas: map[uint64][]found{}}, puts: map[uint64]place{}, dead: map[uint64]bool{}, old: map[uint32]bool{},
-		gone: map[uint32]bool{}, tombs: map[[2]uint32]uint32{}, live: map[uint32]int64{},
+		gone: map[uint32]bool{}, tombs: map[[2]uint32]uint32{},
 	}
 	if err := r.run(); err != nil {
 		return nil, nil, errors.Join(err, s.Close())
@@ -166,7 +165,13 @@
 		return fmt.Errorf("store: %w", err)
 	}
 	slices.Sort(names)
-	for i, name := range names {
+	last := uint32(0)
+	for _, name := range names {
+		if number, ok := parseName(name); ok {
+			last = max(last, number)
+		}
+	}
+	for _, name := range names {
 		number, ok := parseName(name)
 		if !ok {
 			if name != lockName {
@@ -191,7 +196,7 @@
 		switch {
 		case errors.Is(err, ErrNewer):
 			return errors.Join(fmt.Errorf("%s: %w", name, err), file.Close())
-		case err != nil && i == len(names)-1-after(names, lockName) && size <= HeaderSize+BlockSize:
+		case err != nil && number == last && len(bytes.Trim(head, "\x00")) == 0 || len(head) < HeaderSize && number == last:
 			// The last one, cut off as it was begun: nothing in it was acknowledged.
 			r.rec.Torn = append(r.rec.Torn, Span{number, 0, size})
 			r.rec.Stale = append(r.rec.Stale, number)
@@ -216,14 +221,6 @@
 	return nil
 }
 
-// after counts the names behind the segments'.
-func after(names []string, name string) int {
-	if n := len(names); n > 0 && names[n-1] == name {
-		return 1
-	}
-	return 0
-}
-
 // directories reads the first record of each segment. It returns what the newest that can be read says of the others, with
 // the ends that earlier ones told, and that segment's number.
 func (r *recovery) directories() (map[uint32]directoryEntry, uint32, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -138,8 +138,9 @@
 	syncedAt time.Time
 	unsynced bool
 
-	rec, moved []byte // scratch of records
-	readBuf    []byte // a stretch of segment readSeg from readAt on
+	rec, moved []byte  // scratch of records
+	ends       []int64 // of the records of a write
+	readBuf    []byte  // a stretch of segment readSeg from readAt on
 	readSeg    uint32
 	readAt     int64
 
@@ -148,6 +149,9 @@
 	number uint64   // of the record there
 	stats  Stats
 	failed error // a write failed in a way that leaves its segment in doubt: a new one must be begun
+	// toEnd are values of a batch that failed half-way: they stand on disk, and are ended before anything else.
+	toEnd  []uint64
+	endErr error
 }
 
 // Stats tell how a store fares.
@@ -201,6 +205,9 @@
 
 // Begin returns the store's batch, emptied.
 func (s *Store) Begin() *Batch {
+	if len(s.toEnd) > 0 {
+		s.finish() // keys follow from what is written before them; where it fails Commit will, too
+	}
 	b := &s.batch
 	b.s, b.ops, b.data, b.puts, b.err = s, b.ops[:0], b.data[:0], 0, nil
 	return b
@@ -238,7 +245,8 @@
 func (s *Store) mostValue() int { return int(s.segSize) * 7 / 8 }
 
 // Commit writes a batch, all of it or none. After ErrFull the same without puts may be committed; after any error the
-// store holds what it held before.
+// store holds what it held before, but for one case: of a batch longer than a segment whose first part was written and
+// whose second could not be, deltas and deletes of the first part stand.
 func (s *Store) Commit(b *Batch) error {
 	switch {
 	case b.err != nil:
@@ -248,9 +256,12 @@
 	case len(b.ops) == 0:
 		return nil
 	}
+	if len(s.toEnd) > 0 {
+		return fmt.Errorf("store: %d values of a batch that failed could not be ended yet: %w", len(s.toEnd), s.endErr)
+	}
 	known := func(o *op) bool { // in the index, or put in this batch
 		_, ok := s.index[o.key]
-		return ok || o.key >= s.next
+		return ok || o.key >= s.next && o.key < s.next+uint64(len(b.ops))
 	}
 	for i := range b.ops {
 		if o := &b.ops[i]; o.kind == recDelta && !known(o) {
@@ -261,11 +272,10 @@
 	if b.puts > 0 && (s.liveRoom() < need || s.disk+need > int64(fullShare*float64(s.opt.Limit))) {
 		return ErrFull
 	}
-	first := s.next
 	for from := 0; from < len(b.ops); {
 		to, err := s.writeSome(b, from)
 		if err != nil {
-			s.undo(b, first, from)
+			s.undo(b, from)
 			return err
 		}
 		from = to
@@ -295,8 +305,7 @@
 	seg := s.segs[len(s.segs)-1]
 	s.buf = s.buf[:0]
 	number := s.next
-	type span struct{ at, end int64 }
-	var spans [8]span // enough for most; more are found again below
+	s.ends = s.ends[:0]
 	for to = from; to < len(b.ops); to++ {
 		o := &b.ops[to]
 		at := seg.size + int64(len(s.buf))
@@ -304,9 +313,7 @@
 			break
 		}
 		s.buf = s.appendOp(s.buf, seg, at, number, o, b)
-		if i := to - from; i < len(spans) {
-			spans[i] = span{at, seg.size + int64(len(s.buf))}
-		}
+		s.ends = append(s.ends, seg.size+int64(len(s.buf)))
 		number++
 	}
 	if err := s.write(seg, s.buf); err != nil {
@@ -314,13 +321,8 @@
 	}
 	at := seg.size - int64(len(s.buf))
 	for i := from; i < to; i++ {
-		end := at
-		if k := i - from; k < len(spans) {
-			at, end = spans[k].at, spans[k].end
-		} else {
-			end = at + recordSize(at, s.opSize(&b.ops[i]))
-		}
-		s.note(seg, &b.ops[i], s.next, at, end)
+		end := s.ends[i-from]
+		s.note(seg, &b.ops[i], s.next, begins(at), end)
 		s.next++
 		at = end
 	}
@@ -329,6 +331,15 @@
 	return to, nil
 }
 
+// begins is where a record's first frame stands that is written at an offset: not in a block's last bytes, where no
+// frame header fits.
+func begins(at int64) int64 {
+	if room := BlockSize - at%BlockSize; room < frameHeader {
+		return at + room
+	}
+	return at
+}
+
 // recordSize is what a record of n bytes takes at an offset.
 func recordSize(at, n int64) int64 {
 	from := at
@@ -344,12 +355,6 @@
 	return at - from
 }
 
-// opSize is how long an operation's record is.
-func (s *Store) opSize(o *op) int64 {
-	var b [1 + 2*binary.MaxVarintLen64]byte
-	return int64(len(s.head(b[:0], o))) + int64(o.to-o.from)
-}
-
 // head is an operation's record up to its bytes.
 func (s *Store) head(b []byte, o *op) []byte {
 	b = append(b, o.kind)
@@ -440,28 +445,28 @@
 	return s.segs[i]
 }
 
-// undo ends what the first part of a batch put into earlier segments, when a later part could not be written. The puts
-// stand on disk: they must end there, too, before anything else is committed.
-func (s *Store) undo(b *Batch, first uint64, done int) {
-	if done == 0 {
-		return
-	}
-	var keys []uint64
+// undo notes what the first part of a batch put into earlier segments, when a later part could not be written.
+func (s *Store) undo(b *Batch, done int) {
 	for i := range b.ops[:done] {
 		if o := &b.ops[i]; o.kind == recPut {
-			if _, ok := s.index[o.key]; ok {
-				keys = append(keys, o.key)
-			}
+			s.toEnd = append(s.toEnd, o.key)
 		}
 	}
-	s.failed = cmp.Or(s.failed, error(&unfinished{keys}))
 }
 
-// unfinished is a batch of which a part stands on disk.
-type unfinished struct{ keys []uint64 }
-
-func (u *unfinished) Error() string {
-	return fmt.Sprintf("store: %d values of a failed batch to be ended", len(u.keys))
+// finish ends the values that undo noted, each in a write of its own.
+func (s *Store) finish() {
+	for len(s.toEnd) > 0 {
+		key := s.toEnd[len(s.toEnd)-1]
+		if _, ok := s.index[key]; ok {
+			b := Batch{s: s, ops: []op{{kind: recDelete, key: key}}}
+			if _, err := s.writeSome(&b, 0); err != nil {
+				s.endErr = err
+				return
+			}
+		}
+		s.toEnd = s.toEnd[:len(s.toEnd)-1]
+	}
 }
 
 // write appends data to a segment in one write.
@@ -500,35 +505,12 @@
 
 // ready sees to it that the last segment has room for n bytes.
 func (s *Store) ready(n int64) error {
-	if u := (*unfinished)(nil); errors.As(s.failed, &u) {
-		s.failed = nil
-		for _, key := range u.keys {
-			if err := s.deleteNow(key); err != nil {
-				s.failed = u
-				return err
-			}
-		}
-	}
 	if s.open && s.failed == nil && s.segs[len(s.segs)-1].size+n <= s.segSize {
 		return nil
 	}
 	return s.roll()
 }
 
-// deleteNow ends a value in a write of its own.
-func (s *Store) deleteNow(key uint64) error {
-	if _, ok := s.index[key]; !ok {
-		return nil
-	}
-	if err := s.ready(deleteSize * 2); err != nil {
-		return err
-	}
-	b := Batch{s: s}
-	b.Delete(key)
-	_, err := s.writeSome(&b, 0)
-	return err
-}
-
 // roll begins a new segment. Its first record names all that are there, and how far each goes: what stands behind that
 // in one of them was never acknowledged.
 func (s *Store) roll() error {
@@ -538,7 +520,7 @@
 	}
 	h := Header{Format: Format, Epoch: rand.Uint64(), Segment: uint64(number), First: s.next}
 	data := h.Append(nil)
-	data = AppendRecord(data, h.Epoch, HeaderSize, s.next, s.directory(number))
+	data = AppendRecord(data, h.Epoch, HeaderSize, s.next-1, s.directory(number)) // it counts for none: keys are not moved by it
 	if s.disk+units(int64(len(data))) > s.opt.Limit-s.reserved() {
 		return ErrNoRoom
 	}
@@ -564,10 +546,9 @@
 			return errors.Join(fmt.Errorf("store: new segment: %w", err), file.Close(), s.fs.Remove(name))
 		}
 	}
-	seg := &segment{number: number, header: h, file: file, size: int64(len(data)), tombs: map[uint32]uint32{}, end: s.next + 1}
+	seg := &segment{number: number, header: h, file: file, size: int64(len(data)), tombs: map[uint32]uint32{}, end: s.next}
 	s.segs = append(s.segs, seg)
 	s.grow(seg, seg.size)
-	s.next++
 	s.open, s.failed, s.unsynced = true, nil, true
 	return nil
 }
