--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -110,6 +110,7 @@
 	Sent                         []float64
 	Skipped, Doubted, ToldToWait []bool
 	last                         policy.View
+	at                           time.Duration // of last
 	seen                         bool
 }
 
@@ -187,8 +188,7 @@
 	held    []policy.Hold // what held each message that waited at the last look
 	since   map[uint32]time.Duration
 	looked  time.Duration
-	some    bool // a look was taken
-	views   []policy.View
+	some    bool              // a look was taken
 	outcome map[string]string // by route, in the step at hand
 	err     error
 }
@@ -313,8 +313,12 @@
 	for i := range e.Actions {
 		b.action(now, &e.Actions[i])
 	}
-	if !b.some || now < b.looked || now-b.looked >= b.opts.Every || len(b.outcome) > 0 {
+	switch {
+	case !b.some || now < b.looked || now-b.looked >= b.opts.Every:
 		b.look(s, now)
+	case len(b.outcome) > 0: // what changed at the routes is told with the outcomes that brought it
+		views, _ := s.Views()
+		b.compare(now, views)
 	}
 }
 
@@ -426,7 +430,7 @@
 		b.rep.Queue[i] = max(b.rep.Queue[i], float64(queue))
 	}
 	b.compare(now, views)
-	b.views, b.looked, b.some = views, now, true
+	b.looked, b.some = now, true
 	waiting := slices.ContainsFunc(views, func(v policy.View) bool { return v.Queued > 0 })
 	if b.held = nil; !waiting && len(b.dests) > 0 && len(views) > 0 {
 		return
@@ -502,7 +506,7 @@
 		if b.in(now) {
 			from := 0
 			if r.seen {
-				from = b.bin(b.looked)
+				from = b.bin(r.at)
 			}
 			for j := max(from, 0); j <= i; j++ { // what held goes on holding until now
 				was := r.last
@@ -522,7 +526,7 @@
 		if r.seen && b.in(now) {
 			b.transitions(now, r, v)
 		}
-		r.last, r.seen = *v, true
+		r.last, r.at, r.seen = *v, now, true
 	}
 }
 
--- a/internal/flight/export_test.go
+++ b/internal/flight/export_test.go
@@ -15,7 +15,7 @@
 			if n <= 0 || n > len(rest)-at-frameHeader {
 				break
 			}
-			binary.LittleEndian.PutUint32(rest[at+4:], frameSum(id, number, at, rest[at+frameHeader:at+frameHeader+n]))
+			binary.LittleEndian.PutUint32(rest[at+4:], frameSum(new([20]byte), id, number, at, rest[at+frameHeader:at+frameHeader+n]))
 			at += frameHeader + n
 		}
 		next := bytes.Index(data[start+at:], []byte(magic))
--- a/internal/flight/form.go
+++ b/internal/flight/form.go
@@ -52,9 +52,9 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// frameSum is a frame's checksum: its length, payload and place within a chunk of one recording.
-func frameSum(id uint64, chunk uint32, at int, payload []byte) uint32 {
-	var place [20]byte
+// frameSum is a frame's checksum: its length, payload and place within a chunk of one recording. place is scratch: a
+// variable of its own would go to the heap with each frame.
+func frameSum(place *[20]byte, id uint64, chunk uint32, at int, payload []byte) uint32 {
 	binary.LittleEndian.PutUint64(place[:], id)
 	binary.LittleEndian.PutUint32(place[8:], chunk)
 	binary.LittleEndian.PutUint32(place[12:], uint32(at))
@@ -72,6 +72,7 @@
 	names   map[string]uint32
 	lastNow time.Duration
 	lastID  uint32
+	place   [20]byte
 }
 
 func (e *encoder) begin(id uint64, chunk uint32, buf []byte) {
@@ -90,7 +91,7 @@
 func (e *encoder) close() {
 	payload := e.buf[e.open+frameHeader:]
 	binary.LittleEndian.PutUint32(e.buf[e.open:], uint32(len(payload)))
-	binary.LittleEndian.PutUint32(e.buf[e.open+4:], frameSum(e.id, e.chunk, e.open, payload))
+	binary.LittleEndian.PutUint32(e.buf[e.open+4:], frameSum(&e.place, e.id, e.chunk, e.open, payload))
 }
 
 func (e *encoder) uint(x uint64) { e.buf = binary.AppendUvarint(e.buf, x) }
@@ -424,7 +425,7 @@
 		return nil, at, fmt.Errorf("cut in a frame: %d of %d bytes", len(rest)-frameHeader, n)
 	}
 	payload = rest[frameHeader : frameHeader+int(n)]
-	if frameSum(id, chunk, at, payload) != binary.LittleEndian.Uint32(rest[4:]) {
+	if frameSum(new([20]byte), id, chunk, at, payload) != binary.LittleEndian.Uint32(rest[4:]) {
 		return nil, at, fmt.Errorf("checksum of a frame of %d bytes does not match", n)
 	}
 	return payload, at + frameHeader + int(n), nil
