--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -3,22 +3,31 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
+	"github.com/alecthomas/kong"
+
+	"onyxroad.dev/onyxroad/internal/cli"
 	"onyxroad.dev/onyxroad/internal/wire"
 	"onyxroad.dev/onyxroad/policy"
 )
 
 func main() {
-	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "drill:", err)
-		os.Exit(1)
-	}
+	os.Exit(cli.Run(context.Background(), "drill", "The decision module on the simulator's wire, on standard input and output.", &app{}, os.Args[1:],
+		cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, cli.Failed))
 }
 
+type app struct {
+	Version kong.VersionFlag `help:"Print the version and end."`
+}
+
+// Run serves until the input ends.
+func (*app) Run(s *cli.Streams) error { return run(s.In, s.Out) }
+
 // instance is one relay's Sender and its events in the batch at hand.
 type instance struct {
 	number int
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +12,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/judge"
+	"onyxroad.dev/onyxroad/internal/rehearsal"
 )
 
 // The tests run the program as a process of its own where signals matter: this binary under another variable.
@@ -103,6 +107,29 @@
 	}
 }
 
+// Recordings are kept where a rule was broken, or if asked for; else they are cleared away.
+func TestRecordingsAreKeptWhereARuleWasBroken(t *testing.T) {
+	for _, c := range []struct {
+		state judge.State
+		all   bool
+		kept  bool
+	}{{judge.Held, false, false}, {judge.Broken, false, true}, {judge.Held, true, true}} {
+		dir := t.TempDir()
+		path := filepath.Join(dir, "r1", rehearsal.RecordingsName, "r1-x.flight")
+		if err := errors.Join(os.MkdirAll(filepath.Dir(path), 0o700), os.WriteFile(path, []byte("x"), 0o600)); err != nil {
+			t.Fatal(err)
+		}
+		var out bytes.Buffer
+		r := rehearsal.Result{Verdict: judge.Verdict{Findings: []judge.Finding{{State: c.state}}}}
+		if err := (&runCommand{KeepAll: c.all}).recordings(&out, dir, r); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := os.Stat(path); (err == nil) != c.kept || strings.Contains(out.String(), "recordings:") != c.kept {
+			t.Errorf("%+v: %v, %q", c, err, out.String())
+		}
+	}
+}
+
 // relayState are the processes whose environment names a state folder below dir.
 func relaysOf(t *testing.T, dir string) (paths []string) {
 	all, err := filepath.Glob("/proc/[0-9]*/environ")
