Second address with figures; settings that change under SIGHUP are taken on, whole or not at all

Clients name a class that the file adds at SIGHUP, and the door turned away all of them; files that were empty or held a deadline of -5 moved discovery all the same, where nothing listens. The figures were absent.

Change. internal/manage answers on the second address: one call a connection, 0.7 s for each, 16 connections at most, so that callers that say nothing hold nobody up. internal/figures counts, in the form of statsd. internal/terms decides, without I/O, whether a file is taken (every key that the old one had throughout, deadlines and attempts over 0) and what binds while clients may go by either file: every class, by what binds more. The module takes other settings by Reconfigure; open messages keep their class and their number of attempts, which now travel with them. Recordings begin a chunk, and a replay takes the settings on. Ways not taken: a new module for new settings, which forgets paces, waits and doubts; the fresh rules at once, under which a message that a client handed in by the old ones may be repeated.

Also: explanations told nothing of a stillness that began within 25 ms of a look (TestARecordingOfARealRelay failed on this machine before any change, too): the state that the last step left is looked at before the next one.

--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -80,12 +80,9 @@
 			case <-keep:
 				r.KeepRecording("SIGUSR1")
 			case <-reload:
-				cfg, err := relay.ReloadConfig(os.Getenv)
-				if err != nil {
+				if err := r.Reload(relay.ReloadConfig(os.Getenv)); err != nil {
 					log.Warn("keeping the configuration", "err", err)
-					continue
 				}
-				r.Reload(cfg)
 			}
 		}
 	}()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -188,6 +188,8 @@
 	held    []policy.Hold // what held each message that waited at the last look
 	since   map[uint32]time.Duration
 	looked  time.Duration
+	stepped time.Duration // the last step
+	set     policy.Settings
 	some    bool              // a look was taken
 	outcome map[string]string // by route, in the step at hand
 	err     error
@@ -216,7 +218,9 @@
 		opts: opts, rep: rep, dests: map[int]*Destination{}, routes: map[string]*Route{}, dest: map[uint32]int{}, traces: map[uint32]string{},
 		since: map[uint32]time.Duration{}, outcome: map[string]string{},
 	}
-	rep.Replay, err = replay.Play(data, replay.Visitor{Begin: b.begin, Step: b.step, Other: b.other})
+	rep.Replay, err = replay.Play(data, replay.Visitor{
+		Settings: func(set policy.Settings) { b.set = set }, Begin: b.begin, Before: b.before, Step: b.step, Other: b.other,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -304,8 +308,17 @@
 	}
 }
 
+// before makes up for a look that came too soon after the last one. Guards against a stillness that is told by what held
+// before it: when the last step fell close behind a look, what it left behind holds all the while.
+func (b *builder) before(s *policy.Sender, e *flight.Entry) {
+	if b.some && b.stepped > b.looked && e.Now-b.stepped >= b.opts.Every {
+		b.look(s, b.stepped)
+	}
+}
+
 func (b *builder) step(s *policy.Sender, e *flight.Entry) {
 	now := e.Now
+	b.stepped = now
 	clear(b.outcome)
 	for i := range e.Events {
 		b.event(now, &e.Events[i])
@@ -436,7 +449,7 @@
 		return
 	}
 	// Holds may cast doubt on routes, as dispatch does: a copy is asked.
-	copied, err := policy.Restore(b.rep.Meta.Settings, s.Snapshot(nil))
+	copied, err := policy.Restore(b.set, s.Snapshot(nil))
 	if err != nil {
 		b.err = cmp.Or(b.err, fmt.Errorf("explain: %w", err))
 		return
@@ -495,7 +508,7 @@
 	for k := range views {
 		v := &views[k]
 		r := b.route(*v)
-		shared := v.Kind < 0 || v.Kind >= len(b.rep.Meta.Settings.Kinds) || !b.rep.Meta.Settings.Kinds[v.Kind].Separate
+		shared := v.Kind < 0 || v.Kind >= len(b.set.Kinds) || !b.set.Kinds[v.Kind].Separate
 		if r.Shared = v.Route; shared {
 			if gates[v.Destination] == "" {
 				gates[v.Destination] = v.Route
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,91 @@
+// Package figures counts what a relay does, and writes it in the form of statsd: one name:value|type a line. Every process
+// counts from 0. All of it may be used from many goroutines at once; a count costs an atomic addition.
+package figures
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// prefix stands before every name.
+const prefix = "router."
+
+// End is how a message ended.
+type End int
+
+// The ends.
+const (
+	Completed End = iota // delivered
+	Rejected             // refused, or handed back: its client may come again
+	Failed
+	ends
+)
+
+var endNames = [ends]string{"completed", "rejected", "failed"}
+
+// Figures are a process's. The zero value counts.
+type Figures struct {
+	Upstream     atomic.Int64 // messages written whole to hosts
+	Reloads      atomic.Int64 // configurations taken at SIGHUP
+	ReloadErrors atomic.Int64 // and turned down
+	Pending      atomic.Int64 // messages taken and not ended
+	Members      atomic.Int64 // hosts in the list
+	Unavailable  atomic.Int64 // those of them that are avoided now
+
+	mu      sync.Mutex
+	classes map[string]*[ends]int64 // never more than the configurations have named
+}
+
+// Class has a class counted from here on, and shown though nothing of it has ended yet.
+func (f *Figures) Class(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.class(name)
+}
+
+func (f *Figures) class(name string) *[ends]int64 {
+	c := f.classes[name]
+	if c == nil {
+		if f.classes == nil {
+			f.classes = map[string]*[ends]int64{}
+		}
+		c = new([ends]int64)
+		f.classes[name] = c
+	}
+	return c
+}
+
+// Ended counts the end of a message.
+func (f *Figures) Ended(class string, e End) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.class(class)[e]++
+}
+
+// WriteTo writes all figures, in a fixed order.
+func (f *Figures) WriteTo(w io.Writer) (int64, error) {
+	var text strings.Builder
+	line := func(name string, value int64, kind string) {
+		fmt.Fprintf(&text, "%s%s:%d|%s\n", prefix, name, value, kind)
+	}
+	f.mu.Lock()
+	for _, class := range slices.Sorted(maps.Keys(f.classes)) {
+		for e, n := range f.classes[class] {
+			line(endNames[e]+"."+class, n, "c")
+		}
+	}
+	f.mu.Unlock()
+	line("upstream_requests", f.Upstream.Load(), "c")
+	line("pending", f.Pending.Load(), "g")
+	line("members", f.Members.Load(), "g")
+	line("members_unavailable", f.Unavailable.Load(), "g")
+	line("config_reloads", f.Reloads.Load(), "c")
+	line("config_reload_errors", f.ReloadErrors.Load(), "c")
+	n, err := io.WriteString(w, text.String())
+	return int64(n), err
+}
--- a/internal/flight/recorder.go
+++ b/internal/flight/recorder.go
@@ -171,6 +171,17 @@
 	r.begin(false)
 }
 
+// Reconfigured records that other settings hold: a chunk with them begins. It is called after the module has taken them.
+func (r *Recorder) Reconfigured(set policy.Settings) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.meta.Settings = set
+	r.next()
+}
+
 // Cleared records an answer of policy.Sender.MayStill.
 func (r *Recorder) Cleared(now time.Duration, route string, ids []uint32, may bool) {
 	if r == nil {
--- /dev/null
+++ b/internal/manage/manage.go
@@ -0,0 +1,108 @@
+// Package manage serves the second address of a relay, where the platform and on-call staff ask whether it is ready and
+// how it fares. One call travels on a connection. Whoever connects and says nothing, or half of a call, is closed within a
+// second and holds nobody up: an answer needs no other connection and nothing of the relay but what it has at hand.
+package manage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// callFor bounds how long a call may take to come, and its answer to leave. An answer is owed within 1 s of the call.
+	callFor  = 700 * time.Millisecond
+	headMost = 4 << 10 // bytes
+	// connsMost bounds the connections: the oldest makes way. Guards against callers that stay and say nothing, of which
+	// each costs a descriptor for callFor.
+	connsMost = 16
+)
+
+// Server answers on the second address.
+type Server struct {
+	// Ready tells whether the process is ready to serve. It may be called from many goroutines at once and must not wait.
+	Ready func() bool
+	// Figures writes the process's figures. The same holds for it.
+	Figures func(io.Writer)
+	Log     *slog.Logger
+}
+
+// Handler answers the calls.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	mux.HandleFunc("GET /v1/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		s.Figures(w)
+	})
+	return mux
+}
+
+// Serve answers on l until ctx ends; then l and all connections are closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	server := &http.Server{
+		Handler: s.Handler(), ReadTimeout: callFor, WriteTimeout: callFor, MaxHeaderBytes: headMost,
+		ErrorLog: slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug), // callers that leave early are no news
+	}
+	server.SetKeepAlivesEnabled(false)
+	defer context.AfterFunc(ctx, func() { server.Close() })()
+	if err := server.Serve(&listener{Listener: l}); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("manage: %w", err)
+	}
+	return nil
+}
+
+// listener keeps no more than connsMost connections open.
+type listener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []*conn // oldest first
+}
+
+type conn struct {
+	net.Conn
+	of *listener
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{nc, l}
+	l.mu.Lock()
+	l.conns = append(l.conns, c)
+	var oldest *conn
+	if len(l.conns) > connsMost {
+		oldest = l.conns[0]
+	}
+	l.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+	return c, nil
+}
+
+func (c *conn) Close() error {
+	c.of.mu.Lock()
+	for i, x := range c.of.conns {
+		if x == c {
+			c.of.conns = append(c.of.conns[:i], c.of.conns[i+1:]...)
+			break
+		}
+	}
+	c.of.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -408,12 +408,12 @@
 
 // parse reads all of a request but its body.
 func (r *Relay) parse(req *http.Request) (m *wal.Message, left time.Duration, err error) {
-	class := strings.TrimPrefix(req.URL.Path, "/")
+	class, t := strings.TrimPrefix(req.URL.Path, "/"), r.door.Load()
 	m = &wal.Message{
 		Trace: req.Header.Get("X-Trace-Id"),
 		Key:   req.Header.Get("Idempotency-Key"),
 		Order: req.URL.Query().Get("key"), // what the message is about, where its class keeps order
-		Class: slices.Index(r.cfg.Classes, class),
+		Class: slices.Index(t.Classes, class), Service: class,
 	}
 	switch {
 	case m.Class < 0:
@@ -424,16 +424,16 @@
 		return nil, 0, errors.New("no X-Trace-Id, or an id or key too long")
 	case len(req.Header["X-Trace-Id"]) > 1 || len(req.Header["Idempotency-Key"]) > 1:
 		return nil, 0, errors.New("more than one id or key")
-	case m.Key == "" && r.cfg.Settings.Classes[m.Class].Effect == policy.Keyed:
+	case m.Key == "" && t.Settings.Classes[m.Class].Effect == policy.Keyed:
 		return nil, 0, errors.New("no Idempotency-Key")
 	}
-	if len(r.cfg.Customers) > 0 {
-		if m.Customer = slices.Index(r.cfg.Customers, req.Header.Get("X-Customer")); m.Customer < 0 {
+	if len(t.Customers) > 0 {
+		if m.Customer = slices.Index(t.Customers, req.Header.Get("X-Customer")); m.Customer < 0 {
 			return nil, 0, fmt.Errorf("unknown customer %q", req.Header.Get("X-Customer"))
 		}
 	}
 	ms, err := strconv.ParseInt(req.Header.Get("X-Expires-In-Ms"), 10, 64)
-	if most := r.cfg.longest(m.Class); err != nil || ms < 0 || ms > most.Milliseconds() {
+	if most := longest(t.Settings.Classes[m.Class]); err != nil || ms < 0 || ms > most.Milliseconds() {
 		return nil, 0, errors.New("bad X-Expires-In-Ms")
 	}
 	if m.Dest, err = destination(req.Header.Get("Envelope")); err != nil {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/operator"
+	"onyxroad.dev/onyxroad/internal/terms"
 	"onyxroad.dev/onyxroad/internal/wire"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -21,19 +22,19 @@
 
 // Config is all that a relay is told at its start.
 type Config struct {
-	Name      string
-	Listen    string // where clients connect
-	Discovery string // address of discovery's agent
-	StateDir  string // the folder that outlasts the process
-	Seed      uint64
-	Limits    Limits
-	Known     List // hosts as this relay last had them; may be old or empty
-	Settings  policy.Settings
+	Name        string
+	Listen      string // where clients connect
+	Inherited   string // the descriptor of a socket that listens there already, which the platform holds; "": none
+	Second      string // the second address, for on-call staff and the platform; "": none
+	Discovery   string // address of discovery's agent
+	StateDir    string // the folder that outlasts the process
+	Seed        uint64
+	Limits      Limits
+	Known       List // hosts as this relay last had them; may be old or empty
+	terms.Terms      // what stands in the settings and may change while the relay runs; Customers empty: the site has none
 
-	Classes   []string
-	Customers []string // empty: the site has none
-	Zones     []string
-	Kinds     []string
+	Zones []string
+	Kinds []string
 
 	ConnectTimeout time.Duration
 	KeepAlive      time.Duration // hosts close a connection that stood idle for so long
@@ -85,6 +86,7 @@
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_STATE": &c.StateDir,
+		"ROUTER_MANAGEMENT": &c.Second, "ROUTER_INHERITED_FD": &c.Inherited,
 	} {
 		if v := getenv(name); v != "" {
 			*field = v
@@ -103,6 +105,7 @@
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
+		Second    string          `json:"management"`
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
@@ -140,7 +143,8 @@
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
 	c := Config{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Settings: set,
+		Name: file.Name, Listen: file.Listen, Second: file.Second, Discovery: file.Discovery, Limits: file.Limits,
+		Terms: terms.Terms{Settings: set, Shape: shape(data)},
 		Zones: own.Zones, Kinds: own.Kinds, MayDuplicate: own.Bounds.MayDuplicate,
 		ConnectTimeout: millis(own.Bounds.ConnectTimeoutMS), KeepAlive: millis(own.Bounds.KeepAliveMS),
 		Tick: min(millis(own.TickMS), tickMost),
@@ -165,10 +169,24 @@
 	return c, nil
 }
 
+// shape is that of a whole file, but for the list of hosts in it.
+func shape(data []byte) terms.Shape {
+	var file map[string]any
+	if json.Unmarshal(data, &file) != nil {
+		return nil // parseConfig has read it
+	}
+	if file["known"] != nil {
+		file["known"] = true
+	}
+	values := map[string]string{}
+	flatten(values, "", file)
+	return terms.ShapeOf(values)
+}
+
 // longest is the most time that a message of a class may have.
-func (c *Config) longest(class int) time.Duration {
-	if d := c.Settings.Classes[class].GiveUp; d > 0 {
-		return d
+func longest(class policy.Class) time.Duration {
+	if class.GiveUp > 0 {
+		return class.GiveUp
 	}
 	return 24 * time.Hour
 }
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -40,6 +40,7 @@
 type hosts struct {
 	*pool
 	reports []string
+	written func(messages int) // whole, to a host
 }
 
 // call is one request to a host, with one message or several.
@@ -72,7 +73,9 @@
 	took    time.Duration // from when the request was written
 }
 
-func newHosts(cfg Config) *hosts { return &hosts{pool: newPool(cfg), reports: cfg.Reports} }
+func newHosts(cfg Config, written func(int)) *hosts {
+	return &hosts{pool: newPool(cfg), reports: cfg.Reports, written: written}
+}
 
 // do makes a call and tells the end of each of its attempts, in their order. clear is asked once more before
 // the request is written where a new connection had to come up first.
@@ -106,6 +109,9 @@
 	began := time.Now()
 	err := writeRequest(conn, req)
 	written := err == nil
+	if written {
+		h.written(len(c.attempts))
+	}
 	several := len(c.attempts) > 1
 	a := readAnswer(conn, req, several) // there may be an answer though not all could be written
 	if stop() && a.err == nil && written {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/figures"
+	"onyxroad.dev/onyxroad/internal/terms"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -83,14 +85,23 @@
 	agent   *agent
 	rec     *recording
 	events  chan any
-	over    chan struct{} // closed when the loop has ended
-	idle    chan struct{} // closed when the relay is stopping and nothing is left to wait for
-	listed  atomic.Bool   // it has recovered and holds a list
-	ending  atomic.Bool   // SIGTERM came
+	over    chan struct{}               // closed when the loop has ended
+	idle    chan struct{}               // closed when the relay is stopping and nothing is left to wait for
+	door    atomic.Pointer[terms.Terms] // what clients are held to
+	figures figures.Figures
+	listed  atomic.Bool // it has recovered and holds a list
+	ending  atomic.Bool // SIGTERM came
 	calls   sync.WaitGroup
 
+	// Owned by Reload.
+	settled terms.Terms // taken last
+	turn    int         // of terms: later ones make earlier ones void
+
 	// Owned by the loop.
+	terms   terms.Terms
+	turnNow int
 	callCtx context.Context
+	second  context.Context // ends when the second address falls silent
 	started time.Time
 	sender  *policy.Sender
 	wal     *wal.Log
@@ -129,14 +140,16 @@
 	}
 	started := time.Now().Add(-clockStart)
 	r := &Relay{
-		cfg: cfg, log: log, rec: newRecording(cfg, log, out, started, sender), hosts: newHosts(cfg), agent: newAgent(cfg.Discovery),
+		cfg: cfg, log: log, rec: newRecording(cfg, log, out, started, sender), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
 		started: started, sender: sender, wal: w,
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
-		cells: map[int]bool{},
+		cells: map[int]bool{}, settled: cfg.Terms,
 	}
+	r.hold(cfg.Terms)
 	// Clients hold a third of the descriptors with their requests; more is for those that are slow to leave.
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
+	r.hosts = newHosts(cfg, func(n int) { r.figures.Upstream.Add(int64(n)) })
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
 	r.found = recovered
 	return r, nil
@@ -144,12 +157,17 @@
 
 // Run serves until ctx ends, and then ends in order: see endBy.
 func (r *Relay) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", r.cfg.Listen)
+	listener, err := listen(r.cfg.Listen, r.cfg.Inherited)
 	if err != nil {
 		return errors.Join(fmt.Errorf("relay: %w", err), r.wal.Close())
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	if r.second = work; r.cfg.Second != "" {
+		if err := r.manage(); err != nil {
+			return errors.Join(err, listener.Close(), r.wal.Close())
+		}
+	}
 	callCtx, stopCalls := context.WithCancel(context.Background())
 	defer stopCalls()
 	r.callCtx = callCtx
@@ -178,12 +196,6 @@
 	return r.wal.Close()
 }
 
-// Reload takes on what may change while the relay runs: discovery's address. All else takes a restart.
-func (r *Relay) Reload(cfg Config) {
-	r.log.Info("configuration read again", "discovery", cfg.Discovery)
-	r.agent.move(cfg.Discovery)
-}
-
 // shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
 // once more on a new connection, which is still taken; what was read is answered, and running calls may finish.
 func (r *Relay) shutDown(listener net.Listener) {
@@ -230,6 +242,9 @@
 		evs = append(evs, r.list(known))
 	}
 	for _, w := range found.Messages {
+		if w.Service != "" {
+			w.Class = slices.Index(r.terms.Classes, w.Service) // the module takes one that is not named for the strictest
+		}
 		m := &message{Message: w, sends: w.Attempts}
 		r.msgs[m.ID], r.traces[m.Trace] = m, m
 		r.lastID = max(r.lastID, m.ID)
@@ -244,6 +259,7 @@
 			// What it has sent may be missing from the log: nothing can be promised.
 			m.ended = true
 			r.wal.Decide(w, wal.Final{})
+			r.count(w, figures.Failed)
 			r.notify(m)
 		default:
 			r.held++
@@ -338,6 +354,7 @@
 	evs := append([]policy.Event(nil), r.later...)
 	r.later = r.later[:0]
 	var asked []clearance
+	var fetches []gauges
 	var ins []*handIn
 	for _, e := range batch {
 		switch e := e.(type) {
@@ -364,6 +381,10 @@
 			r.stopping = true
 		case noSends:
 			r.noSends = true
+		case newTerms:
+			r.reconfigure(e)
+		case gauges:
+			fetches = append(fetches, e)
 		}
 	}
 	r.forget()
@@ -388,6 +409,10 @@
 		r.rec.Cleared(at, c.route, c.ids, may)
 		c.reply <- may && !r.noSends
 	}
+	for _, g := range fetches {
+		r.gauge()
+		close(g.done)
+	}
 	if r.stopping && !r.idled && (r.owesNothing() || r.noSends && r.out == 0) {
 		r.idled = true
 		close(r.idle)
@@ -409,6 +434,13 @@
 func (r *Relay) accept(ins []*handIn) (waiting []*handIn) {
 	var ms []*wal.Message
 	for _, in := range ins {
+		if in.m.Service != "" {
+			// The terms may have changed since the door read them.
+			if in.m.Class = slices.Index(r.terms.Classes, in.m.Service); in.m.Class < 0 {
+				in.reply <- bad("unknown class %q", in.m.Service)
+				continue
+			}
+		}
 		old := r.traces[in.m.Trace]
 		if old != nil && old.fresh {
 			in.as, old.shared = old, true
@@ -421,9 +453,11 @@
 		}
 		switch {
 		case len(r.cells) > 0 && !r.cells[in.m.Dest]:
+			r.count(in.m, figures.Failed)
 			in.reply <- bad("no such destination: %d", in.m.Dest)
 			continue
-		case r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
+		case r.terms.Settings.MaxHeld > 0 && r.held >= r.terms.Settings.MaxHeld:
+			r.count(in.m, figures.Rejected)
 			in.reply <- answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
 			continue
 		}
@@ -462,6 +496,7 @@
 			r.held--
 			delete(r.msgs, m.ID)
 			delete(r.traces, m.Trace)
+			r.count(in.m, figures.Rejected)
 		}
 		in.reply <- answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
 	}
@@ -521,6 +556,7 @@
 	for ; m != nil; m = m.next {
 		if !m.ended {
 			evs = append(evs, policy.Event{Kind: policy.Withdrawn, ID: m.ID})
+			r.count(m.Message, figures.Completed)
 		}
 		r.done(m)
 		r.wal.End(m.Message)
@@ -573,6 +609,9 @@
 		r.wal.NeverRan(m.Message, a.n)
 	}
 	if ok || res.gone {
+		if ok && !m.ended {
+			r.count(m.Message, figures.Completed)
+		}
 		r.done(m)
 		r.wal.End(m.Message)
 		evs = r.delivered(evs, m.next)
@@ -673,6 +712,7 @@
 			}
 			r.done(m)
 			final := wal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay}
+			r.count(m.Message, finalEnd(final))
 			if _, ok := answers[a.ID]; ok {
 				answers[a.ID] = finalAnswer(final)
 				r.letGo(m)
@@ -707,8 +747,8 @@
 func (r *Relay) addSend(calls []*call, m *message, a policy.Action) []*call {
 	t := r.routes[a.Route]
 	most := 1
-	if t.Kind >= 0 && t.Kind < len(r.cfg.Settings.Kinds) {
-		most = max(1, r.cfg.Settings.Kinds[t.Kind].PerCall)
+	if t.Kind >= 0 && t.Kind < len(r.terms.Settings.Kinds) {
+		most = max(1, r.terms.Settings.Kinds[t.Kind].PerCall)
 	}
 	var c *call
 	size := itemSize(m)
--- /dev/null
+++ b/internal/relay/retune.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/figures"
+	"onyxroad.dev/onyxroad/internal/manage"
+	"onyxroad.dev/onyxroad/internal/terms"
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+const (
+	// Clients go by other settings from 1.2 s after SIGHUP on. Until overlapFor both bind.
+	overlapFor = 1500 * time.Millisecond
+	// A class that is no longer named is taken for so long: what was refused under it comes again.
+	droppedFor = 10 * time.Second
+	gaugesFor  = 300 * time.Millisecond // longest wait for the loop's own figures
+)
+
+type (
+	newTerms struct {
+		terms terms.Terms
+		turn  int
+	}
+	gauges struct{ done chan struct{} } // asks for figures that are up to date
+)
+
+// Reload takes on what may change while the relay runs: the settings and discovery's address, or neither. err tells that
+// the file could not even be read. It must not be called by two goroutines at once.
+func (r *Relay) Reload(cfg Config, err error) error {
+	if err == nil {
+		err = terms.Check(r.settled, cfg.Terms)
+	}
+	if err != nil {
+		r.figures.ReloadErrors.Add(1)
+		return fmt.Errorf("relay: the configuration stays as it was: %w", err)
+	}
+	r.figures.Reloads.Add(1)
+	r.log.Info("configuration taken", "discovery", cfg.Discovery, "classes", cfg.Classes)
+	r.agent.move(cfg.Discovery)
+	if terms.Equal(r.settled, cfg.Terms) {
+		return nil
+	}
+	r.turn++
+	turn, old, fresh := r.turn, *r.door.Load(), cfg.Terms
+	r.settled = fresh
+	r.post(newTerms{terms.Overlap(old, fresh), turn})
+	leaving := terms.WithDropped(old, fresh)
+	time.AfterFunc(overlapFor, func() { r.post(newTerms{leaving, turn}) })
+	time.AfterFunc(overlapFor+droppedFor, func() { r.post(newTerms{fresh, turn}) })
+	return nil
+}
+
+// reconfigure has other terms hold, unless later ones came meanwhile.
+func (r *Relay) reconfigure(e newTerms) {
+	if e.turn < r.turnNow {
+		return
+	}
+	r.turnNow = e.turn
+	if err := r.sender.Reconfigure(e.terms.Settings); err != nil {
+		r.log.Error("settings not taken", "err", err) // terms.Check has asked the module
+		return
+	}
+	r.rec.Reconfigured(e.terms.Settings)
+	r.hold(e.terms)
+}
+
+// hold has the loop and the door go by terms.
+func (r *Relay) hold(t terms.Terms) {
+	for _, class := range t.Classes {
+		r.figures.Class(class)
+	}
+	r.terms = t
+	r.door.Store(&t)
+}
+
+// count counts the end of a message.
+func (r *Relay) count(m *wal.Message, e figures.End) {
+	class := m.Service
+	if class == "" && m.Class >= 0 && m.Class < len(r.terms.Classes) {
+		class = r.terms.Classes[m.Class]
+	}
+	r.figures.Ended(class, e)
+}
+
+func finalEnd(f wal.Final) figures.End {
+	if f.Deferred {
+		return figures.Rejected
+	}
+	return figures.Failed
+}
+
+// gauge brings the loop's own figures up to date. A host is avoided while it drains, is skipped, or told to wait.
+func (r *Relay) gauge() {
+	r.figures.Pending.Store(int64(r.held))
+	r.figures.Members.Store(int64(len(r.routes)))
+	views, _ := r.sender.Views()
+	avoided, now := int64(0), r.now()
+	for _, v := range views {
+		if avoids(v, now) {
+			avoided++
+		}
+	}
+	r.figures.Unavailable.Store(avoided)
+}
+
+func avoids(v policy.View, now time.Duration) bool {
+	return !v.InService || v.Down || now < v.SkipUntil || now < v.Wait
+}
+
+// manage begins to answer on the second address, until the process ends.
+func (r *Relay) manage() error {
+	l, err := net.Listen("tcp", r.cfg.Second)
+	if err != nil {
+		return fmt.Errorf("relay: second address: %w", err)
+	}
+	s := manage.Server{
+		Ready:   func() bool { return r.listed.Load() && !r.ending.Load() },
+		Figures: r.writeFigures,
+		Log:     r.log,
+	}
+	go s.Serve(r.second, l)
+	return nil
+}
+
+// writeFigures asks the loop for its own figures, but does not wait for long: late ones are of no use.
+func (r *Relay) writeFigures(w io.Writer) {
+	late := time.NewTimer(gaugesFor)
+	defer late.Stop()
+	g := gauges{make(chan struct{})}
+	select {
+	case r.events <- g:
+		select {
+		case <-g.done:
+		case <-r.over:
+		case <-late.C:
+		}
+	case <-r.over:
+	case <-late.C:
+	}
+	r.figures.WriteTo(w)
+}
+
+// listen listens for clients, on the socket that the platform holds where there is one. That one goes on when this
+// process closes its own descriptor of it: connections that are not taken then wait for another process.
+func listen(addr, inherited string) (net.Listener, error) {
+	if inherited == "" {
+		return net.Listen("tcp", addr)
+	}
+	fd, err := strconv.Atoi(inherited)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("listen: %q is no descriptor", inherited)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	if f == nil {
+		return nil, fmt.Errorf("listen: no descriptor %d", fd)
+	}
+	defer f.Close() // the listener has its own
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("listen: descriptor %d: %w", fd, err)
+	}
+	return l, nil
+}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"reflect"
 	"slices"
 	"time"
 
@@ -20,6 +21,10 @@
 type Visitor struct {
 	// Begin is called with each Sender that a stretch is played on, before its first step.
 	Begin func(s *policy.Sender, e *flight.Entry)
+	// Settings is called with the settings that hold from here on.
+	Settings func(set policy.Settings)
+	// Before is called with the Sender as the step before left it.
+	Before func(s *policy.Sender, e *flight.Entry)
 	// Step is called after a step was played. The Sender must only be asked, not stepped.
 	Step  func(s *policy.Sender, e *flight.Entry)
 	Other func(e *flight.Entry) // labels, notes, and what is lost
@@ -71,7 +76,8 @@
 	visit  Visitor
 	res    Result
 	sender *policy.Sender // nil: waits for a chunk to begin with
-	skip   bool           // within a chunk that cannot be played
+	set    policy.Settings
+	skip   bool // within a chunk that cannot be played
 }
 
 // Play plays a recording, up to the first action that differs. The error tells that nothing could be played.
@@ -138,6 +144,13 @@
 		p.res.Meta, p.res.From = e.Meta, e.Now
 	}
 	if p.sender != nil {
+		if !reflect.DeepEqual(e.Meta.Settings, p.set) {
+			if err := p.sender.Reconfigure(e.Meta.Settings); err != nil {
+				p.differ(e, "settings", "taken", err.Error())
+				return
+			}
+			p.hold(e.Meta.Settings)
+		}
 		if p.res.SameRevision() {
 			p.res.States++
 			if reached := p.sender.Snapshot(nil); !bytes.Equal(reached, e.State) {
@@ -157,12 +170,19 @@
 		p.lose(fmt.Sprintf("chunk %d cannot be played from: %v", e.Chunk, err))
 		return
 	}
+	p.hold(e.Meta.Settings)
 	p.res.Stretches++
 	if p.visit.Begin != nil {
 		p.visit.Begin(p.sender, e)
 	}
 }
 
+func (p *player) hold(set policy.Settings) {
+	if p.set = set; p.visit.Settings != nil {
+		p.visit.Settings(set)
+	}
+}
+
 // restore reads a state. One that some other build wrote may be such as the module never reaches.
 func restore(e *flight.Entry) (s *policy.Sender, err error) {
 	defer func() {
@@ -188,6 +208,9 @@
 	p.res.Events += len(e.Events)
 	p.res.Actions += len(e.Actions)
 	p.res.To = e.Now
+	if p.visit.Before != nil {
+		p.visit.Before(p.sender, e)
+	}
 	acts, err := step(p.sender, e)
 	if err != nil {
 		p.differ(e, "the module gave up", "", err.Error())
--- /dev/null
+++ b/internal/terms/terms_test.go
@@ -0,0 +1,117 @@
+package terms
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+func some() Terms {
+	return Terms{
+		Classes: []string{"order", "payment"},
+		Settings: policy.Settings{MaxAttempts: 8, Classes: []policy.Class{
+			{Effect: policy.Keyed, GroupAll: true, Window: 10 * time.Second, GiveUp: 16 * time.Second, Aim: time.Second, Value: 1},
+			{Effect: policy.Safe, GiveUp: 5 * time.Second, Aim: time.Second, Value: 1},
+		}},
+		Shape: ShapeOf(map[string]string{
+			"discovery": "x", "settings.bounds.send_cap": "8", "settings.services.count": "2", "settings.services.0.name": "order",
+			"settings.services.1.name": "payment", "settings.services.0.give_up_ms": "16000", "settings.services.1.give_up_ms": "5000",
+			"settings.services.0.group": "all",
+		}),
+	}
+}
+
+func TestWhatIsWrongWithFreshTermsIsTold(t *testing.T) {
+	for name, x := range map[string]struct {
+		change func(*Terms)
+		want   string // "": taken
+	}{
+		"the same":              {func(*Terms) {}, ""},
+		"a class more":          {func(f *Terms) { f.Shape["settings.services.count"] = 1; f.Shape["settings.services.*.name"] = 1 }, ""},
+		"a key that only some":  {func(f *Terms) { delete(f.Shape, "settings.services.*.group") }, ""},
+		"a key more":            {func(f *Terms) { f.Shape["novel"] = 1 }, ""},
+		"no discovery":          {func(f *Terms) { delete(f.Shape, "discovery") }, "missing: discovery"},
+		"a class without a key": {func(f *Terms) { f.Shape["settings.services.*.give_up_ms"] = 1 }, "missing: settings.services.*.give_up_ms"},
+		"no deadline":           {func(f *Terms) { f.Settings.Classes[1].GiveUp = 0 }, `"payment": its deadline is not over 0`},
+		"a deadline below 0":    {func(f *Terms) { f.Settings.Classes[0].GiveUp = -5 }, `"order": its deadline is not over 0`},
+		"no attempts":           {func(f *Terms) { f.Settings.MaxAttempts = 0 }, "attempts is not over 0"},
+		"attempts below 0":      {func(f *Terms) { f.Settings.MaxAttempts = -1 }, "attempts is not over 0"},
+		"no class":              {func(f *Terms) { f.Settings.Classes, f.Classes = nil, nil }, "no class"},
+		"a name twice":          {func(f *Terms) { f.Classes[1] = "order" }, "class 1 has no name of its own"},
+		"a negative aim":        {func(f *Terms) { f.Settings.Classes[0].Aim = -1 }, "negative time"},
+	} {
+		fresh := some()
+		x.change(&fresh)
+		err := Check(some(), fresh)
+		if x.want == "" && err != nil || x.want != "" && (err == nil || !strings.Contains(err.Error(), x.want)) {
+			t.Errorf("%s: %v, not %q", name, err, x.want)
+		}
+	}
+}
+
+func drawTerms(t *rapid.T, label string) Terms {
+	tt := Terms{Settings: policy.Settings{MaxAttempts: rapid.IntRange(1, 9).Draw(t, label+" attempts")}}
+	for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 1, 4, rapid.ID).Draw(t, label) {
+		tt.Classes = append(tt.Classes, name)
+		tt.Settings.Classes = append(tt.Settings.Classes, policy.Class{
+			Effect:   rapid.SampledFrom([]policy.Effect{policy.Safe, policy.Keyed, policy.Unsafe}).Draw(t, "effect"),
+			GroupAll: rapid.Bool().Draw(t, "all"), Ordered: rapid.Bool().Draw(t, "ordered"),
+			Window: time.Duration(rapid.IntRange(0, 9).Draw(t, "window")), GiveUp: time.Duration(rapid.IntRange(1, 9).Draw(t, "give up")),
+		})
+	}
+	return tt
+}
+
+// repeats tells whether a class lets a message that may have run go again, to its zone or to any, so long after.
+func repeats(c policy.Class, all bool, after time.Duration) bool {
+	switch c.Effect {
+	case policy.Safe:
+		return true
+	case policy.Unsafe:
+		return false
+	}
+	return (c.GroupAll || !all) && after < c.Window
+}
+
+// While both terms may bind, nothing is done that one of them forbids, and all that either names is taken.
+func TestOverlapBindsBoth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, fresh := drawTerms(t, "old"), drawTerms(t, "fresh")
+		both := Overlap(old, fresh)
+		for _, x := range []Terms{old, fresh} {
+			if both.Settings.MaxAttempts > x.Settings.MaxAttempts {
+				t.Fatal("more attempts than one allows")
+			}
+			for i, name := range x.Classes {
+				c, found := x.Settings.Classes[i], false
+				for j, other := range both.Classes {
+					if other != name {
+						continue
+					}
+					b := both.Settings.Classes[j]
+					found = true
+					if c.Ordered && !b.Ordered || b.GiveUp < c.GiveUp {
+						t.Fatalf("%s: %+v of %+v", name, b, c)
+					}
+					for after := range time.Duration(10) {
+						for _, all := range []bool{false, true} {
+							if repeats(b, all, after) && !repeats(c, all, after) {
+								t.Fatalf("%s: %+v repeats where %+v does not", name, b, c)
+							}
+						}
+					}
+				}
+				if !found {
+					t.Fatalf("%s is not taken", name)
+				}
+			}
+		}
+		if len(both.Settings.Classes) != len(both.Classes) {
+			t.Fatal("classes without names")
+		}
+	})
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -26,6 +26,7 @@
 	Key      string // idempotency key; "" if none
 	Order    string // what it is about, in a class that keeps order; "" if none
 	Class    int
+	Service  string `json:",omitempty"` // the class by its name: its number is that of one configuration; "" if not known
 	Customer int
 	Dest     int
 	Deadline time.Time
--- a/policy/inspect.go
+++ b/policy/inspect.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/archive"
@@ -31,7 +32,7 @@
 // The state of a Sender as bytes, for recordings that begin in mid-life: one description for both directions.
 
 // snapshotForm is raised with every change of what follows: one of another form is refused.
-const snapshotForm = 2
+const snapshotForm = 3
 
 // Snapshot appends the Sender's state, between two steps, to buf. Equal states give equal bytes.
 func (s *Sender) Snapshot(buf []byte) []byte {
@@ -140,26 +141,22 @@
 func (s *Sender) codeMessage(c *archive.Coder, p **message) {
 	archive.Must(c, p, func(m *message) {
 		archive.Uint(c, &m.id)
-		// The class is one of the settings', or the strictest, of its own.
-		class := len(s.set.Classes) - 1
-		for class >= 0 && m.class != &s.set.Classes[class] {
-			class--
+		if c.Reading() {
+			m.class = new(Class)
 		}
-		if c.Ints(&class); class >= len(s.set.Classes) {
-			c.Fail()
-		} else if c.Reading() && class >= 0 {
+		class := slices.Index(s.set.Classes, *m.class) // by its value; the settings may no longer name it
+		if c.Ints(&class); class >= 0 && class < len(s.set.Classes) {
 			m.class = &s.set.Classes[class]
-		}
-		if class < 0 {
-			archive.Must(c, &m.class, func(x *Class) {
-				x.Effect, x.Ordered, x.Value = Unsafe, true, 1
-				c.Times(&x.Aim, &x.GiveUp)
-			})
+		} else {
+			archive.Int(c, &m.class.Effect)
+			c.Bools(&m.class.GroupAll, &m.class.Ordered)
+			c.Times(&m.class.Window, &m.class.Aim, &m.class.GiveUp)
+			c.Floats(&m.class.Value)
 		}
 		s.codeDest(c, &m.dest)
 		s.codeTurn(c, &m.turn)
 		c.Times(&m.due, &m.deadline, &m.rank, &m.ranAt)
-		c.Ints(&m.sends, &m.ranZone, &m.timeouts)
+		c.Ints(&m.sends, &m.most, &m.ranZone, &m.timeouts)
 		c.Bools(&m.ran, &m.ended, &m.queued)
 		archive.Ref(c, &m.avoid, func(r *route) { s.codeRoute(c, r) })
 		archive.List(c, &m.out, func(a *attempt) { c.Ints(&a.n); s.codeCall(c, &a.call) })
@@ -276,10 +273,8 @@
 	for _, d := range s.order {
 		for _, g := range d.gates {
 			for _, r := range g.routes {
-				views = append(views, View{
-					r.Listing, g.pace, g.ceiling, s.limit(g), s.part(g), g.wait, g.halvedAt, r.skipUntil, r.back, r.mean,
-					r.down, r.cold, len(r.calls), g.out, len(d.queue),
-				})
+				views = append(views, View{r.Listing, g.pace, g.ceiling, s.limit(g), s.part(g), g.wait, g.halvedAt, r.skipUntil,
+					r.back, r.mean, r.down, r.cold, len(r.calls), g.out, len(d.queue)})
 			}
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -512,7 +512,7 @@
 	if e.Class >= 0 && e.Class < len(s.set.Classes) {
 		c = &s.set.Classes[e.Class]
 	}
-	m := &message{id: e.ID, class: c, dest: s.destination(e.Destination)}
+	m := &message{id: e.ID, class: c, most: s.set.MaxAttempts, dest: s.destination(e.Destination)}
 	m.deadline = s.now + e.Left - endMargin
 	m.due = s.now + c.Aim - max(0, c.GiveUp-e.Left)
 	m.rank = s.now + time.Duration(float64(m.due-s.now)/math.Max(c.Value, 0.01))
@@ -637,7 +637,7 @@
 func (s *Sender) mayAttempt(m *message, r *route) time.Duration {
 	const never = time.Duration(math.MaxInt64)
 	// Rule 1: nothing after the end, nothing past the time or the attempts.
-	if m.ended || s.now >= m.deadline || s.set.MaxAttempts > 0 && m.sends >= s.set.MaxAttempts {
+	if m.ended || s.now >= m.deadline || m.most > 0 && m.sends >= m.most {
 		return never
 	}
 	// Rule 2: one attempt at a time; repeats only where they are dropped.
--- a/policy/spent.go
+++ b/policy/spent.go
@@ -24,7 +24,7 @@
 	switch {
 	case m.ended || len(m.out) > 0:
 		return false
-	case s.set.MaxAttempts > 0 && m.sends >= s.set.MaxAttempts:
+	case m.most > 0 && m.sends >= m.most:
 		return true
 	}
 	return m.ran && (m.class.Effect == Unsafe || m.class.Effect == Keyed && s.now >= m.windowEnd())
@@ -39,11 +39,8 @@
 	s.fail(m)
 }
 
-// refuse ends a message with advice to come again once a route may take it.
+// refuse ends a message that mayRefuse lets go, with advice to come again once a route may take it.
 func (s *Sender) refuse(m *message) {
-	if !s.mayRefuse(m) {
-		return
-	}
 	after := retryAdvice
 	for _, g := range m.dest.gates {
 		after = max(after, g.wait-s.now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -99,6 +99,7 @@
 	deadline time.Duration
 	rank     time.Duration // place in the queue
 	sends    int
+	most     int // of them; 0: no limit
 	out      []attempt
 	ranAt    time.Duration // send of the first attempt that may have run
 	ran      bool          // one may have run
