Upgrades without a gap: a second process takes over the module's whole state

Change (docs/design/upgrade.md). Clients' socket is taken from the descriptor that the platform holds. The running process listens on a Unix socket in its folder; one that starts and finds it opens no log, says that it is ready, and waits. Ways not taken: a planned restart behind the held socket (clients wait 400 ms, calls take 3 s); two senders with a log each (told waits, doubts and slots of the one are unknown to the other). A module of another form goes on from the log.

Found by the tests: a connection accepted just as the socket closed could be dropped unread.

--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -201,6 +201,7 @@
 	cmd    *exec.Cmd
 	client *http.Client
 	config map[string]any
+	socket *os.File // that clients connect to, if the platform holds it
 }
 
 // newRelay writes the configuration; change may alter the settings.
@@ -256,11 +257,20 @@
 	must(r.t, err)
 	defer log.Close()
 	r.cmd = exec.Command(os.Args[0])
+	if r.socket != nil {
+		r.cmd.ExtraFiles = []*os.File{r.socket}
+	}
 	r.cmd.Stderr = log
 	r.cmd.Env = append(os.Environ(), "CHERRYTRESTLE_TEST_RELAY=1", "ROUTER_LISTEN="+r.addr,
 		"ROUTER_DISCOVERY="+p.Listener.Addr().String(), "ROUTER_STATE="+filepath.Join(r.dir, "state"),
 		"ROUTER_CONFIG="+filepath.Join(r.dir, "config.json"))
+	if r.socket != nil {
+		r.cmd.Env = append(r.cmd.Env, "ROUTER_INHERITED_FD=3")
+	}
 	must(r.t, r.cmd.Start())
+	if r.socket != nil {
+		return // clients find out
+	}
 	eventually(r.t, "ready", func() bool {
 		res, err := r.client.Get("http://" + r.addr + "/_health")
 		if err == nil {
--- /dev/null
+++ b/cmd/cherrytrestle/upgrade_test.go
@@ -0,0 +1,269 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os/exec"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// held has the platform hold the socket that clients connect to, and the relay started anew on it.
+func held(t *testing.T, r *relayProcess, p *platform) {
+	r.kill()
+	l, err := net.Listen("tcp", r.addr)
+	must(t, err)
+	t.Cleanup(func() { l.Close() })
+	r.socket, err = l.(*net.TCPListener).File()
+	must(t, err)
+	t.Cleanup(func() { r.socket.Close() })
+	second := withSecond(t, r)
+	r.start(p)
+	isReady(t, second)
+}
+
+func isReady(t *testing.T, second string) {
+	t.Helper()
+	eventually(t, "ready on the second address", func() bool {
+		res, err := http.Get("http://" + second + "/v1/readyz")
+		if err != nil {
+			return false
+		}
+		res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+// upgrade starts a second process beside the first, ends that one once the second is ready, and returns how it ended.
+func (r *relayProcess) upgrade(p *platform) (ended <-chan error, old *exec.Cmd) {
+	r.t.Helper()
+	old = r.cmd
+	second := withSecond(r.t, r)
+	r.start(p)
+	isReady(r.t, second)
+	must(r.t, old.Process.Signal(syscall.SIGTERM))
+	done := make(chan error, 1)
+	go func() { done <- old.Wait() }()
+	return done, old
+}
+
+// loyal is a client that keeps its connection until it is told that it ends. It counts what clients must not meet.
+type loyal struct {
+	r    *relayProcess
+	conn net.Conn
+	in   *bufio.Reader
+	met  *atomic.Int64
+}
+
+func (c *loyal) handIn(id string, expires time.Duration) int {
+	if c.conn == nil {
+		conn, err := net.Dial("tcp", c.r.addr)
+		if err != nil {
+			c.met.Add(1)
+			return 0
+		}
+		conn.SetDeadline(time.Now().Add(patience))
+		c.conn, c.in = conn, bufio.NewReader(conn)
+	}
+	req := c.r.request(id, expires, nil)
+	err := req.Write(c.conn)
+	var res *http.Response
+	if err == nil {
+		res, err = http.ReadResponse(c.in, req)
+	}
+	if err != nil {
+		c.met.Add(1)
+		c.r.t.Logf("%s: %v", id, err)
+		c.conn.Close()
+		c.conn = nil
+		return 0
+	}
+	io.Copy(io.Discard, res.Body)
+	if res.Close {
+		c.conn.Close()
+		c.conn = nil
+	}
+	return res.StatusCode
+}
+
+// Upgrades under load, one after the other, while hosts answer late, err and refuse: no client meets a connection that is
+// refused, reset or unread, each message is delivered, and none is by more calls than its class allows.
+func TestUpgradesUnderLoad(t *testing.T) {
+	var mu sync.Mutex
+	ran := map[string]int{}
+	answer := func(w http.ResponseWriter, _ *http.Request, ids []string) {
+		mu.Lock()
+		for _, id := range ids {
+			ran[id]++
+		}
+		mu.Unlock()
+		if rand.IntN(50) == 0 {
+			time.Sleep(600 * time.Millisecond) // some are out over an upgrade
+		}
+		time.Sleep(time.Duration(20+rand.IntN(80)) * time.Millisecond)
+	}
+	one, two := newHost(t, answer), newHost(t, answer)
+	p := newPlatform(t)
+	r := newRelay(t, p, []member{listed("s-1", one.addr(), "a", "gateway", "ready"), listed("s-2", two.addr(), "a", "gateway", "ready")},
+		func(set map[string]any) {
+			set["bounds"].(map[string]any)["open_cap"] = 500
+			set["extra"].(map[string]any)["call_slots"] = 40
+		})
+	held(t, r, p)
+	var met, taken, refused atomic.Int64
+	var accepted sync.Map
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 10 {
+		wg.Go(func() {
+			c := &loyal{r: r, met: &met}
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(20+rand.IntN(60)) * time.Millisecond):
+				}
+				id := fmt.Sprintf("c%d-%d", i, n)
+				switch c.handIn(id, 12*time.Second) {
+				case http.StatusAccepted:
+					taken.Add(1)
+					accepted.Store(id, true)
+				case http.StatusServiceUnavailable:
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	for range 3 {
+		time.Sleep(300 * time.Millisecond) // load between two upgrades
+		ended, _ := r.upgrade(p)
+		if err := <-ended; err != nil {
+			t.Errorf("the old process: %v", err)
+		}
+	}
+	close(stop)
+	wg.Wait()
+	if n := met.Load(); n > 0 {
+		t.Errorf("%d messages met a refused, reset or unread connection", n)
+	}
+	if taken.Load() < 200 {
+		t.Errorf("only %d taken, %d refused", taken.Load(), refused.Load())
+	}
+	accepted.Range(func(id, _ any) bool {
+		eventually(t, fmt.Sprint(id, " delivered"), func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return ran[id.(string)] > 0
+		})
+		return true
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	twice := 0
+	for _, n := range ran {
+		if n > 1 {
+			twice++
+		}
+	}
+	// The hosts here answer all: no repeat is due. A call taken back while its connection came up never ran.
+	if twice > 0 {
+		t.Errorf("%d messages ran twice, of %d", twice, len(ran))
+	}
+}
+
+// What the first process was told binds the second: a wait, and a call that is out.
+func TestAnUpgradeForgetsNothing(t *testing.T) {
+	hold := make(chan struct{})
+	var refuse atomic.Bool
+	h := newHost(t, func(w http.ResponseWriter, _ *http.Request, ids []string) {
+		if ids[0] == "slow" {
+			<-hold
+		}
+		if refuse.Load() {
+			w.Header().Set("Retry-After", "2.5")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	})
+	p := newPlatform(t)
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "platform", "ready")}, nil)
+	held(t, r, p)
+	r.take("slow", 10*time.Second)
+	eventually(t, "a call out", func() bool { return h.count("slow") == 1 })
+	refuse.Store(true)
+	r.take("m1", 10*time.Second)
+	eventually(t, "a wait told", func() bool { return h.count("m1") == 1 })
+	told := time.Now()
+	time.Sleep(50 * time.Millisecond) // the answer must be read: nothing else shows it
+	refuse.Store(false)
+	ended, _ := r.upgrade(p)
+	r.take("m2", 10*time.Second)
+	if time.Since(told) < 2*time.Second && h.count("m2")+h.count("m1") != 1 {
+		t.Error("sent into a told wait")
+	}
+	close(hold) // the first process hears that, the second learns it
+	eventually(t, "both are delivered", func() bool { return h.count("m2") == 1 && h.count("m1") == 2 })
+	if d := time.Since(told); d < 2300*time.Millisecond {
+		t.Errorf("the wait of 2.5 s was over after %v", d)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the old process: %v", err)
+	}
+	if h.count("slow") != 1 || p.final("slow") != nil {
+		t.Error("the call that was out has not ended its message")
+	}
+	r.client.CloseIdleConnections()
+	if err := r.terminate(); err != nil {
+		t.Errorf("ended: %v", err)
+	}
+}
+
+// The first process dies in the middle of it, or the second before it has taken over: what was out may have run, nothing is
+// lost, and the one that remains serves on.
+func TestUpgradesThatDie(t *testing.T) {
+	for _, who := range []string{"first, with a call out", "second, before"} {
+		t.Run(who, func(t *testing.T) {
+			hold := make(chan struct{})
+			var once sync.Once
+			h := newHost(t, func(_ http.ResponseWriter, req *http.Request, ids []string) {
+				if ids[0] == "slow" {
+					first := false
+					once.Do(func() { first = true })
+					if first {
+						<-hold
+					}
+				}
+			})
+			defer close(hold)
+			p := newPlatform(t)
+			r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "platform", "ready")}, nil)
+			held(t, r, p)
+			r.take("slow", 10*time.Second)
+			eventually(t, "a call out", func() bool { return h.count("slow") == 1 })
+			if who == "second, before" {
+				old := r.cmd
+				second := withSecond(t, r)
+				r.start(p)
+				isReady(t, second)
+				r.kill()
+				r.cmd = old
+				r.take("m1", 10*time.Second)
+				eventually(t, "served on", func() bool { return h.count("m1") == 1 })
+				return
+			}
+			_, old := r.upgrade(p)
+			r.client.CloseIdleConnections()
+			r.take("m1", 10*time.Second) // the second process serves
+			must(t, old.Process.Kill())
+			eventually(t, "repeated, within its zone and window", func() bool { return h.count("slow") == 2 })
+			r.take("m2", 10*time.Second)
+			eventually(t, "served on", func() bool { return h.count("m2") == 1 })
+		})
+	}
+}
--- a/internal/flight/recorder.go
+++ b/internal/flight/recorder.go
@@ -71,17 +71,29 @@
 // DefaultRing, LeastRing at least). state appends the module's state as policy.Sender.Snapshot does; it is called from
 // Step, after the module has taken it.
 func NewRecorder(meta Meta, ring int, state func([]byte) []byte) *Recorder {
+	r := newRecorder(meta, ring, state)
+	r.begin(true)
+	return r
+}
+
+// ResumeRecorder is NewRecorder for a module that was restored in mid-life, at now: the recording begins with its state.
+func ResumeRecorder(meta Meta, ring int, state func([]byte) []byte, now time.Duration) *Recorder {
+	r := newRecorder(meta, ring, state)
+	r.now = now
+	r.begin(false)
+	return r
+}
+
+func newRecorder(meta Meta, ring int, state func([]byte) []byte) *Recorder {
 	if ring == 0 {
 		ring = DefaultRing
 	}
 	ring = max(ring, LeastRing)
 	meta.Format = Format
-	r := &Recorder{
+	return &Recorder{
 		meta: meta, state: state, ring: ring, least: ring / chunkShare, id: rand.Uint64(),
 		enc: encoder{names: map[string]uint32{}}, more: make(chan struct{}, 1),
 	}
-	r.begin(true)
-	return r
 }
 
 // begin opens a chunk.
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,206 @@
+// Package handover carries a relay from one process to another, over a Unix socket: the state of the one that ends, and
+// from then on the outcomes of its calls and what its clients still hand in. See docs/design/upgrade.md. Frames are JSON
+// behind their lengths; both ends are processes of one user on one machine.
+package handover
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/terms"
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+const (
+	// frameMost bounds a frame, in bytes: a state of 100,000 messages is some 40 MB.
+	frameMost = 128 << 20
+	// sendFor bounds how long a frame may take to leave. Guards against a process that no longer reads.
+	sendFor  = time.Second
+	dialFor  = time.Second
+	pathMost = 100 // bytes of a socket's path
+)
+
+// Frame is one of the things that pass. Exactly one field is set.
+type Frame struct {
+	Hello    *Hello   `json:",omitempty"` // from the second process, first
+	State    *State   `json:",omitempty"` // to it, once
+	Outcome  *Outcome `json:",omitempty"` // to it
+	HandIn   *HandIn  `json:",omitempty"` // to it
+	Answer   *Answer  `json:",omitempty"` // from it
+	Withdraw uint32   `json:",omitempty"` // to it: the message whose client left without its answer
+}
+
+// Hello says who takes over.
+type Hello struct{ Revision string }
+
+// State is all that a relay is, but for its log.
+type State struct {
+	Now      time.Duration // the module's
+	At       time.Time     // wall time then
+	WakeAt   time.Time     // zero: none asked for
+	Snapshot []byte        // policy.Sender.Snapshot
+	Terms    terms.Terms   // that hold
+	Version  int64         // of the list
+	Routes   []Route
+	Cells    []int // destinations that the list has named
+	LastID   uint32
+	Messages []Message
+	Attempts []Attempt // out
+	Later    []policy.Event
+}
+
+// Route is a listed host.
+type Route struct {
+	policy.Listing
+	Addr string
+}
+
+// Message is what a relay knows of a message beside the log.
+type Message struct {
+	ID     uint32
+	Trace  string
+	Sends  int
+	Ended  bool
+	Shared bool
+	Next   uint32 // what it goes on as; 0: nothing
+}
+
+// Attempt is one that has no outcome yet.
+type Attempt struct {
+	ID    uint32
+	N     int
+	Route string
+	Zone  int
+	Sent  time.Time
+	Over  bool // its outcome is told, its call goes on for others
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	ID      uint32
+	N       int
+	Outcome policy.Outcome
+	Gone    bool
+	Wait    time.Duration
+	Report  policy.Report
+	Took    time.Duration
+	Last    bool // its call is over, too: nothing more is told of it
+}
+
+// HandIn is a message that a client of the first process hands in.
+type HandIn struct {
+	Seq     uint64
+	Message *wal.Message
+	Body    []byte
+}
+
+// Answer is what its client is told.
+type Answer struct {
+	Seq    uint64
+	ID     uint32 // the message's; 0: not taken
+	Status int
+	Again  time.Duration
+	Text   string
+}
+
+// Conn is one end. Send may be called from many goroutines at once, Receive from one.
+type Conn struct {
+	conn net.Conn
+	mu   sync.Mutex
+	err  error // of a Send that failed: the other end cannot read what follows
+}
+
+// NewConn wraps a connection to the other process.
+func NewConn(c net.Conn) *Conn { return &Conn{conn: c} }
+
+// Dial connects to the process that listens at path. The error is ErrNobody if there is none.
+func Dial(path string) (*Conn, error) {
+	c, err := net.DialTimeout("unix", path, dialFor)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNobody, err)
+	}
+	return NewConn(c), nil
+}
+
+// ErrNobody tells that no process listens there.
+var ErrNobody = errors.New("handover: no process to take over from")
+
+// Listen listens at path, in the place of a process that listened there before. The path stays when the listener closes: by
+// then it may be another's.
+func Listen(path string) (net.Listener, error) {
+	if len(path) > pathMost {
+		return nil, fmt.Errorf("handover: %q is longer than a socket's path may be", path)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	l.(*net.UnixListener).SetUnlinkOnClose(false)
+	if err := os.Chmod(path, 0o600); err != nil {
+		return nil, errors.Join(fmt.Errorf("handover: %w", err), l.Close())
+	}
+	return l, nil
+}
+
+// Send writes a frame. After an error nothing more can be sent.
+func (c *Conn) Send(f Frame) error {
+	data, err := json.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if len(data) > frameMost {
+		return fmt.Errorf("handover: a frame of %d bytes", len(data))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return c.err
+	}
+	c.conn.SetWriteDeadline(time.Now().Add(sendFor))
+	buf := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(data)), uint32(len(data)))
+	if _, err := c.conn.Write(append(buf, data...)); err != nil {
+		c.err = fmt.Errorf("handover: %w", err)
+	}
+	return c.err
+}
+
+// Receive waits for a frame. The error is io.EOF when the other end closed between two frames.
+func (c *Conn) Receive() (f Frame, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(c.conn, head[:]); err != nil {
+		if err == io.EOF {
+			return f, err
+		}
+		return f, fmt.Errorf("handover: %w", err)
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > frameMost {
+		return f, fmt.Errorf("handover: a frame of %d bytes", size)
+	}
+	// The buffer grows with what comes: a length alone takes no memory.
+	data, err := io.ReadAll(io.LimitReader(c.conn, int64(size)))
+	if err == nil && len(data) < int(size) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err == nil {
+		err = json.Unmarshal(data, &f)
+	}
+	if err != nil {
+		return Frame{}, fmt.Errorf("handover: %w", err)
+	}
+	return f, nil
+}
+
+// Close ends the connection.
+func (c *Conn) Close() error { return c.conn.Close() }
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -186,6 +186,30 @@
 	return !c.gone
 }
 
+// finish has connections closed with their next answers, and leaves the idle ones open: a request may be on its way.
+func (s *clients) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+}
+
+// empty is closed once no connection is left, or after d.
+func (s *clients) empty(d time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	end := time.Now().Add(d)
+	wake := time.AfterFunc(d, func() { s.mu.Lock(); s.room.Broadcast(); s.mu.Unlock() })
+	go func() {
+		defer close(done)
+		defer wake.Stop()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for len(s.conns) > 0 && time.Now().Before(end) {
+			s.room.Wait()
+		}
+	}()
+	return done
+}
+
 // drain closes idle connections and has the others closed with their next answer.
 func (s *clients) drain() {
 	s.mu.Lock()
--- a/internal/relay/recorder.go
+++ b/internal/relay/recorder.go
@@ -20,16 +20,24 @@
 	log    *slog.Logger
 }
 
-func newRecording(cfg Config, log *slog.Logger, out io.Writer, started time.Time, sender *policy.Sender) *recording {
+// newRecording begins a recording of a module that knows nothing yet, or, with now over 0, of one in mid-life.
+func newRecording(cfg Config, log *slog.Logger, out io.Writer, started time.Time, sender *policy.Sender, now time.Duration) *recording {
 	set := cfg.Operator.Recorder
 	if !set.Enabled {
 		return &recording{log: log}
 	}
+	meta := flight.Meta{
+		Name: cfg.Name, Revision: policy.Revision(), Program: cfg.Version, Seed: cfg.Seed, Settings: cfg.Settings, Started: started.Round(0),
+	}
+	rec := flight.NewRecorder
+	if now > 0 {
+		rec = func(meta flight.Meta, ring int, state func([]byte) []byte) *flight.Recorder {
+			return flight.ResumeRecorder(meta, ring, state, now)
+		}
+	}
 	return &recording{
-		Recorder: flight.NewRecorder(flight.Meta{
-			Name: cfg.Name, Revision: policy.Revision(), Program: cfg.Version, Seed: cfg.Seed, Settings: cfg.Settings, Started: started.Round(0),
-		}, set.Ring(), sender.Snapshot),
-		set: set, folder: flight.Folder{Path: set.Folder, Limit: int64(set.FolderMB * (1 << 20)), Name: cfg.Name}, out: out, log: log,
+		Recorder: rec(meta, set.Ring(), sender.Snapshot),
+		set:      set, folder: flight.Folder{Path: set.Folder, Limit: int64(set.FolderMB * (1 << 20)), Name: cfg.Name}, out: out, log: log,
 	}
 }
 
@@ -69,7 +77,7 @@
 }
 
 // KeepRecording keeps what the flight recorder's ring holds. It may be called at any time, from any goroutine.
-func (r *Relay) KeepRecording(reason string) { r.rec.keep(reason) }
+func (r *Relay) KeepRecording(reason string) { r.kept.Load().keep(reason) }
 
 // keepOnPanic keeps the recording of a loop that panics, and lets it. It must be deferred.
 func (r *Relay) keepOnPanic() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/figures"
+	"onyxroad.dev/onyxroad/internal/handover"
 	"onyxroad.dev/onyxroad/internal/terms"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
@@ -73,18 +74,22 @@
 	fresh  bool     // taken on in this step, which may yet refuse it
 	shared bool     // others were told that it is taken on, too: it cannot be withdrawn
 	next   *message // withdrawn and handed in once more: what it goes on as
+	parked bool     // the module does not know of it: its outcome at another process comes first
 }
 
 // Relay is one relay.
 type Relay struct {
 	cfg     Config
 	log     *slog.Logger
+	logOut  io.Writer // where recordings go
 	hosts   *hosts
 	clients *clients
 	finals  *finals
 	agent   *agent
 	rec     *recording
 	events  chan any
+	kept    atomic.Pointer[recording]   // rec, for other goroutines
+	waiting atomic.Bool                 // for the process before this one to hand over
 	over    chan struct{}               // closed when the loop has ended
 	idle    chan struct{}               // closed when the relay is stopping and nothing is left to wait for
 	door    atomic.Pointer[terms.Terms] // what clients are held to
@@ -97,11 +102,15 @@
 	settled terms.Terms // taken last
 	turn    int         // of terms: later ones make earlier ones void
 
+	upgrade
+
 	// Owned by the loop.
 	terms   terms.Terms
 	turnNow int
 	callCtx context.Context
-	second  context.Context // ends when the second address falls silent
+	calling map[*call]struct{} // out
+	version int64              // of the list
+	second  context.Context    // ends when the second address falls silent
 	started time.Time
 	sender  *policy.Sender
 	wal     *wal.Log
@@ -134,24 +143,30 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	w, recovered, err := wal.Open(cfg.StateDir, int64(cfg.Limits.DiskMB*1e6))
-	if err != nil {
-		return nil, fmt.Errorf("relay: %w", err)
-	}
 	started := time.Now().Add(-clockStart)
 	r := &Relay{
-		cfg: cfg, log: log, rec: newRecording(cfg, log, out, started, sender), agent: newAgent(cfg.Discovery),
+		cfg: cfg, log: log, logOut: out, rec: newRecording(cfg, log, out, started, sender, 0), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
-		started: started, sender: sender, wal: w,
+		started: started, sender: sender, calling: map[*call]struct{}{},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
-		cells: map[int]bool{}, settled: cfg.Terms,
+		cells: map[int]bool{}, settled: cfg.Terms, version: cfg.Known.Version,
 	}
 	r.hold(cfg.Terms)
 	// Clients hold a third of the descriptors with their requests; more is for those that are slow to leave.
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
 	r.hosts = newHosts(cfg, func(n int) { r.figures.Upstream.Add(int64(n)) })
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
-	r.found = recovered
+	r.kept.Store(r.rec)
+	if cfg.Inherited != "" {
+		r.before, err = handover.Dial(r.handoverPath())
+		if err == nil {
+			return r, nil // the log is the other process's, until it hands over
+		}
+		log.Info("starting with the log", "why", err)
+	}
+	if err := r.openLog(); err != nil {
+		return nil, err
+	}
 	return r, nil
 }
 
@@ -159,41 +174,61 @@
 func (r *Relay) Run(ctx context.Context) error {
 	listener, err := listen(r.cfg.Listen, r.cfg.Inherited)
 	if err != nil {
-		return errors.Join(fmt.Errorf("relay: %w", err), r.wal.Close())
+		return errors.Join(fmt.Errorf("relay: %w", err), r.closeLog())
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	if r.second = work; r.cfg.Second != "" {
 		if err := r.manage(); err != nil {
-			return errors.Join(err, listener.Close(), r.wal.Close())
+			return errors.Join(err, listener.Close(), r.closeLog())
 		}
 	}
 	callCtx, stopCalls := context.WithCancel(context.Background())
 	defer stopCalls()
 	r.callCtx = callCtx
-	r.resume() // before clients are told that the relay is ready
+	if r.before == nil {
+		r.resume() // before clients are told that the relay is ready
+	} else if err := r.takeOver(ctx); errors.Is(err, errEnded) {
+		return listener.Close()
+	} else if err != nil {
+		return errors.Join(err, listener.Close(), r.closeLog())
+	}
+	r.offer(work)
+	lead, stopLeading := context.WithCancel(work)
+	r.stopLeading = stopLeading
+	defer stopLeading()
 	recorded := make(chan struct{})
 	recCtx, stopRecording := context.WithCancel(context.Background())
 	go func() { defer close(recorded); r.rec.run(recCtx) }()
 	defer func() { stopRecording(); <-recorded }()
 	go r.loop(work)
-	go r.finals.run(work)
+	go r.finals.run(lead)
 	list := watcher{
-		log: r.log, agent: r.agent, silence: watchSilence, version: r.cfg.Known.Version,
+		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
 		told: func(l List) { r.post(l) },
 	}
-	go list.run(work)
+	go list.run(lead)
 
-	go r.clients.run(listener)
+	accepting := make(chan struct{})
+	go func() { defer close(accepting); r.clients.run(listener) }()
 	r.log.Info("serving", "name", r.cfg.Name, "listen", listener.Addr().String())
 	<-ctx.Done()
-	r.shutDown(listener)
+	if r.handOver() {
+		listener.Close() // connections wait for the other process from here on
+		<-accepting      // one that was taken just before is served like the others
+		r.leave()
+	} else {
+		r.shutDown(listener)
+	}
 	stopCalls()
 	r.calls.Wait() // their outcomes reach the log
 	stop()
 	<-r.over
 	r.hosts.close()
-	return r.wal.Close()
+	if r.successor != nil {
+		r.successor.Close()
+	}
+	return r.closeLog()
 }
 
 // shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
@@ -347,6 +382,10 @@
 
 // step takes a batch of events to the module and carries out what it decides.
 func (r *Relay) step(batch []any) {
+	if r.handed {
+		r.passOn(batch)
+		return
+	}
 	now := r.now()
 	if !r.wakeAt.IsZero() && !time.Now().Before(r.wakeAt) {
 		r.wakeAt = time.Time{}
@@ -356,6 +395,7 @@
 	var asked []clearance
 	var fetches []gauges
 	var ins []*handIn
+	var handing *handOff
 	for _, e := range batch {
 		switch e := e.(type) {
 		case *handIn:
@@ -383,6 +423,16 @@
 			r.noSends = true
 		case newTerms:
 			r.reconfigure(e)
+		case remoteOutcome:
+			evs = r.remoteEnded(evs, e)
+		case beforeGone:
+			evs = r.remoteGone(evs)
+		case successorCame:
+			r.follow(e.conn)
+		case successorGone:
+			r.unfollow(e.conn)
+		case handOff:
+			handing = &e
 		case gauges:
 			fetches = append(fetches, e)
 		}
@@ -413,6 +463,9 @@
 		r.gauge()
 		close(g.done)
 	}
+	if handing != nil {
+		handing.done <- r.handOff()
+	}
 	if r.stopping && !r.idled && (r.owesNothing() || r.noSends && r.out == 0) {
 		r.idled = true
 		close(r.idle)
@@ -582,6 +635,7 @@
 // callEnded takes the end of a call.
 func (r *Relay) callEnded(evs []policy.Event, e *callEnd) []policy.Event {
 	r.out--
+	delete(r.calling, e.c)
 	for i, a := range e.c.attempts {
 		evs = r.attemptEnded(evs, a, e.results[i])
 	}
@@ -617,6 +671,9 @@
 		evs = r.delivered(evs, m.next)
 	}
 	r.retire(m)
+	if m.parked {
+		return r.unpark(evs, a, res)
+	}
 	return append(evs, policy.Event{
 		Kind: policy.Finished, ID: m.ID, Attempt: a.n, Route: a.route, Outcome: res.outcome, Took: res.took,
 		Ended: ok || res.gone, Wait: res.wait, Report: res.report,
@@ -644,6 +701,7 @@
 // list takes a list of hosts, or changes to it. An entry that cannot be read is passed over; if it names a host
 // that is known, that host stays as it was.
 func (r *Relay) list(l List) policy.Event {
+	r.version = l.Version
 	e := policy.Event{Kind: policy.ListChanges}
 	if l.Full {
 		e.Kind = policy.ListWhole
@@ -803,6 +861,7 @@
 // launch makes a call, away from the loop.
 func (r *Relay) launch(c *call) {
 	r.out++
+	r.calling[c] = struct{}{}
 	for _, a := range c.attempts {
 		if a.until.Before(c.until) {
 			a.timer = time.AfterFunc(time.Until(a.until), func() { r.post(cutOff{a}) })
--- a/internal/relay/retune.go
+++ b/internal/relay/retune.go
@@ -50,11 +50,16 @@
 	r.turn++
 	turn, old, fresh := r.turn, *r.door.Load(), cfg.Terms
 	r.settled = fresh
+	r.change(old, fresh, turn)
+	return nil
+}
+
+// change has fresh terms take the place of old ones, by way of what binds while clients may go by either.
+func (r *Relay) change(old, fresh terms.Terms, turn int) {
 	r.post(newTerms{terms.Overlap(old, fresh), turn})
 	leaving := terms.WithDropped(old, fresh)
 	time.AfterFunc(overlapFor, func() { r.post(newTerms{leaving, turn}) })
 	time.AfterFunc(overlapFor+droppedFor, func() { r.post(newTerms{fresh, turn}) })
-	return nil
 }
 
 // reconfigure has other terms hold, unless later ones came meanwhile.
@@ -121,7 +126,7 @@
 		return fmt.Errorf("relay: second address: %w", err)
 	}
 	s := manage.Server{
-		Ready:   func() bool { return r.listed.Load() && !r.ending.Load() },
+		Ready:   func() bool { return (r.listed.Load() || r.waiting.Load()) && !r.ending.Load() },
 		Figures: r.writeFigures,
 		Log:     r.log,
 	}
--- /dev/null
+++ b/internal/relay/upgrade.go
@@ -0,0 +1,540 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/handover"
+	"onyxroad.dev/onyxroad/internal/terms"
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// leaveFor is how long a process that has handed over serves the connections that its clients have: each answer ends one.
+const leaveFor = 2 * time.Second
+
+// upgrade is what a relay knows of the process before it and of the one behind it.
+type upgrade struct {
+	before *handover.Conn // to take over from; nil: none
+	offers context.CancelFunc
+	// stopLeading ends what only the process that holds the log does: it follows the list and sends notices.
+	stopLeading context.CancelFunc
+
+	// Owned by the loop.
+	remote    map[attemptKey]*attempt // out at the process before
+	successor *handover.Conn          // that is ready to take over; nil: none
+	handed    bool                    // it has: this process decides nothing more
+
+	forward forwards
+}
+
+// errEnded tells that a process was to end before it took over.
+var errEnded = errors.New("relay: ended before it took over")
+
+type attemptKey struct {
+	id uint32
+	n  int
+}
+
+// The events of the loop in an upgrade.
+type (
+	remoteOutcome handover.Outcome
+	beforeGone    struct{}
+	successorCame struct{ conn *handover.Conn }
+	successorGone struct{ conn *handover.Conn }
+	handOff       struct{ done chan bool }
+)
+
+func (r *Relay) handoverPath() string { return filepath.Join(r.cfg.StateDir, "handover.sock") }
+
+func (r *Relay) openLog() error {
+	w, recovered, err := wal.Open(r.cfg.StateDir, int64(r.cfg.Limits.DiskMB*1e6))
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	r.wal, r.found = w, recovered
+	return nil
+}
+
+// closeLog closes the log, unless it is another process's.
+func (r *Relay) closeLog() error {
+	if r.wal == nil || r.handed {
+		return nil
+	}
+	return r.wal.Close()
+}
+
+// The process that takes over.
+
+// takeOver waits until the process before this one hands over, or ends without.
+func (r *Relay) takeOver(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { r.before.Close() })()
+	err := r.before.Send(handover.Frame{Hello: &handover.Hello{Revision: policy.Revision()}})
+	var f handover.Frame
+	if err == nil {
+		r.waiting.Store(true)
+		f, err = r.before.Receive()
+		r.waiting.Store(false)
+	}
+	if ctx.Err() != nil {
+		return errEnded
+	}
+	r.log.Info("taking over", "state", f.State != nil, "err", err)
+	if openErr := r.openLog(); openErr != nil {
+		return openErr
+	}
+	if err != nil || f.State == nil {
+		r.before.Close()
+		r.resume()
+		return nil
+	}
+	r.takeUp(f.State)
+	go r.hear()
+	return nil
+}
+
+// takeUp goes on where the process before this one has stopped.
+func (r *Relay) takeUp(s *handover.State) {
+	now := s.Now + max(0, time.Since(s.At))
+	r.started = time.Now().Add(-now)
+	sender, err := policy.Restore(s.Terms.Settings, s.Snapshot)
+	known := err == nil
+	if known {
+		r.sender, r.wakeAt = sender, s.WakeAt
+		r.hold(s.Terms)
+		if !terms.Equal(s.Terms, r.cfg.Terms) {
+			r.change(s.Terms, r.cfg.Terms, 0)
+		}
+	} else {
+		r.log.Warn("the module's state is of another form: going on from the log", "err", err)
+	}
+	cfg := r.cfg
+	cfg.Settings = r.terms.Settings
+	r.rec = newRecording(cfg, r.log, r.logOut, r.started, r.sender, now)
+	r.kept.Store(r.rec)
+	whole := policy.Event{Kind: policy.ListWhole}
+	for _, x := range s.Routes {
+		r.routes[x.Route] = target{x.Listing, x.Addr}
+		whole.List = append(whole.List, x.Listing)
+	}
+	r.version = s.Version
+	for _, cell := range s.Cells {
+		r.cells[cell] = true
+	}
+	r.listed.Store(len(r.routes) > 0)
+	evs := s.Later
+	if !known {
+		evs = []policy.Event{whole}
+	}
+	r.takeMessages(s)
+	r.takeAttempts(s)
+	if !known {
+		for _, m := range r.inOrder() {
+			if m.ended {
+				continue
+			}
+			if m.parked = m.out > 0; !m.parked {
+				evs = append(evs, r.resumed(m))
+			}
+		}
+	}
+	r.log.Info("taken over", "messages", len(r.msgs), "held", r.held, "out", len(r.remote), "state", known)
+	r.carryOut(r.decide(r.now(), evs), nil)
+}
+
+// takeMessages takes up the messages of the log, with what the state says of them.
+func (r *Relay) takeMessages(s *handover.State) {
+	found := r.found
+	r.found = wal.Recovery{}
+	r.lastID = s.LastID
+	told := make(map[uint32]*handover.Message, len(s.Messages))
+	for i := range s.Messages {
+		told[s.Messages[i].ID] = &s.Messages[i]
+	}
+	for _, w := range found.Messages {
+		r.lastID = max(r.lastID, w.ID)
+		x := told[w.ID]
+		if x == nil { // its end could not be written
+			r.wal.End(w)
+			continue
+		}
+		if w.Service != "" {
+			w.Class = slices.Index(r.terms.Classes, w.Service)
+		}
+		m := &message{Message: w, sends: x.Sends, ended: x.Ended, shared: x.Shared}
+		r.msgs[m.ID], r.traces[m.Trace] = m, m // in the order in which they were taken: the last of a trace stays
+		r.rec.Label(m.ID, m.Trace)
+		switch {
+		case w.Withdrawn:
+			r.left = append(r.left, m)
+		case w.Final != nil:
+			r.notify(m)
+		}
+		if !m.ended {
+			r.held++
+		}
+	}
+	for id, x := range told {
+		if r.msgs[id] == nil { // nothing is owed, but an attempt is out
+			r.msgs[id] = &message{Message: &wal.Message{ID: id, Trace: x.Trace, Withdrawn: true}, sends: x.Sends, ended: true}
+		}
+	}
+	for id, x := range told {
+		if x.Next != 0 {
+			r.msgs[id].next = r.msgs[x.Next]
+		}
+	}
+}
+
+// takeAttempts takes up what is out at the process before this one.
+func (r *Relay) takeAttempts(s *handover.State) {
+	r.remote = make(map[attemptKey]*attempt, len(s.Attempts))
+	for _, x := range s.Attempts {
+		m := r.msgs[x.ID]
+		if m == nil {
+			continue // all is over for it
+		}
+		r.remote[attemptKey{x.ID, x.N}] = &attempt{
+			call: &call{route: x.Route, zone: x.Zone, sent: x.Sent}, m: m, n: x.N, over: x.Over,
+		}
+		if !x.Over {
+			m.out++
+		}
+	}
+	for _, m := range r.inOrder() {
+		r.retire(m)
+	}
+}
+
+// inOrder are the messages in the order in which they were taken.
+func (r *Relay) inOrder() []*message {
+	ms := slices.Collect(maps.Values(r.msgs))
+	slices.SortFunc(ms, func(a, b *message) int { return int(int64(a.ID) - int64(b.ID)) })
+	return ms
+}
+
+// hear takes what the process before this one still has to tell.
+func (r *Relay) hear() {
+	defer r.post(beforeGone{})
+	defer r.before.Close()
+	for {
+		f, err := r.before.Receive()
+		if err != nil {
+			r.log.Info("the process before has ended", "err", err)
+			return
+		}
+		switch {
+		case f.Outcome != nil:
+			r.post(remoteOutcome(*f.Outcome))
+		case f.Withdraw != 0:
+			r.post(withdrawal{f.Withdraw})
+		case f.HandIn != nil && f.HandIn.Message != nil:
+			m := f.HandIn.Message
+			m.Body = f.HandIn.Body
+			in := &handIn{m: m, reply: make(chan answer, 1)}
+			if !r.post(in) {
+				return
+			}
+			go func() {
+				select {
+				case a := <-in.reply:
+					r.before.Send(handover.Frame{Answer: &handover.Answer{Seq: f.HandIn.Seq, ID: m.ID, Status: a.status, Again: a.again, Text: a.text}})
+				case <-r.over:
+				}
+			}()
+		}
+	}
+}
+
+// remoteEnded takes the outcome of an attempt of the process before this one.
+func (r *Relay) remoteEnded(evs []policy.Event, o remoteOutcome) []policy.Event {
+	key := attemptKey{o.ID, o.N}
+	a := r.remote[key]
+	if a == nil {
+		return evs
+	}
+	evs = r.attemptEnded(evs, a, result{outcome: o.Outcome, gone: o.Gone, wait: o.Wait, report: o.Report, took: o.Took})
+	if o.Last {
+		delete(r.remote, key)
+	}
+	return evs
+}
+
+// remoteGone ends the attempts of which the process before this one told nothing: they may have run.
+func (r *Relay) remoteGone(evs []policy.Event) []policy.Event {
+	for _, key := range slices.SortedFunc(maps.Keys(r.remote), func(a, b attemptKey) int {
+		return int(int64(a.id)-int64(b.id))*1000 + a.n - b.n
+	}) {
+		a := r.remote[key]
+		evs = r.attemptEnded(evs, a, result{outcome: policy.Cancelled, took: time.Since(a.sent)})
+	}
+	clear(r.remote)
+	return evs
+}
+
+// unpark tells the module of a message whose attempt ended that it knew nothing of, and of the outcome.
+func (r *Relay) unpark(evs []policy.Event, a *attempt, res result) []policy.Event {
+	evs = append(evs, policy.Event{
+		Kind: policy.Probed, Route: a.route, Outcome: res.outcome, Took: res.took, Wait: res.wait, Report: res.report,
+	})
+	if m := a.m; !m.ended && m.out == 0 {
+		m.parked = false
+		evs = append(evs, r.resumed(m))
+	}
+	return evs
+}
+
+// The process that hands over.
+
+// offer lets another process take over from this one, where the platform holds the clients' socket.
+func (r *Relay) offer(ctx context.Context) {
+	if r.cfg.Inherited == "" {
+		return
+	}
+	l, err := handover.Listen(r.handoverPath())
+	if err != nil {
+		r.log.Warn("no process can take over from this one", "err", err)
+		return
+	}
+	context.AfterFunc(ctx, func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return // closed, or out of descriptors: then an upgrade is a restart
+			}
+			go r.serveSuccessor(handover.NewConn(c))
+		}
+	}()
+}
+
+// serveSuccessor hears a process that wants to take over, to its end.
+func (r *Relay) serveSuccessor(c *handover.Conn) {
+	defer c.Close()
+	f, err := c.Receive()
+	if err != nil || f.Hello == nil {
+		return
+	}
+	r.log.Info("another process is ready to take over", "module", f.Hello.Revision, "own", policy.Revision())
+	if !r.post(successorCame{c}) {
+		return
+	}
+	for err == nil {
+		if f, err = c.Receive(); f.Answer != nil {
+			r.forward.answer(f.Answer)
+		}
+	}
+	r.post(successorGone{c})
+}
+
+func (r *Relay) follow(c *handover.Conn) {
+	if r.successor != nil {
+		r.successor.Close() // the later one it is
+	}
+	r.successor = c
+}
+
+func (r *Relay) unfollow(c *handover.Conn) {
+	if r.successor == c {
+		r.successor = nil
+	}
+}
+
+// handOver has the loop hand over, if there is a process to take over.
+func (r *Relay) handOver() bool {
+	e := handOff{make(chan bool, 1)}
+	return r.post(e) && <-e.done
+}
+
+// handOff hands over, between two steps. From here on this process decides nothing.
+func (r *Relay) handOff() bool {
+	if r.successor == nil {
+		return false
+	}
+	state := r.state()
+	if err := r.wal.Close(); err != nil {
+		r.log.Warn("handing over: log not written", "err", err) // the state says what has ended
+	}
+	r.handed = true
+	r.stopLeading()
+	r.hosts.close()
+	r.ending.Store(true)
+	if err := r.successor.Send(handover.Frame{State: state}); err != nil {
+		r.log.Error("handing over", "err", err)
+	}
+	r.log.Info("handed over", "messages", len(state.Messages), "out", len(state.Attempts))
+	r.held = 0
+	return true
+}
+
+// state is all that the other process must know beside the log.
+func (r *Relay) state() *handover.State {
+	s := &handover.State{
+		Now: r.now(), At: time.Now(), WakeAt: r.wakeAt, Snapshot: r.sender.Snapshot(nil), Terms: r.terms, Version: r.version,
+		Cells: slices.Sorted(maps.Keys(r.cells)), LastID: r.lastID, Later: r.later,
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.routes)) {
+		t := r.routes[id]
+		s.Routes = append(s.Routes, handover.Route{Listing: t.Listing, Addr: t.addr})
+	}
+	for _, m := range r.inOrder() {
+		x := handover.Message{ID: m.ID, Trace: m.Trace, Sends: m.sends, Ended: m.ended, Shared: m.shared}
+		if m.next != nil {
+			x.Next = m.next.ID
+		}
+		s.Messages = append(s.Messages, x)
+	}
+	out := func(a *attempt) {
+		s.Attempts = append(s.Attempts, handover.Attempt{ID: a.m.ID, N: a.n, Route: a.route, Zone: a.zone, Sent: a.sent, Over: a.over})
+	}
+	for c := range r.calling {
+		for _, a := range c.attempts {
+			out(a)
+		}
+	}
+	for _, a := range r.remote {
+		out(a)
+	}
+	return s
+}
+
+// passOn is the loop's step once another process decides.
+func (r *Relay) passOn(batch []any) {
+	for _, e := range batch {
+		switch e := e.(type) {
+		case *handIn:
+			r.forward.handIn(r.successor, e)
+		case withdrawal:
+			r.send(handover.Frame{Withdraw: e.id})
+		case *callEnd:
+			r.out--
+			for i, a := range e.c.attempts {
+				if a.timer != nil {
+					a.timer.Stop()
+				}
+				r.passOutcome(a, e.results[i], true)
+			}
+		case cutOff:
+			if !e.a.over {
+				e.a.over = true
+				r.passOutcome(e.a, result{outcome: policy.Timeout, took: time.Since(e.a.sent)}, false)
+			}
+		case remoteOutcome:
+			o := handover.Outcome(e)
+			r.send(handover.Frame{Outcome: &o})
+		case clearance:
+			e.reply <- false // nobody here can tell any more
+		case gauges:
+			r.figures.Pending.Store(0)
+			close(e.done)
+		case stopping:
+			r.stopping = true
+		case successorGone:
+			if r.successor == e.conn {
+				r.forward.end()
+			}
+			r.unfollow(e.conn)
+		}
+	}
+	if r.stopping && !r.idled && r.out == 0 && r.forward.none() {
+		r.idled = true
+		close(r.idle)
+	}
+}
+
+func (r *Relay) passOutcome(a *attempt, res result, last bool) {
+	r.send(handover.Frame{Outcome: &handover.Outcome{
+		ID: a.m.ID, N: a.n, Outcome: res.outcome, Gone: res.gone, Wait: res.wait, Report: res.report, Took: res.took, Last: last,
+	}})
+}
+
+func (r *Relay) send(f handover.Frame) {
+	if r.successor == nil {
+		return // it has died with all that it took: the log tells the next one
+	}
+	if err := r.successor.Send(f); err != nil {
+		r.log.Warn("handing over", "err", err)
+	}
+}
+
+// leave ends a process that has handed over, within endBy.
+func (r *Relay) leave() {
+	began := time.Now()
+	by := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
+	r.clients.finish()
+	select {
+	case <-r.clients.empty(leaveFor):
+	case <-by(leaveFor):
+	}
+	r.clients.close(began.Add(sendFor + answerFor/2))
+	r.post(stopping{})
+	select {
+	case <-r.idle:
+	case <-by(endBy):
+	}
+}
+
+// forwards are hand-ins whose answers another process gives.
+type forwards struct {
+	mu   sync.Mutex
+	seq  uint64
+	open map[uint64]*handIn
+}
+
+// unserved is what a client hears where the other process does not answer: it has been told nothing, and may come again.
+var unserved = answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
+
+// handIn passes a message on. There are no more of them than connections of clients.
+func (f *forwards) handIn(to *handover.Conn, in *handIn) {
+	if to == nil {
+		in.reply <- unserved
+		return
+	}
+	f.mu.Lock()
+	if f.open == nil {
+		f.open = map[uint64]*handIn{}
+	}
+	f.seq++
+	seq := f.seq
+	f.open[seq] = in
+	f.mu.Unlock()
+	if err := to.Send(handover.Frame{HandIn: &handover.HandIn{Seq: seq, Message: in.m, Body: in.m.Body}}); err != nil {
+		f.answer(&handover.Answer{Seq: seq, Status: unserved.status, Again: unserved.again})
+	}
+}
+
+// answer gives a client its answer.
+func (f *forwards) answer(a *handover.Answer) {
+	f.mu.Lock()
+	in := f.open[a.Seq]
+	delete(f.open, a.Seq)
+	f.mu.Unlock()
+	if in != nil {
+		in.m.ID = a.ID
+		in.reply <- answer{status: a.Status, again: a.Again, text: a.Text}
+	}
+}
+
+// end tells that no answer comes any more. What was passed on may have been taken on: its client must not hear that it may
+// come again, and hears that it failed.
+func (f *forwards) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, in := range f.open {
+		in.reply <- answer{status: http.StatusInternalServerError}
+	}
+	clear(f.open)
+}
+
+func (f *forwards) none() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open) == 0
+}
