--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,179 @@
+package handover
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"onyxroad.dev/onyxroad/internal/terms"
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func frames() []Frame {
+	at := time.Unix(1e9, 5).UTC()
+	return []Frame{
+		{Hello: &Hello{Revision: "0123"}},
+		{State: &State{
+			Now: time.Hour, At: at, WakeAt: at, Snapshot: []byte{0, 1, 255}, Version: 41, Cells: []int{7}, LastID: 9,
+			Terms:    terms.Terms{Classes: []string{"order"}, Settings: policy.Settings{Classes: []policy.Class{{Effect: policy.Keyed}}}, Shape: terms.Shape{"a": 1}},
+			Routes:   []Route{{Listing: policy.Listing{Route: "s-1", InService: true, Weight: 1.5}, Addr: "127.0.0.1:1"}},
+			Messages: []Message{{ID: 3, Trace: "t", Sends: 2, Next: 5}},
+			Attempts: []Attempt{{ID: 3, N: 1, Route: "s-1", Sent: at, Over: true}},
+			Later:    []policy.Event{{Kind: policy.Finished, ID: 3, Outcome: policy.ConnectFailed}},
+		}},
+		{Outcome: &Outcome{ID: 3, N: 1, Outcome: policy.Full, Wait: time.Second, Report: policy.Report{Told: true, Limit: 2}, Last: true}},
+		{HandIn: &HandIn{Seq: 1, Message: &wal.Message{Trace: "t", Service: "order", Deadline: at}, Body: []byte{0xff}}},
+		{Answer: &Answer{Seq: 1, ID: 4, Status: 202}},
+		{Withdraw: 4},
+	}
+}
+
+func pair(t *testing.T) (a, b *Conn) {
+	path := filepath.Join(t.TempDir(), "s")
+	if _, err := Dial(path); !errors.Is(err, ErrNobody) {
+		t.Fatalf("nobody there: %v", err)
+	}
+	l, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a, err = Dial(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b = NewConn(c)
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return a, b
+}
+
+func TestFramesComeAsTheyWent(t *testing.T) {
+	a, b := pair(t)
+	var wg sync.WaitGroup
+	for range 4 { // whole, also from many at once
+		wg.Go(func() {
+			for _, f := range frames() {
+				if err := a.Send(f); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	got := map[int]int{}
+	for range 4 * len(frames()) {
+		f, err := b.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, want := range frames() {
+			if reflect.DeepEqual(f, want) {
+				got[i]++
+			}
+		}
+	}
+	wg.Wait()
+	for i := range frames() {
+		if got[i] != 4 {
+			t.Errorf("frame %d came %d times as it went", i, got[i])
+		}
+	}
+	a.Close()
+	if _, err := b.Receive(); err != io.EOF {
+		t.Errorf("after the last: %v", err)
+	}
+	if err := b.Send(frames()[0]); err == nil {
+		if err = b.Send(frames()[0]); err == nil {
+			t.Error("sent to nobody")
+		}
+	}
+}
+
+// A process that took over from another must not lose its own place when that one's listener closes.
+func TestThePathIsTheLatestProcesss(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	one, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	two, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer two.Close()
+	one.Close()
+	c, err := Dial(path)
+	if err != nil {
+		t.Fatalf("the second listener is gone: %v", err)
+	}
+	c.Close()
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("%v, %v", info, err)
+	}
+	if _, err := Listen(filepath.Join(t.TempDir(), strings.Repeat("x", 120))); err == nil {
+		t.Error("a path that is too long")
+	}
+}
+
+// Cut at any byte a frame is an error, and never another frame.
+func TestACutFrameIsNone(t *testing.T) {
+	client, server := net.Pipe()
+	var whole []byte
+	go func() {
+		defer client.Close()
+		NewConn(client).Send(frames()[2])
+	}()
+	whole, err := io.ReadAll(server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range whole {
+		if f, err := receive(whole[:n]); err == nil || n > 0 && err == io.EOF || !reflect.DeepEqual(f, Frame{}) {
+			t.Fatalf("cut at %d: %+v, %v", n, f, err)
+		}
+	}
+	if _, err := receive(whole); err != nil {
+		t.Error(err)
+	}
+}
+
+// bytesConn is a connection on which bytes came.
+type bytesConn struct {
+	net.Conn
+	r io.Reader
+}
+
+func (c bytesConn) Read(b []byte) (int, error) { return c.r.Read(b) }
+
+func receive(data []byte) (Frame, error) {
+	return NewConn(bytesConn{r: strings.NewReader(string(data))}).Receive()
+}
+
+func FuzzReceive(f *testing.F) {
+	for _, text := range []string{`{"Hello":{"Revision":"x"}}`, `{"State":{"Now":1}}`, `{"HandIn":{}}`, `[]`} {
+		f.Add(append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...))
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{7, 0xff, 0xff, 0xff, 1}) // a length alone takes no memory
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if f, err := receive(data); err != nil && !reflect.DeepEqual(f, Frame{}) {
+			t.Errorf("%+v with %v", f, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/upgrade_test.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/handover"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// successorOf is a relay that has taken up what another one hands over; edit may spoil the state.
+func successorOf(t *testing.T, old *Relay, edit func(*handover.State)) *Relay {
+	t.Helper()
+	s := old.state()
+	edit(s)
+	if err := old.wal.Close(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(old.cfg, quiet(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.callCtx = old.callCtx
+	t.Cleanup(func() { r.hosts.close() })
+	r.takeUp(s)
+	return r
+}
+
+func outcomeOf(o policy.Outcome, id uint32, n int, wait time.Duration) remoteOutcome {
+	return remoteOutcome{ID: id, N: n, Outcome: o, Wait: wait, Took: 10 * time.Millisecond, Last: true}
+}
+
+// Whether the module's state can be read or not: what is out at the other process is not sent again before its outcome, and
+// that binds: a delivery ends the message, a told wait holds the next one, what was not told may have run.
+func TestTakingOverWithCallsOut(t *testing.T) {
+	forms := map[string]func(*handover.State){
+		"the same form": func(*handover.State) {},
+		"another form":  func(s *handover.State) { s.Snapshot = []byte{9} },
+		"other settings": func(s *handover.State) {
+			s.Terms.Classes = append([]string{"gone"}, s.Terms.Classes...)
+			s.Terms.Settings.Classes = append([]policy.Class{{Effect: policy.Unsafe, GiveUp: time.Second}}, s.Terms.Settings.Classes...)
+		},
+	}
+	for name, edit := range forms {
+		t.Run(name, func(t *testing.T) {
+			old := newTestRelay(t)
+			in := []*handIn{newHandIn("m1", 7, 9*time.Second), newHandIn("m2", 7, 9*time.Second), newHandIn("m3", 7, 9*time.Second)}
+			for i, x := range in {
+				x.m.Service, x.m.Order = "order", string(rune('a'+i))
+			}
+			decide(old, in...)
+			if len(old.calling) != 3 {
+				t.Fatalf("%d calls out", len(old.calling))
+			}
+			r := successorOf(t, old, edit)
+			if len(r.remote) != 3 || r.held != 3 || len(r.calling) != 0 {
+				t.Fatalf("remote %d, held %d, calls %d", len(r.remote), r.held, len(r.calling))
+			}
+			r.step([]any{nudge{}})
+			if len(r.calling) != 0 {
+				t.Fatal("sent again with the outcome still to come")
+			}
+			r.step([]any{outcomeOf(policy.OK, in[0].m.ID, 0, 0)})
+			if r.msgs[in[0].m.ID] != nil || r.held != 2 {
+				t.Errorf("delivered there, not ended here: held %d", r.held)
+			}
+			r.step([]any{outcomeOf(policy.Full, in[1].m.ID, 0, 5*time.Second)})
+			views, _ := r.sender.Views()
+			if len(r.calling) != 0 || len(views) != 1 || views[0].Wait < r.now()+4*time.Second {
+				t.Errorf("a told wait does not bind: %d calls, %+v", len(r.calling), views)
+			}
+			r.step([]any{beforeGone{}})
+			m := r.msgs[in[2].m.ID]
+			if len(r.remote) != 0 || m == nil || m.ended || m.out != 0 || len(m.MayRun) != 1 || len(r.msgs[in[1].m.ID].MayRun) != 0 {
+				t.Errorf("what was not told: %+v", m)
+			}
+			if a := decide(r, newHandIn("m3", 7, 9*time.Second))[0]; a.status != http.StatusAccepted || r.held != 2 {
+				t.Errorf("handed in again: %+v, held %d", a, r.held)
+			}
+		})
+	}
+}
+
+// A message that ended while its end could not be written does not come back with the log.
+func TestTakingOverAnEndThatIsNotInTheLog(t *testing.T) {
+	old := newTestRelay(t)
+	in := newHandIn("m1", 7, 9*time.Second)
+	decide(old, in)
+	r := successorOf(t, old, func(s *handover.State) { s.Messages, s.Attempts = nil, nil })
+	if len(r.msgs) != 0 || r.held != 0 || r.wal.Owes(in.m) {
+		t.Errorf("held %d, %v", r.held, r.msgs)
+	}
+}
+
+// A process to which nothing can be handed answers its clients all the same; one that may have taken a message on is not
+// said to have refused it.
+func TestForwardsEnd(t *testing.T) {
+	var f forwards
+	none := newHandIn("m1", 7, time.Second)
+	f.handIn(nil, none)
+	if a := <-none.reply; a.status != http.StatusServiceUnavailable || a.again == 0 {
+		t.Errorf("%+v", a)
+	}
+	open := newHandIn("m2", 7, time.Second)
+	f.open = map[uint64]*handIn{3: open}
+	f.answer(&handover.Answer{Seq: 4, Status: 202}) // of nobody
+	f.end()
+	if a := <-open.reply; a.status != http.StatusInternalServerError || !f.none() {
+		t.Errorf("%+v", a)
+	}
+}
