Calls for the list spread over a time that grows with the fleet

From 15 s on the clients of these relays were refused up to 56 %, for want of hosts.

Cause: discovery answers in turn and turns away what would wait too long; 35 callers that come again each second keep its queue as long as they wait, and all that it answers is given up on. internal/herd decides, without I/O, when to call: first calls, where a list is known, over 0.12 s for each relay of the fleet, failed ones over a window that doubles up to 10 s, drawn by chance. Up to six relays call as before. Its test plays such a service in virtual time and shows that the old pauses miss the bound. Way not taken: longer pauses without chance, under which all come again together.

--- /dev/null
+++ b/internal/herd/herd_test.go
@@ -0,0 +1,118 @@
+package herd
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// service answers calls in turn; one that would wait longer than patience is turned away, one that does is given up on,
+// answered all the same and of no use.
+type service struct {
+	each     time.Duration // for a call
+	patience time.Duration
+	free     time.Duration // when it has done with all that it took
+}
+
+const wayThere = 200 * time.Millisecond // and back
+
+type due struct {
+	at     time.Duration
+	client int
+	gaveUp bool // this is when the client learns that its call came to nothing
+}
+
+type agenda []due
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(due)) }
+func (a *agenda) Pop() any {
+	x := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return x
+}
+
+// allAnswered plays clients that all have to call at 0, and returns when the last had its answer; false if that is not
+// within a minute.
+func allAnswered(s service, n int, seed uint64, first, failed func(c *Caller, rng *rand.Rand) time.Duration) (time.Duration, bool) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	callers := make([]Caller, n)
+	var a agenda
+	for i := range callers {
+		callers[i].Clients = n
+		heap.Push(&a, due{at: first(&callers[i], rng), client: i})
+	}
+	left, last := n, time.Duration(0)
+	for left > 0 && len(a) > 0 {
+		d := heap.Pop(&a).(due)
+		if d.at > time.Minute {
+			return 0, false
+		}
+		c := &callers[d.client]
+		if d.gaveUp {
+			heap.Push(&a, due{at: d.at + failed(c, rng), client: d.client})
+			continue
+		}
+		// What would have to wait too long is turned away; what is taken may still be answered too late.
+		if s.free-d.at > s.patience {
+			heap.Push(&a, due{at: d.at + failed(c, rng), client: d.client})
+			continue
+		}
+		s.free = max(s.free, d.at) + s.each
+		if s.free-d.at > s.patience-wayThere {
+			heap.Push(&a, due{at: d.at + s.patience, client: d.client, gaveUp: true})
+			continue
+		}
+		left--
+		last = max(last, s.free)
+	}
+	return last, true
+}
+
+// All have their answers within a few times the time that the service needs for one call of each, whatever that is. The
+// pauses of few clients, used by many, jam it: the test can fail.
+func TestManyThatCallAtOnceAreAllAnswered(t *testing.T) {
+	jammed := false
+	for _, n := range []int{1, 3, 8, 16, 36, 48} {
+		for _, all := range []time.Duration{2 * time.Second, 8 * time.Second} {
+			for seed := range uint64(20) {
+				s := service{each: all / time.Duration(max(n, 12)), patience: 2 * time.Second}
+				took, ok := allAnswered(s, n, seed, (*Caller).First, (*Caller).Failed)
+				if bound := 5*all + 2*time.Second; !ok || took > bound {
+					t.Errorf("%d clients, %v for all, seed %d: %v, %v, not within %v", n, all, seed, took, ok, bound)
+				}
+				took, ok = allAnswered(s, n, seed, func(*Caller, *rand.Rand) time.Duration { return 0 },
+					func(c *Caller, _ *rand.Rand) time.Duration {
+						k := min(c.failed, 10)
+						c.failed++
+						return min(pauseMost, pauseFirst<<k)
+					})
+				jammed = jammed || !ok || took > 5*all+2*time.Second
+			}
+		}
+	}
+	if !jammed {
+		t.Error("the pauses of few clients, used by many, never jam it: this test shows nothing")
+	}
+}
+
+// Few clients neither wait at first nor long.
+func TestFewCallAtOnce(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	c := Caller{Clients: 3}
+	if d := c.First(rng); d != 0 {
+		t.Errorf("first after %v", d)
+	}
+	for i, want := range []time.Duration{50, 100, 200, 400, 800, 1000, 1000} {
+		if d := c.Failed(rng); d != want*time.Millisecond {
+			t.Errorf("pause %d: %v", i, d)
+		}
+	}
+	c.Answered()
+	if d := c.Failed(rng); d != 50*time.Millisecond {
+		t.Errorf("after an answer: %v", d)
+	}
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -10,10 +10,13 @@
 	"io"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/herd"
 )
 
 const (
@@ -80,6 +83,9 @@
 	agent   *agent
 	silence time.Duration // a watch with no line for so long is dead: one comes every 2 s
 	told    func(List)
+	herd    herd.Caller // one of all relays that follow the list
+	rng     *rand.Rand
+	known   bool // a list is known that serves meanwhile
 
 	version int64 // of the list as told
 	whole   bool  // changes alone won't do: the list is to be had whole
@@ -87,7 +93,9 @@
 
 // run follows the list until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	pause := retryFirst
+	if w.known && !sleep(ctx, w.herd.First(w.rng)) {
+		return
+	}
 	for ctx.Err() == nil {
 		was := w.version
 		err := w.follow(ctx)
@@ -97,17 +105,26 @@
 		w.log.Warn("watch ended", "version", w.version, "err", err)
 		if errors.Is(err, errMoved) {
 			// Another agent need not number its versions alike. The old list serves until this one speaks.
-			w.whole, pause = true, retryFirst
+			w.whole = true
+			w.herd.Answered()
 			continue
 		}
 		if w.version != was {
-			pause = retryFirst
+			w.herd.Answered()
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		if !sleep(ctx, w.herd.Failed(w.rng)) {
+			return
 		}
-		pause = min(retryMost, 2*pause)
+	}
+}
+
+// sleep waits for d; false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
 }
 
@@ -136,6 +153,7 @@
 		return err
 	}
 	defer res.Body.Close()
+	w.herd.Answered()
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, watchLineMost)
 	fetched := int64(math.MinInt64) // changes up to this version are in the whole list that was fetched meanwhile
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -20,6 +21,7 @@
 
 	"onyxroad.dev/onyxroad/internal/figures"
 	"onyxroad.dev/onyxroad/internal/handover"
+	"onyxroad.dev/onyxroad/internal/herd"
 	"onyxroad.dev/onyxroad/internal/terms"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
@@ -205,7 +207,8 @@
 	go r.finals.run(lead)
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
-		told: func(l List) { r.post(l) },
+		told: func(l List) { r.post(l) }, herd: herd.Caller{Clients: r.cfg.Settings.Senders}, rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
+		known: r.listed.Load(),
 	}
 	go list.run(lead)
 
