--- a/cmd/cherrytrestle/journal.go
+++ b/cmd/cherrytrestle/journal.go
@@ -130,7 +130,7 @@
 			return err
 		}
 		line := map[string]any{
-			"id": m.ID, "trace": m.Trace, "class": m.Class, "customer": m.Customer, "destination": m.Dest, "deadline": m.Deadline.UTC().Format(time.RFC3339Nano),
+			"id": m.ID, "trace": m.Trace, "class": m.Class, "service": m.Service, "customer": m.Customer, "destination": m.Dest, "deadline": m.Deadline.UTC().Format(time.RFC3339Nano),
 			"body_bytes": len(body), "attempts": m.Attempts, "may_have_run": m.MayRun, "withdrawn": m.Withdrawn, "doubtful": m.Doubtful,
 		}
 		if m.Final != nil {
--- /dev/null
+++ b/cmd/cherrytrestle/standing_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wal"
+)
+
+// A wait that the killed process was told binds the next one.
+func TestAToldWaitOutlastsTheProcess(t *testing.T) {
+	var refuse atomic.Bool
+	refuse.Store(true)
+	h := newHost(t, func(w http.ResponseWriter, _ *http.Request, _ []string) {
+		if refuse.Load() {
+			w.Header().Set("Retry-After", "2.4")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	})
+	p := newPlatform(t)
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "platform", "ready")}, nil)
+	r.take("m1", 10*time.Second)
+	eventually(t, "a wait told", func() bool { return h.count("m1") == 1 })
+	told := time.Now()
+	time.Sleep(400 * time.Millisecond) // what is told is written down within 250 ms
+	refuse.Store(false)
+	r.kill()
+	r.start(p)
+	r.take("m2", 10*time.Second)
+	eventually(t, "both are delivered", func() bool { return h.count("m1") == 2 && h.count("m2") == 1 })
+	if d := time.Since(told); d < 2200*time.Millisecond {
+		t.Errorf("sent %v after a wait of 2.4 s was told", d)
+	}
+}
+
+// What a program of the form before left in its log is delivered by this one, and the log goes.
+func TestAnOlderLogIsCarriedOver(t *testing.T) {
+	h, p := newHost(t, nil), newPlatform(t)
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, nil)
+	r.kill()
+	state := filepath.Join(r.dir, "state")
+	must(t, os.RemoveAll(state))
+	must(t, os.Mkdir(state, 0o700))
+	log, _, err := wal.Open(state, 3e6)
+	must(t, err)
+	must(t, log.Accept(&wal.Message{ID: 7, Trace: "old", Key: "k", Dest: 7, Deadline: time.Now().Add(10 * time.Second), Body: []byte("body")}))
+	must(t, log.Close())
+	r.start(p)
+	eventually(t, "delivered", func() bool { return h.count("old") == 1 })
+	if _, err := os.Stat(filepath.Join(state, "wal.log")); !os.IsNotExist(err) {
+		t.Errorf("the log is still there: %v", err)
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/internal/terms"
-	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -98,8 +98,7 @@
 // HandIn is a message that a client of the first process hands in.
 type HandIn struct {
 	Seq     uint64
-	Message *wal.Message
-	Body    []byte
+	Message *journal.Message
 }
 
 // Answer is what its client is told.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -15,8 +15,8 @@
 
 	"go.uber.org/goleak"
 
+	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/internal/terms"
-	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -35,7 +35,7 @@
 			Later:    []policy.Event{{Kind: policy.Finished, ID: 3, Outcome: policy.ConnectFailed}},
 		}},
 		{Outcome: &Outcome{ID: 3, N: 1, Outcome: policy.Full, Wait: time.Second, Report: policy.Report{Told: true, Limit: 2}, Last: true}},
-		{HandIn: &HandIn{Seq: 1, Message: &wal.Message{Trace: "t", Service: "order", Deadline: at}, Body: []byte{0xff}}},
+		{HandIn: &HandIn{Seq: 1, Message: &journal.Message{Trace: "t", Service: "order", Deadline: at, Body: []byte{0xff}}}},
 		{Answer: &Answer{Seq: 1, ID: 4, Status: 202}},
 		{Withdraw: 4},
 	}
--- a/internal/journal/form.go
+++ b/internal/journal/form.go
@@ -8,7 +8,10 @@
 // The form of what is in the store. A value is a message: a version, then its fields as zigzag varints and strings with
 // their lengths, then the body as the rest. A delta is a kind and its fields.
 
-const version = 1
+const (
+	version         = 1
+	standingVersion = 0x81 // the first byte of what Journal.Standing keeps
+)
 
 // The kinds of delta.
 const (
@@ -49,7 +52,7 @@
 		b = appendInt(b, x)
 	}
 	b = appendTime(b, m.Deadline)
-	b = appendText(appendText(appendText(b, m.Trace), m.Key), m.Order)
+	b = appendText(appendText(appendText(appendText(b, m.Trace), m.Key), m.Order), m.Service)
 	b = appendInt(b, int64(m.Attempts))
 	b = appendInt(b, int64(len(m.MayRun)))
 	for i := range m.MayRun {
@@ -98,7 +101,7 @@
 	}
 	r := &reader{data: value[1:]}
 	m := &Message{ID: uint32(r.int()), Class: int(r.int()), Customer: int(r.int()), Dest: int(r.int()), Deadline: r.time()}
-	m.Trace, m.Key, m.Order = r.text(), r.text(), r.text()
+	m.Trace, m.Key, m.Order, m.Service = r.text(), r.text(), r.text(), r.text()
 	m.Attempts = int(r.int())
 	n := r.int()
 	if n < 0 || n > int64(len(r.data)) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -22,6 +22,7 @@
 	Key      string // idempotency key; "" if none
 	Order    string // what it is about, in a class that keeps order; "" if none
 	Class    int
+	Service  string // the class by its name: its number is that of one configuration; "" if not known
 	Customer int
 	Dest     int
 	Deadline time.Time
@@ -65,6 +66,8 @@
 type Recovery struct {
 	Messages []*Message // unfinished, in the order in which they were taken on
 	Store    *store.Recovery
+	// Standing is what was kept last by Journal.Standing.
+	Standing []byte
 	// Carried is how many messages came over from a log of the form before this one.
 	Carried int
 	// Unreadable are values of the store that hold no message of this form.
@@ -94,11 +97,12 @@
 	store   *store.Store
 	opt     Options
 	live    map[uint32]*Message
-	byKey   int // messages in the store
 	notes   []note
 	scratch []byte
 	bodies  int64
-	stalled error // compaction could not go on; told once
+	// standings are the keys of what Standing kept: all but the last are of no use.
+	standings []uint64
+	stalled   error // compaction could not go on; told once
 }
 
 // note is an outcome or an end that is not written yet.
@@ -124,6 +128,11 @@
 			return nil, nil, errors.Join(fmt.Errorf("journal: %w", err), s.Close())
 		}
 		j.scratch = value
+		if len(value) > 0 && value[0] == standingVersion {
+			j.standings = append(j.standings, key) // in the order of their keys: the last counts
+			rec.Standing = append([]byte(nil), value[1:]...)
+			continue
+		}
 		m, ok := decode(value)
 		if !ok {
 			rec.Unreadable++
@@ -168,6 +177,24 @@
 	return value[len(value)-m.size:], nil
 }
 
+// Size is the length of a message's body, in bytes.
+func (m *Message) Size() int { return max(m.size, len(m.Body)) }
+
+// Standing keeps data in the place of what was kept before: what a process wants the next one to know beside the messages. It is
+// one commit with all that is noted. With ErrFull what was kept before stays.
+func (j *Journal) Standing(data []byte) error {
+	b := j.begin()
+	key := b.Put([]byte{standingVersion}, data)
+	for _, old := range j.standings {
+		b.Delete(old)
+	}
+	if err := j.commit(b); err != nil {
+		return err
+	}
+	j.standings = append(j.standings[:0], key)
+	return nil
+}
+
 // Close writes what is noted and closes the store.
 func (j *Journal) Close() error { return errors.Join(j.Flush(), j.store.Close()) }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -35,7 +35,7 @@
 
 func message(id uint32) *Message {
 	return &Message{
-		ID: id, Trace: fmt.Sprint("trace-", id), Key: "key", Order: "order", Class: 2, Customer: -1, Dest: 7,
+		ID: id, Trace: fmt.Sprint("trace-", id), Key: "key", Order: "order", Class: 2, Service: "orders", Customer: -1, Dest: 7,
 		Deadline: time.Unix(1e9, int64(id)), Body: []byte(fmt.Sprint("body of ", id)),
 	}
 }
--- a/internal/journal/legacy.go
+++ b/internal/journal/legacy.go
@@ -54,7 +54,7 @@
 			continue // it came over before a crash
 		}
 		m := &Message{
-			ID: old.ID, Trace: old.Trace, Key: old.Key, Order: old.Order, Class: old.Class, Customer: old.Customer, Dest: old.Dest,
+			ID: old.ID, Trace: old.Trace, Key: old.Key, Order: old.Order, Class: old.Class, Service: old.Service, Customer: old.Customer, Dest: old.Dest,
 			Deadline: old.Deadline, Body: old.Body, Attempts: old.Attempts, Doubtful: found.Damaged,
 		}
 		for _, a := range old.MayRun {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"time"
 
 	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/journal"
+	"onyxroad.dev/onyxroad/internal/store"
 	"onyxroad.dev/onyxroad/internal/stricttoml"
 )
 
@@ -16,6 +19,23 @@
 type File struct {
 	Log      Log      `toml:"log"`
 	Recorder Recorder `toml:"recorder"`
+	Journal  Journal  `toml:"journal"`
+}
+
+// Journal says what outlasts more than the process, and what is kept in memory.
+type Journal struct {
+	Sync       string  `toml:"sync"`             // "never", the default; "interval" or "commit": what outlasts the machine
+	IntervalMS float64 `toml:"sync_interval_ms"` // default 1000; 10 to 60000
+	BodiesMB   float64 `toml:"bodies_mb"`        // of bodies kept in memory, the others are read from disk; 0: all are kept
+}
+
+var syncPolicies = map[string]store.SyncPolicy{"never": store.SyncNever, "interval": store.SyncInterval, "commit": store.SyncCommit}
+
+// Options are those of a journal that may take limit bytes.
+func (j Journal) Options(limit int64) journal.Options {
+	return journal.Options{
+		Limit: limit, Sync: syncPolicies[j.Sync], Interval: time.Duration(j.IntervalMS * float64(time.Millisecond)), Bodies: int64(j.BodiesMB * (1 << 20)),
+	}
 }
 
 // Log says how the program's log is written.
@@ -62,6 +82,8 @@
 	setDefault(&f.Recorder.RingMB, flight.DefaultRing>>20)
 	setDefault(&f.Recorder.Write, WriteKept)
 	setDefault(&f.Recorder.FolderMB, 64)
+	setDefault(&f.Journal.Sync, "never")
+	setDefault(&f.Journal.IntervalMS, 1000)
 	if err := f.check(); err != nil {
 		return File{}, fmt.Errorf("operator's file: %s: %w", name, err)
 	}
@@ -90,6 +112,10 @@
 	bad(r.Write == WriteKept || r.Write == WriteAll, `recorder.write is %q, not "kept" or "all"`, r.Write)
 	bad(r.FolderMB >= 1 && r.FolderMB <= 1<<20, "recorder.folder_mb is %g, not from 1 to 1048576", r.FolderMB)
 	bad(r.Folder == "" || r.RingMB <= r.FolderMB, "recorder.ring_mb is %g: a kept ring does not fit into folder_mb = %g", r.RingMB, r.FolderMB)
+	_, known := syncPolicies[f.Journal.Sync]
+	bad(known, `journal.sync is %q, not "never", "interval" or "commit"`, f.Journal.Sync)
+	bad(f.Journal.IntervalMS >= 10 && f.Journal.IntervalMS <= 60000, "journal.sync_interval_ms is %g, not from 10 to 60000", f.Journal.IntervalMS)
+	bad(f.Journal.BodiesMB >= 0 && f.Journal.BodiesMB <= 1<<20, "journal.bodies_mb is %g, not from 0 to 1048576", f.Journal.BodiesMB)
 	return errors.Join(errs...)
 }
 
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -431,9 +431,9 @@
 }
 
 // parse reads all of a request but its body.
-func (r *Relay) parse(req *http.Request) (m *wal.Message, left time.Duration, err error) {
+func (r *Relay) parse(req *http.Request) (m *journal.Message, left time.Duration, err error) {
 	class, t := strings.TrimPrefix(req.URL.Path, "/"), r.door.Load()
-	m = &wal.Message{
+	m = &journal.Message{
 		Trace: req.Header.Get("X-Trace-Id"),
 		Key:   req.Header.Get("Idempotency-Key"),
 		Order: req.URL.Query().Get("key"), // what the message is about, where its class keeps order
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -220,7 +220,7 @@
 }
 
 func newHandIn(id string, dest int, left time.Duration) *handIn {
-	m := &wal.Message{Trace: id, Key: "k", Dest: dest, Deadline: time.Now().Add(left)}
+	m := &journal.Message{Trace: id, Key: "k", Dest: dest, Deadline: time.Now().Add(left)}
 	return &handIn{m: m, reply: make(chan answer, 1)}
 }
 
@@ -232,7 +232,7 @@
 			t.Errorf("copy %d: %+v", i, a)
 		}
 	}
-	r.wal.Close()
+	r.journal.Close()
 	for i, a := range decide(r, newHandIn("m2", 7, time.Second), newHandIn("m2", 7, time.Second)) {
 		if a.status != http.StatusServiceUnavailable {
 			t.Errorf("copy %d, no log: %+v", i, a)
@@ -274,8 +274,8 @@
 		in := newHandIn("m1", dest, 5*time.Second)
 		decide(r, in)
 		m := r.msgs[in.m.ID]
-		sent := wal.Attempt{N: 0, Host: "s-8", Zone: 1, At: time.Now().Add(-time.Second).Round(0)}
-		if err := r.wal.Sent(wal.Send{Message: m.Message, Attempt: sent}); err != nil {
+		sent := journal.Attempt{N: 0, Host: "s-8", Zone: 1, At: time.Now().Add(-time.Second).Round(0)}
+		if err := r.journal.Sent(journal.Send{Message: m.Message, Attempt: sent}); err != nil {
 			t.Fatal(err)
 		}
 		r.step([]any{withdrawal{m.ID}})
@@ -303,7 +303,7 @@
 // restarted is a relay on what another left behind.
 func restarted(t *testing.T, old *Relay) *Relay {
 	t.Helper()
-	if err := old.wal.Flush(); err != nil {
+	if err := old.journal.Close(); err != nil {
 		t.Fatal(err)
 	}
 	r, err := New(old.cfg, quiet(), io.Discard)
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -59,6 +59,7 @@
 	*call
 	m     *message
 	n     int
+	body  []byte // the message's
 	until time.Time
 	timer *time.Timer // ends it before the rest of its call; nil if it ends with it
 	over  bool        // its outcome is told
@@ -246,7 +247,7 @@
 
 // newRequest makes the request of a call.
 func newRequest(c *call) (*http.Request, error) {
-	path, body := "/events", c.attempts[0].m.Body
+	path, body := "/events", c.attempts[0].body
 	header := http.Header{"X-Expires-In-Ms": {strconv.FormatInt(max(1, time.Until(c.until).Milliseconds()), 10)}}
 	if len(c.attempts) > 1 {
 		path, body = "/events/bundle", bundle(c)
@@ -278,13 +279,13 @@
 
 // itemSize is the most that a message takes in a bundle: any byte of an id may be escaped.
 func itemSize(m *message) int {
-	return base64.StdEncoding.EncodedLen(len(m.Body)) + 6*(len(m.Trace)+len(m.Key)) + len(`{"id":"","key":"","body":""},[]`)
+	return base64.StdEncoding.EncodedLen(m.Size()) + 6*(len(m.Trace)+len(m.Key)) + len(`{"id":"","key":"","body":""},[]`)
 }
 
 func bundle(c *call) []byte {
 	items := make([]item, 0, len(c.attempts))
 	for _, a := range c.attempts {
-		items = append(items, item{a.m.Trace, a.m.Key, append([]byte{}, a.m.Body...)}) // null is no body
+		items = append(items, item{a.m.Trace, a.m.Key, append([]byte{}, a.body...)}) // null is no body
 	}
 	data, err := json.Marshal(items)
 	if err != nil {
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -39,8 +39,8 @@
 func newCall(addr string, ids ...string) *call {
 	c := &call{route: "s-1", addr: addr, sent: time.Now(), until: time.Now().Add(patience)}
 	for _, id := range ids {
-		m := &message{Message: &wal.Message{Trace: id, Key: "key-" + id, Body: []byte("body of " + id)}}
-		c.attempts = append(c.attempts, &attempt{call: c, m: m, until: c.until})
+		m := &message{Message: &journal.Message{Trace: id, Key: "key-" + id, Body: []byte("body of " + id)}}
+		c.attempts = append(c.attempts, &attempt{call: c, m: m, body: m.Body, until: c.until})
 	}
 	return c
 }
@@ -201,7 +201,7 @@
 		return &stuckConn{conn, 10_000}, err
 	}
 	c := newCall(addr, "a")
-	c.attempts[0].m.Body = make([]byte, 60_000)
+	c.attempts[0].body = make([]byte, 60_000)
 	if r := h.do(t.Context(), c, yes); r[0].outcome != policy.ConnectFailed {
 		t.Errorf("outcome %v", r[0].outcome)
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// besidePool are descriptors of the hosts' share that the journal's files and the second address may need.
+const besidePool = 16
+
 // roomPause is how long a call waits before it looks for a free connection or descriptor again.
 const roomPause = 20 * time.Millisecond
 
@@ -48,7 +51,7 @@
 		dial:           (&net.Dialer{KeepAlive: -1}).DialContext,
 		connectTimeout: cfg.ConnectTimeout,
 		idleFor:        time.Duration(idleShare * float64(cfg.KeepAlive)),
-		most:           cfg.Limits.Sockets * 3 / 8,
+		most:           max(8, cfg.Limits.Sockets*3/8-besidePool),
 		idle:           map[peer][]*hostConn{},
 	}
 }
--- a/internal/relay/recorder_test.go
+++ b/internal/relay/recorder_test.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { r.hosts.close(); r.wal.Close() })
+	t.Cleanup(func() { r.hosts.close(); r.journal.Close() })
 	return r, &out
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay carries out on real sockets what package policy decides: it takes messages from clients, calls
-// hosts, follows discovery's list, and keeps what it owes in a write-ahead log. It decides nothing itself.
+// hosts, follows discovery's list, and keeps what it owes in a journal. It decides nothing itself.
 //
 // One goroutine, the loop, owns the decision module and the log. Everything that happens comes to it as an
 // event, so that no send leaves on a decision older than what the loop has learned.
@@ -22,8 +22,9 @@
 	"onyxroad.dev/onyxroad/internal/figures"
 	"onyxroad.dev/onyxroad/internal/handover"
 	"onyxroad.dev/onyxroad/internal/herd"
+	"onyxroad.dev/onyxroad/internal/journal"
+	"onyxroad.dev/onyxroad/internal/standing"
 	"onyxroad.dev/onyxroad/internal/terms"
-	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -45,7 +46,7 @@
 // The events of the loop, besides policy's own.
 type (
 	handIn struct {
-		m     *wal.Message
+		m     *journal.Message
 		as    *message    // what it was taken for
 		reply chan answer // takes one without waiting
 	}
@@ -68,7 +69,7 @@
 
 // message is a message that the relay has not done with.
 type message struct {
-	*wal.Message
+	*journal.Message
 	sends int  // as the module counts them
 	out   int  // attempts without an outcome
 	ended bool // the module has done with it
@@ -107,27 +108,28 @@
 	upgrade
 
 	// Owned by the loop.
-	terms   terms.Terms
-	turnNow int
-	callCtx context.Context
-	calling map[*call]struct{} // out
-	version int64              // of the list
-	second  context.Context    // ends when the second address falls silent
-	started time.Time
-	sender  *policy.Sender
-	wal     *wal.Log
-	found   wal.Recovery // until it is taken up
-	msgs    map[uint32]*message
-	traces  map[string]*message
-	routes  map[string]target
-	cells   map[int]bool // destinations that the list has named
-	left    []*message   // withdrawn, may have run; by deadline, more or less
-	held    int          // messages that the module has not done with
-	out     int          // calls
-	lastID  uint32
-	wakeAt  time.Time      // zero: none asked for
-	later   []policy.Event // for the next step
-	full    bool           // the log took no new work last
+	terms    terms.Terms
+	turnNow  int
+	callCtx  context.Context
+	calling  map[*call]struct{} // out
+	version  int64              // of the list
+	second   context.Context    // ends when the second address falls silent
+	started  time.Time
+	sender   *policy.Sender
+	journal  *journal.Journal
+	found    *journal.Recovery // until it is taken up
+	standing standingState
+	msgs     map[uint32]*message
+	traces   map[string]*message
+	routes   map[string]target
+	cells    map[int]bool // destinations that the list has named
+	left     []*message   // withdrawn, may have run; by deadline, more or less
+	held     int          // messages that the module has not done with
+	out      int          // calls
+	lastID   uint32
+	wakeAt   time.Time      // zero: none asked for
+	later    []policy.Event // for the next step
+	full     bool           // the log took no new work last
 
 	stopping, noSends, idled bool
 }
@@ -272,18 +274,22 @@
 // resume hands the module the known list and what an earlier process left, in one step.
 func (r *Relay) resume() {
 	found := r.found
-	r.found = wal.Recovery{}
+	r.found = nil
 	var evs []policy.Event
 	if len(r.cfg.Known.Entries) > 0 {
 		known := r.cfg.Known
 		known.Full = true
 		evs = append(evs, r.list(known))
 	}
+	evs = append(evs, standing.Events(standing.Decode(found.Standing), time.Now(), r.terms.Settings.WarmWithin)...)
 	for _, w := range found.Messages {
 		if w.Service != "" {
 			w.Class = slices.Index(r.terms.Classes, w.Service) // the module takes one that is not named for the strictest
 		}
 		m := &message{Message: w, sends: w.Attempts}
+		if w.Doubtful && r.bears(w) {
+			w.Doubtful = false // whatever it has done may be done once more
+		}
 		r.msgs[m.ID], r.traces[m.Trace] = m, m
 		r.lastID = max(r.lastID, m.ID)
 		switch {
@@ -293,10 +299,10 @@
 		case w.Final != nil:
 			m.ended = true
 			r.notify(m)
-		case found.Damaged:
-			// What it has sent may be missing from the log: nothing can be promised.
+		case w.Doubtful:
+			// What it has sent may be missing from the journal: nothing can be promised.
 			m.ended = true
-			r.wal.Decide(w, wal.Final{})
+			r.journal.Decide(w, journal.Final{})
 			r.count(w, figures.Failed)
 			r.notify(m)
 		default:
@@ -305,8 +311,8 @@
 			evs = append(evs, r.resumed(m))
 		}
 	}
-	if len(found.Messages) > 0 || found.Damaged {
-		r.log.Info("recovered", "messages", len(found.Messages), "damaged", found.Damaged)
+	if len(found.Messages) > 0 || !found.Sound() {
+		r.log.Info("recovered", "messages", len(found.Messages), "sound", found.Sound())
 	}
 	r.carryOut(r.decide(r.now(), evs), nil)
 }
@@ -416,7 +422,7 @@
 		case confirmed:
 			for _, id := range e.ids {
 				if m := r.msgs[id]; m != nil {
-					r.wal.End(m.Message)
+					r.journal.End(m.Message)
 					r.retire(m)
 				}
 			}
@@ -456,6 +462,7 @@
 	} else {
 		r.carryOut(nil, waiting)
 	}
+	r.keepStanding()
 	for _, c := range asked {
 		at := r.now()
 		may := r.sender.MayStill(c.route, c.ids, at)
@@ -488,7 +495,7 @@
 // accept puts new messages in the log and returns the hand-ins that are answered when this step is decided. The
 // others have their answers.
 func (r *Relay) accept(ins []*handIn) (waiting []*handIn) {
-	var ms []*wal.Message
+	var ms []*journal.Message
 	for _, in := range ins {
 		if in.m.Service != "" {
 			// The terms may have changed since the door read them.
@@ -534,7 +541,7 @@
 	if len(ms) == 0 {
 		return waiting
 	}
-	err := r.wal.Accept(ms...)
+	err := r.journal.Accept(ms...)
 	for _, in := range waiting {
 		in.as.fresh = false
 	}
@@ -577,7 +584,7 @@
 }
 
 // finalAnswer is what a client is told of a message that is not delivered.
-func finalAnswer(f wal.Final) answer {
+func finalAnswer(f journal.Final) answer {
 	if f.Deferred {
 		return answer{status: http.StatusServiceUnavailable, again: f.Again}
 	}
@@ -599,11 +606,11 @@
 // once more under its id: that must not make it a new one.
 func (r *Relay) letGo(m *message) {
 	if len(m.MayRun) == 0 {
-		r.wal.End(m.Message)
+		r.journal.End(m.Message)
 		r.retire(m)
 		return
 	}
-	r.wal.Withdraw(m.Message)
+	r.journal.Withdraw(m.Message)
 	r.left = append(r.left, m)
 }
 
@@ -615,7 +622,7 @@
 			r.count(m.Message, figures.Completed)
 		}
 		r.done(m)
-		r.wal.End(m.Message)
+		r.journal.End(m.Message)
 		r.retire(m)
 	}
 	return evs
@@ -629,7 +636,7 @@
 		if m.next == nil && len(m.MayRun) > 0 && now.Before(m.Deadline) {
 			return false
 		}
-		r.wal.End(m.Message)
+		r.journal.End(m.Message)
 		r.retire(m)
 		return true
 	})
@@ -663,14 +670,14 @@
 	m.out--
 	switch res.outcome {
 	case policy.Full, policy.ConnectFailed, policy.Moot:
-		r.wal.NeverRan(m.Message, a.n)
+		r.journal.NeverRan(m.Message, a.n)
 	}
 	if ok || res.gone {
 		if ok && !m.ended {
 			r.count(m.Message, figures.Completed)
 		}
 		r.done(m)
-		r.wal.End(m.Message)
+		r.journal.End(m.Message)
 		evs = r.delivered(evs, m.next)
 	}
 	r.retire(m)
@@ -693,7 +700,7 @@
 
 // retire forgets a message for which nothing is owed and nothing is out.
 func (r *Relay) retire(m *message) {
-	if m.out == 0 && m.ended && !r.wal.Owes(m.Message) {
+	if m.out == 0 && m.ended && !r.journal.Owes(m.Message) {
 		delete(r.msgs, m.ID)
 		if r.traces[m.Trace] == m {
 			delete(r.traces, m.Trace)
@@ -772,14 +779,14 @@
 				continue
 			}
 			r.done(m)
-			final := wal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay}
+			final := journal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay}
 			r.count(m.Message, finalEnd(final))
 			if _, ok := answers[a.ID]; ok {
 				answers[a.ID] = finalAnswer(final)
 				r.letGo(m)
 				continue
 			}
-			r.wal.Decide(m.Message, final)
+			r.journal.Decide(m.Message, final)
 			ended = append(ended, m)
 		case policy.Wake:
 			r.wakeAt = time.Now().Add(a.Delay) // the module keeps one wake in mind, the last that it asked for
@@ -806,6 +813,11 @@
 
 // addSend puts a send into a call: those of one step to one route travel as one, up to what its kind allows.
 func (r *Relay) addSend(calls []*call, m *message, a policy.Action) []*call {
+	body, err := r.journal.Body(m.Message)
+	if err != nil {
+		r.unreadable(m, err)
+		return calls
+	}
 	t := r.routes[a.Route]
 	most := 1
 	if t.Kind >= 0 && t.Kind < len(r.terms.Settings.Kinds) {
@@ -825,7 +837,7 @@
 	}
 	until := r.started.Add(a.At)
 	c.size += size
-	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, until: until})
+	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, body: body, until: until})
 	m.sends++
 	m.out++
 	if len(c.attempts) == 1 || until.After(c.until) == r.cfg.MayDuplicate {
@@ -836,18 +848,18 @@
 
 // record writes the sends of calls and all that was noted in this step.
 func (r *Relay) record(calls []*call) error {
-	var sends []wal.Send
+	var sends []journal.Send
 	for _, c := range calls {
 		for _, a := range c.attempts {
-			sends = append(sends, wal.Send{
-				Message: a.m.Message, Attempt: wal.Attempt{N: a.n, Host: c.route, Zone: c.zone, At: c.sent},
+			sends = append(sends, journal.Send{
+				Message: a.m.Message, Attempt: journal.Attempt{N: a.n, Host: c.route, Zone: c.zone, At: c.sent},
 			})
 		}
 	}
 	if len(sends) == 0 {
-		return r.wal.Flush()
+		return r.journal.Flush()
 	}
-	return r.wal.Sent(sends...)
+	return r.journal.Sent(sends...)
 }
 
 // giveBack ends calls that could not be recorded as never connected.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,7 +19,8 @@
 	"testing"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/internal/journal"
+	"onyxroad.dev/onyxroad/internal/store"
 	"onyxroad.dev/onyxroad/internal/wire"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -215,7 +216,7 @@
 // With the log's folder gone, as with a full disk, new work is refused and nothing is sent unrecorded.
 func TestAFullDiskRefusesNewWork(t *testing.T) {
 	r := newTestRelay(t)
-	if err := r.wal.Close(); err != nil { // every write fails from here on
+	if err := r.journal.Close(); err != nil { // every write fails from here on
 		t.Fatal(err)
 	}
 	res := post(t, r, door(t, r), "m1")
@@ -351,7 +352,7 @@
 	r.routes["s-1"] = target{Listing: policy.Listing{Route: "s-1", Kind: 0, InService: true}, addr: "127.0.0.1:1"}
 	var calls []*call
 	for i, size := range []int{20_000, 20_000, 20_000, 0, 64 << 10, 5} {
-		m := &message{Message: &wal.Message{Trace: fmt.Sprint("<", i, ">"), Key: "&&&&", Body: make([]byte, size)}}
+		m := &message{Message: &journal.Message{Trace: fmt.Sprint("<", i, ">"), Key: "&&&&", Body: make([]byte, size)}}
 		calls = r.addSend(calls, m, policy.Action{Kind: policy.Send, Route: "s-1", At: time.Minute})
 	}
 	sent := 0
@@ -366,32 +367,46 @@
 	}
 }
 
-// A damaged log may lack sends: what it holds is ended, not repeated.
-func TestADamagedLogRepeatsNothing(t *testing.T) {
+// A damaged journal may lack sends. What they may be about is ended, not repeated, and it alone: what was taken on behind the
+// damage goes on.
+func TestADamagedJournalRepeatsNothing(t *testing.T) {
 	r := newTestRelay(t)
 	addr := door(t, r)
-	for _, id := range []string{"m1", "m2", "m3"} {
-		post(t, r, addr, id)
+	for i := range 200 { // over several blocks of the store: damage in the last one looks like a torn write
+		post(t, r, addr, fmt.Sprint("m", 100+i))
 	}
-	path := filepath.Join(r.cfg.StateDir, "wal.log")
-	data, err := os.ReadFile(path)
+	if err := r.journal.Close(); err != nil {
+		t.Fatal(err)
+	}
+	folder := journal.Folder(r.cfg.StateDir)
+	paths, err := filepath.Glob(filepath.Join(folder, "*.seg"))
+	if err != nil || len(paths) != 1 {
+		t.Fatalf("%v, %v", paths, err)
+	}
+	data, err := os.ReadFile(paths[0])
 	if err != nil {
 		t.Fatal(err)
 	}
-	data[strings.Index(string(data), "m2")] ^= 0x55
-	cfg := r.cfg
-	cfg.StateDir = t.TempDir()
-	if err := os.WriteFile(filepath.Join(cfg.StateDir, "wal.log"), data, 0o600); err != nil {
+	data[strings.Index(string(data), "m110")] ^= 0x55
+	if err := os.WriteFile(paths[0], data, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	again, err := New(cfg, quiet(), io.Discard)
+	again, err := New(r.cfg, quiet(), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
 	again.callCtx = t.Context()
 	again.resume()
-	if again.out != 0 || again.held != 0 || len(again.finals.queue) != 2 || again.finals.queue[0].Status != "undeliverable" {
-		t.Errorf("%d calls out, %d held, notices %+v", again.out, again.held, again.finals.queue)
+	t.Cleanup(func() { again.calls.Wait() })
+	doubtful := map[string]bool{}
+	for _, n := range again.finals.queue {
+		doubtful[n.ID] = n.Status == "undeliverable"
+	}
+	if !doubtful["m100"] || !doubtful["m109"] || doubtful["m299"] {
+		t.Errorf("notices %+v", again.finals.queue)
+	}
+	if m := again.traces["m299"]; again.held < 10 || m == nil || m.ended {
+		t.Errorf("%d held: what stands behind the damage is to go on", again.held)
 	}
 }
 
@@ -466,14 +481,14 @@
 		var d net.Dialer
 		return d.DialContext(ctx, network, l.Addr().String())
 	}
-	m := &wal.Message{
+	m := &journal.Message{
 		ID: 1, Trace: "m", Key: "k", Dest: 7, Deadline: time.Now().Add(10 * time.Second), Attempts: 1,
-		MayRun: []wal.Attempt{{Host: "s-1", At: ends.Add(-window)}},
+		MayRun: []journal.Attempt{{Host: "s-1", At: ends.Add(-window)}},
 	}
-	if err := r.wal.Accept(m); err != nil {
+	if err := r.journal.Accept(m); err != nil {
 		t.Fatal(err)
 	}
-	r.found = wal.Recovery{Messages: []*wal.Message{m}} // as an earlier process left it
+	r.found = &journal.Recovery{Messages: []*journal.Message{m}, Store: &store.Recovery{}} // as an earlier process left it
 	r.resume()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); <-r.over })
--- a/internal/relay/retune.go
+++ b/internal/relay/retune.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/figures"
+	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/internal/manage"
 	"onyxroad.dev/onyxroad/internal/terms"
-	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -86,7 +86,7 @@
 }
 
 // count counts the end of a message.
-func (r *Relay) count(m *wal.Message, e figures.End) {
+func (r *Relay) count(m *journal.Message, e figures.End) {
 	class := m.Service
 	if class == "" && m.Class >= 0 && m.Class < len(r.terms.Classes) {
 		class = r.terms.Classes[m.Class]
@@ -94,7 +94,7 @@
 	r.figures.Ended(class, e)
 }
 
-func finalEnd(f wal.Final) figures.End {
+func finalEnd(f journal.Final) figures.End {
 	if f.Deferred {
 		return figures.Rejected
 	}
--- /dev/null
+++ b/internal/relay/standing.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/journal"
+	"onyxroad.dev/onyxroad/internal/standing"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+const (
+	standingEvery = 250 * time.Millisecond
+	standingShare = 50 // a look at all routes may take one part in so many of the loop's time
+)
+
+// standingState is what the journal holds of the hosts' standing.
+type standingState struct {
+	kept []standing.Record
+	next time.Time // looked at again then
+}
+
+// keepStanding notes in the journal what a restarted relay must know of hosts that are in trouble.
+func (r *Relay) keepStanding() {
+	now := time.Now()
+	if now.Before(r.standing.next) {
+		return
+	}
+	views, _ := r.sender.Views()
+	recs := standing.Of(views, r.now(), now.Round(0))
+	if standing.Changed(r.standing.kept, recs) {
+		if err := r.journal.Standing(standing.Encode(recs)); err != nil {
+			r.log.Debug("standing of hosts not kept", "err", err) // a restart knows less; the messages have the room
+		} else {
+			r.standing.kept = recs
+		}
+	}
+	r.standing.next = now.Add(max(standingEvery, standingShare*time.Since(now)))
+}
+
+// bears tells whether a message may run any number of times.
+func (r *Relay) bears(m *journal.Message) bool {
+	return m.Class >= 0 && m.Class < len(r.terms.Settings.Classes) && r.terms.Settings.Classes[m.Class].Effect == policy.Safe
+}
+
+// unreadable ends a message whose body the disk no longer gives.
+func (r *Relay) unreadable(m *message, err error) {
+	r.log.Error("a message's body cannot be read: it is given up", "trace", m.Trace, "err", err)
+	if m.ended {
+		return
+	}
+	r.done(m)
+	final := journal.Final{}
+	r.count(m.Message, finalEnd(final))
+	r.journal.Decide(m.Message, final)
+	r.notify(m)
+	// The module has booked an attempt that never leaves.
+	r.later = append(r.later, policy.Event{Kind: policy.Withdrawn, ID: m.ID},
+		policy.Event{Kind: policy.Finished, ID: m.ID, Attempt: m.sends, Outcome: policy.Moot, Ended: true})
+	time.AfterFunc(r.cfg.Tick, func() { r.post(nudge{}) })
+}
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -12,14 +12,21 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/handover"
+	"onyxroad.dev/onyxroad/internal/journal"
+	"onyxroad.dev/onyxroad/internal/store"
 	"onyxroad.dev/onyxroad/internal/terms"
-	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
 // leaveFor is how long a process that has handed over serves the connections that its clients have: each answer ends one.
 const leaveFor = 2 * time.Second
 
+const (
+	besideJournal = 4 << 10 // bytes of the disk limit for what else stands in the folder
+	lockFor       = 10 * time.Second
+	lockPause     = 20 * time.Millisecond
+)
+
 // upgrade is what a relay knows of the process before it and of the one behind it.
 type upgrade struct {
 	before *handover.Conn // to take over from; nil: none
@@ -55,20 +62,26 @@
 func (r *Relay) handoverPath() string { return filepath.Join(r.cfg.StateDir, "handover.sock") }
 
 func (r *Relay) openLog() error {
-	w, recovered, err := wal.Open(r.cfg.StateDir, int64(r.cfg.Limits.DiskMB*1e6))
-	if err != nil {
-		return fmt.Errorf("relay: %w", err)
+	opt := r.cfg.Operator.Journal.Options(int64(r.cfg.Limits.DiskMB*1e6) - besideJournal)
+	for end := time.Now().Add(lockFor); ; time.Sleep(lockPause) {
+		j, found, err := journal.OpenFolder(r.cfg.StateDir, opt)
+		if errors.Is(err, store.ErrLocked) && r.before != nil && time.Now().Before(end) {
+			continue // the process before has broken off, and is not at its end yet
+		}
+		if err != nil {
+			return fmt.Errorf("relay: %w", err)
+		}
+		r.journal, r.found = j, found
+		return nil
 	}
-	r.wal, r.found = w, recovered
-	return nil
 }
 
 // closeLog closes the log, unless it is another process's.
 func (r *Relay) closeLog() error {
-	if r.wal == nil || r.handed {
+	if r.journal == nil || r.handed {
 		return nil
 	}
-	return r.wal.Close()
+	return r.journal.Close()
 }
 
 // The process that takes over.
@@ -152,7 +165,7 @@
 // takeMessages takes up the messages of the log, with what the state says of them.
 func (r *Relay) takeMessages(s *handover.State) {
 	found := r.found
-	r.found = wal.Recovery{}
+	r.found = nil
 	r.lastID = s.LastID
 	told := make(map[uint32]*handover.Message, len(s.Messages))
 	for i := range s.Messages {
@@ -162,7 +175,7 @@
 		r.lastID = max(r.lastID, w.ID)
 		x := told[w.ID]
 		if x == nil { // its end could not be written
-			r.wal.End(w)
+			r.journal.End(w)
 			continue
 		}
 		if w.Service != "" {
@@ -183,7 +196,7 @@
 	}
 	for id, x := range told {
 		if r.msgs[id] == nil { // nothing is owed, but an attempt is out
-			r.msgs[id] = &message{Message: &wal.Message{ID: id, Trace: x.Trace, Withdrawn: true}, sends: x.Sends, ended: true}
+			r.msgs[id] = &message{Message: &journal.Message{ID: id, Trace: x.Trace, Withdrawn: true}, sends: x.Sends, ended: true}
 		}
 	}
 	for id, x := range told {
@@ -237,7 +250,6 @@
 			r.post(withdrawal{f.Withdraw})
 		case f.HandIn != nil && f.HandIn.Message != nil:
 			m := f.HandIn.Message
-			m.Body = f.HandIn.Body
 			in := &handIn{m: m, reply: make(chan answer, 1)}
 			if !r.post(in) {
 				return
@@ -359,7 +371,7 @@
 		return false
 	}
 	state := r.state()
-	if err := r.wal.Close(); err != nil {
+	if err := r.journal.Close(); err != nil {
 		r.log.Warn("handing over: log not written", "err", err) // the state says what has ended
 	}
 	r.handed = true
@@ -505,7 +517,7 @@
 	seq := f.seq
 	f.open[seq] = in
 	f.mu.Unlock()
-	if err := to.Send(handover.Frame{HandIn: &handover.HandIn{Seq: seq, Message: in.m, Body: in.m.Body}}); err != nil {
+	if err := to.Send(handover.Frame{HandIn: &handover.HandIn{Seq: seq, Message: in.m}}); err != nil {
 		f.answer(&handover.Answer{Seq: seq, Status: unserved.status, Again: unserved.again})
 	}
 }
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	s := old.state()
 	edit(s)
-	if err := old.wal.Close(); err != nil {
+	if err := old.journal.Close(); err != nil {
 		t.Fatal(err)
 	}
 	r, err := New(old.cfg, quiet(), io.Discard)
@@ -85,7 +85,7 @@
 	in := newHandIn("m1", 7, 9*time.Second)
 	decide(old, in)
 	r := successorOf(t, old, func(s *handover.State) { s.Messages, s.Attempts = nil, nil })
-	if len(r.msgs) != 0 || r.held != 0 || r.wal.Owes(in.m) {
+	if len(r.msgs) != 0 || r.held != 0 || r.journal.Owes(in.m) {
 		t.Errorf("held %d, %v", r.held, r.msgs)
 	}
 }
--- /dev/null
+++ b/internal/standing/standing.go
@@ -0,0 +1,120 @@
+// Package standing decides what a restarted relay must know of the hosts that its former process saw fail, refuse or ask for a
+// pause, and how its decision module is told. It is pure: no clock, no I/O. The module is told through its own events alone, as if it
+// had seen the same itself: a told wait, a refusal, failures in a row.
+package standing
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// most bounds the records, and so the room that they take: some 100 bytes each.
+const most = 256
+
+// Record is how a route stands, where that is not well. Times are wall times.
+type Record struct {
+	Route string
+	At    time.Time // seen so
+	Wait  time.Time `json:",omitzero"`  // told: nothing before this
+	Down  bool      `json:",omitempty"` // skipped, and nothing delivered since
+	Cold  bool      `json:",omitempty"` // may be in an outage or coming back from one
+	Paced bool      `json:",omitempty"` // refused above a limit of late
+}
+
+// pacedFor is how long a refusal above a limit is of use to the next process.
+const pacedFor = 10 * time.Second
+
+// Of returns the records of a module's view at now, its own time, which is wall.
+func Of(views []policy.View, now time.Duration, wall time.Time) (recs []Record) {
+	for i := range views {
+		v := &views[i]
+		r := Record{Route: v.Route, At: wall, Down: v.Down, Cold: v.Cold, Paced: v.Halved > 0 && now < v.Halved+pacedFor}
+		if v.Wait > now {
+			r.Wait = wall.Add(v.Wait - now)
+		}
+		if len(recs) < most && (r.Down || r.Cold || r.Paced || !r.Wait.IsZero()) {
+			recs = append(recs, r)
+		}
+	}
+	slices.SortFunc(recs, func(a, b Record) int { return strings.Compare(a.Route, b.Route) })
+	return recs
+}
+
+// fresh is how old what is written down may become while a route stands so: a restart goes by its age.
+const fresh = 2 * time.Second
+
+// slack is by how much a wait may be told later without that being news: it is read off two clocks.
+const slack = 20 * time.Millisecond
+
+// Changed tells whether there is anything to write down that was is not worth any more. A route that stands well again is news,
+// too; that time has passed is none, until what is written down is no longer fresh.
+func Changed(was, is []Record) bool {
+	if len(was) > 0 && len(is) > 0 && is[0].At.Sub(was[0].At).Abs() > fresh {
+		return true
+	}
+	return !slices.EqualFunc(was, is, func(a, b Record) bool {
+		return a.Route == b.Route && a.Down == b.Down && a.Cold == b.Cold && a.Paced == b.Paced &&
+			(b.Wait.IsZero() || b.Wait.Sub(a.Wait).Abs() < slack)
+	})
+}
+
+// Encode writes records.
+func Encode(recs []Record) []byte {
+	data, err := json.Marshal(recs)
+	if err != nil {
+		return nil // times out of JSON's years: nothing that a restart could use
+	}
+	return data
+}
+
+// Decode reads them; nil if they cannot be read: a restart without them is as safe as one after the loss of the folder.
+func Decode(data []byte) (recs []Record) {
+	if len(data) == 0 || json.Unmarshal(data, &recs) != nil || len(recs) > most {
+		return nil
+	}
+	return recs
+}
+
+const (
+	failuresDoubt = 2 // in a row that put a route in doubt
+	failuresSkip  = 3 // and that skip it
+)
+
+// Events tell a fresh module, at wall, of records that a former process left. They come behind the list. A route is told as
+// cold for as long as an outage's traces last: warm after it was seen.
+func Events(recs []Record, wall time.Time, warm time.Duration) (evs []policy.Event) {
+	for _, r := range recs {
+		if r.Route == "" {
+			continue
+		}
+		age := max(0, wall.Sub(r.At)) // a clock that was set back makes nothing older
+		tell := func(o policy.Outcome, wait time.Duration) {
+			evs = append(evs, policy.Event{Kind: policy.Probed, Route: r.Route, Outcome: o, Wait: wait})
+		}
+		failures := 0
+		switch {
+		case age >= warm:
+		case r.Down:
+			failures = failuresSkip
+		case r.Cold:
+			failures = failuresDoubt
+		}
+		if r.Paced && age < pacedFor {
+			tell(policy.Full, 0)
+		}
+		for range failures {
+			tell(policy.Error, 0)
+		}
+		if left := r.Wait.Sub(wall); !r.Wait.IsZero() && left > 0 && left <= waitMost {
+			tell(policy.Moot, left)
+		}
+	}
+	return evs
+}
+
+// waitMost bounds a wait that is kept. Guards against a clock that was set back by far.
+const waitMost = time.Hour
--- /dev/null
+++ b/internal/standing/standing_test.go
@@ -0,0 +1,145 @@
+package standing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+func settings() policy.Settings {
+	return policy.Settings{
+		Classes: []policy.Class{{Effect: policy.Safe, Aim: 3 * time.Second, GiveUp: 16 * time.Second, Value: 1}},
+		Kinds:   []policy.Kind{{PerCall: 10}, {PerCall: 1, Separate: true}},
+		Senders: 2, Slots: 20, ColdShare: 0.2, WarmWithin: 14 * time.Second, OverloadFactor: 2, OverloadWindow: 3 * time.Second,
+	}
+}
+
+func list() policy.Event {
+	e := policy.Event{Kind: policy.ListWhole}
+	for _, x := range []policy.Listing{
+		{Route: "a", Destination: 1, Kind: 0}, {Route: "b", Destination: 1, Kind: 0}, {Route: "c", Destination: 2, Kind: 1}, {Route: "d", Destination: 2, Kind: 1},
+	} {
+		x.InService, x.Weight = true, 20
+		e.List = append(e.List, x)
+	}
+	return e
+}
+
+func viewOf(s *policy.Sender, route string) policy.View {
+	views, _ := s.Views()
+	return views[slices.IndexFunc(views, func(v policy.View) bool { return v.Route == route })]
+}
+
+// Over any history: what the former module held back, for an outage or a wait, the restored one does too, and a wait for no shorter
+// time; what was well is well.
+func TestARestartedModuleStandsAsItsFormer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, err := policy.New(settings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, wall := time.Second, time.Unix(1e9, 0)
+		old.Step(now, []policy.Event{list()})
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			d := time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond
+			now, wall = now+d, wall.Add(d)
+			e := policy.Event{Kind: policy.Probed, Route: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "route")}
+			e.Outcome = rapid.SampledFrom([]policy.Outcome{policy.OK, policy.OK, policy.Error, policy.Timeout, policy.Full, policy.Reset}).Draw(t, "outcome")
+			if e.Outcome == policy.Full && rapid.Bool().Draw(t, "told") {
+				e.Wait = time.Duration(rapid.IntRange(1, 4000).Draw(t, "wait")) * time.Millisecond
+			}
+			old.Step(now, []policy.Event{e})
+		}
+		views, _ := old.Views()
+		recs := Decode(Encode(Of(views, now, wall)))
+		fresh, err := policy.New(settings(), 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		down := time.Duration(rapid.IntRange(0, 1000).Draw(t, "down for")) * time.Millisecond
+		const at = time.Second
+		fresh.Step(at, append([]policy.Event{list()}, Events(recs, wall.Add(down), settings().WarmWithin)...))
+		for _, was := range views {
+			is := viewOf(fresh, was.Route)
+			if was.Down && !is.Down || was.Cold && !is.Cold {
+				t.Fatalf("%s: was %+v, is %+v", was.Route, was, is)
+			}
+			if left := was.Wait - now - down; left > 0 && is.Wait < at+left {
+				t.Fatalf("%s: a wait of %v more is %v", was.Route, left, is.Wait-at)
+			}
+			well := !slices.ContainsFunc(recs, func(r Record) bool { return r.Route == was.Route })
+			sibling := slices.ContainsFunc(recs, func(r Record) bool { return viewOf(fresh, r.Route).Destination == was.Destination })
+			if well && !sibling && (is.Down || is.Cold || is.Wait > at || is.Pace > 0) {
+				t.Fatalf("%s was well, and is %+v", was.Route, is)
+			}
+		}
+	})
+}
+
+func TestWhatIsOldBindsNoMore(t *testing.T) {
+	wall := time.Unix(1e9, 0)
+	recs := []Record{{Route: "a", At: wall, Down: true, Cold: true, Paced: true, Wait: wall.Add(time.Second)}, {Route: "c", At: wall, Cold: true}}
+	for _, x := range []struct {
+		after time.Duration
+		want  int // events
+	}{
+		{0, 1 + failuresSkip + 1 + failuresDoubt}, {2 * time.Second, 1 + failuresSkip + failuresDoubt}, {12 * time.Second, failuresSkip + failuresDoubt},
+		{14 * time.Second, 0}, {-time.Minute, 1 + failuresSkip + 1 + failuresDoubt}, {-2 * time.Hour, 1 + failuresSkip + failuresDoubt},
+	} {
+		if evs := Events(recs, wall.Add(x.after), 14*time.Second); len(evs) != x.want {
+			t.Errorf("after %v: %d events, not %d: %+v", x.after, len(evs), x.want, evs)
+		}
+	}
+}
+
+func TestWhatIsNewsIsWrittenDown(t *testing.T) {
+	wall := time.Unix(1e9, 0)
+	was := []Record{{Route: "a", At: wall, Cold: true, Wait: wall.Add(time.Second)}}
+	for name, x := range map[string]struct {
+		change func(*Record)
+		want   bool
+	}{
+		"nothing":             {func(r *Record) { r.At = wall.Add(time.Second) }, false},
+		"read off two clocks": {func(r *Record) { r.Wait = r.Wait.Add(time.Millisecond) }, false},
+		"the wait is over":    {func(r *Record) { r.Wait = time.Time{} }, false},
+		"a longer wait":       {func(r *Record) { r.Wait = r.Wait.Add(time.Second) }, true},
+		"skipped":             {func(r *Record) { r.Down = true }, true},
+		"well":                {func(r *Record) { r.Cold = false }, true},
+		"no longer fresh":     {func(r *Record) { r.At = wall.Add(3 * time.Second) }, true},
+	} {
+		is := slices.Clone(was)
+		x.change(&is[0])
+		if Changed(was, is) != x.want {
+			t.Errorf("%s: news is %v", name, !x.want)
+		}
+	}
+	if !Changed(was, nil) || Changed(nil, nil) {
+		t.Error("a route that stands well again is news")
+	}
+}
+
+// What cannot be read is as if nothing had been kept, and there is never more than the bound.
+func TestRecordsAreBoundedAndReadOrNot(t *testing.T) {
+	views := make([]policy.View, 3*most)
+	for i := range views {
+		views[i].Route, views[i].Down = string(rune('a'+i%26))+string(rune('a'+i/26)), true
+	}
+	if n := len(Of(views, time.Second, time.Unix(1, 0))); n != most {
+		t.Errorf("%d records", n)
+	}
+	data := Encode(Of(views[:3], time.Second, time.Unix(1, 0)))
+	rng := rand.New(rand.NewPCG(1, 1))
+	for n := range data {
+		if recs := Decode(data[:n]); recs != nil {
+			t.Fatalf("cut at %d: %+v", n, recs)
+		}
+		spoilt := slices.Clone(data)
+		spoilt[n] = byte(rng.Uint32())
+		Events(Decode(spoilt), time.Unix(2, 0), time.Second)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -51,6 +51,8 @@
 	ErrTooLarge = errors.New("store: value too large")
 	// ErrNoKey tells of a key that is not alive.
 	ErrNoKey = errors.New("store: no such key")
+	// ErrClosed tells of a store that was closed.
+	ErrClosed = errors.New("store: closed")
 	// ErrReadOnly tells of a write to a store that was opened to be read.
 	ErrReadOnly = errors.New("store: opened to be read only")
 )
@@ -134,6 +136,7 @@
 
 	batch    Batch
 	buf      []byte
+	closed   bool
 	open     bool // the last segment may be written to
 	syncedAt time.Time
 	unsynced bool
@@ -253,6 +256,8 @@
 		return b.err
 	case s.opt.ReadOnly:
 		return ErrReadOnly
+	case s.closed:
+		return ErrClosed // the lock is gone: another process may write
 	case len(b.ops) == 0:
 		return nil
 	}
@@ -647,6 +652,10 @@
 // Close closes the store. What was committed is there for the next process, or the machine's next start, as the policy
 // says.
 func (s *Store) Close() error {
+	if s.closed {
+		return ErrClosed
+	}
+	s.closed = true
 	var errs []error
 	if s.opt.Sync != SyncNever && s.unsynced && len(s.segs) > 0 {
 		errs = append(errs, s.segs[len(s.segs)-1].file.Sync())
