--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -17,14 +17,21 @@
 type standingState struct {
 	kept []standing.Record
 	next time.Time // looked at again then
+	due  bool      // a step then is asked for
 }
 
 // keepStanding notes in the journal what a restarted relay must know of hosts that are in trouble.
 func (r *Relay) keepStanding() {
 	now := time.Now()
 	if now.Before(r.standing.next) {
+		// What this step has learned must not wait for another one, which may be long in coming.
+		if !r.standing.due {
+			r.standing.due = true
+			time.AfterFunc(r.standing.next.Sub(now), func() { r.post(nudge{}) })
+		}
 		return
 	}
+	r.standing.due = false
 	views, _ := r.sender.Views()
 	recs := standing.Of(views, r.now(), now.Round(0))
 	if standing.Changed(r.standing.kept, recs) {
