Tests: the relay killed under load, bodies left on disk, settings that change in recordings

A body that the disk no longer gives ends its message alone. Recordings: a step too large for a frame is told by a note (it was counted and never told); changed settings and restored modules replay without a difference, and differ where the change is left out. Gone: a kind of record and a counter that nothing used.

--- a/cmd/cherrytrestle/daily_test.go
+++ b/cmd/cherrytrestle/daily_test.go
@@ -77,9 +77,6 @@
 	r.kill()
 	second := withSecond(t, r)
 	r.start(p)
-	as := func(class string) func(*http.Request) {
-		return func(req *http.Request) { req.URL.Path = "/" + class; req.Header.Set("X-Qos", class) }
-	}
 	r.take("m1", 10*time.Second)
 	counts(t, second, "completed.order", "1")
 	r.config["discovery"] = p.Listener.Addr().String()
--- /dev/null
+++ b/cmd/cherrytrestle/kill_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var relayKills = flag.Int("relaykills", 8, "how often TestKilledUnderLoad kills the relay")
+
+// Killed again and again under load, at any point, with compactions on the way since its disk is small: no message that it took on is
+// forgotten, and none that must not run twice does.
+func TestKilledUnderLoad(t *testing.T) {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	p := newPlatform(t)
+	h := newHost(t, func(http.ResponseWriter, *http.Request, []string) { time.Sleep(5 * time.Millisecond) })
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, func(set map[string]any) {
+		withPayments(set)
+		set["bounds"].(map[string]any)["open_cap"] = 200
+		set["extra"].(map[string]any)["call_slots"] = 40
+	})
+	var mu sync.Mutex
+	var taken []string
+	body := strings.Repeat("x", 6000)
+	for round := range *relayKills {
+		stop := make(chan struct{})
+		var clients sync.WaitGroup
+		for c := range 4 {
+			clients.Go(func() {
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					class := []string{"order", "pay"}[i%2]
+					id := fmt.Sprintf("%s-%d-%d-%d", class, round, c, i)
+					req := r.request(id, 8*time.Second, as(class))
+					req.Body, req.ContentLength, req.GetBody = io.NopCloser(strings.NewReader(body)), int64(len(body)), nil
+					res, err := client.Do(req)
+					if err != nil {
+						continue
+					}
+					res.Body.Close()
+					if res.StatusCode == http.StatusAccepted {
+						mu.Lock()
+						taken = append(taken, id)
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		time.Sleep(time.Duration(rng.IntN(150)) * time.Millisecond) // the point of the kill is what is drawn
+		r.cmd.Process.Kill()
+		r.cmd.Wait()
+		close(stop)
+		clients.Wait()
+		r.start(p)
+	}
+	for _, id := range taken {
+		eventually(t, id+" delivered or ended", func() bool { return h.count(id) > 0 || p.final(id) != nil })
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ran := map[string]int{}
+	for _, id := range h.seen {
+		if ran[id]++; strings.HasPrefix(id, "pay") && ran[id] == 2 {
+			t.Errorf("%s ran twice", id)
+		}
+	}
+	t.Logf("%d messages taken, %d calls, %d kills", len(taken), len(h.seen), *relayKills)
+	if len(taken) < 10**relayKills {
+		t.Errorf("only %d taken on: the test shows little", len(taken))
+	}
+}
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -244,8 +244,8 @@
 	rec.Step(1, make([]policy.Event, 1<<20+1), nil)
 	rec.Note("behind")
 	all := entries(t, written(t, rec))
-	last := all[len(all)-2:]
-	if last[0].Kind != flight.Begin || string(last[0].State) != "state" || last[1].Text != "behind" {
+	last := all[len(all)-3:]
+	if last[0].Kind != flight.Begin || string(last[0].State) != "state" || !strings.Contains(last[1].Text, "is missing") || last[2].Text != "behind" {
 		t.Errorf("%+v", all)
 	}
 }
--- a/internal/flight/recorder.go
+++ b/internal/flight/recorder.go
@@ -59,7 +59,6 @@
 	now    time.Duration
 	taken  bool          // a sink follows the recording
 	more   chan struct{} // tells the sink that there is something
-	lost   int           // steps too large for a frame
 }
 
 type chunk struct {
@@ -158,8 +157,8 @@
 	}
 	if len(e.buf)-e.open-frameHeader > FrameMost || max(len(events), len(actions)) > entriesMost {
 		e.buf = e.buf[:e.open] // the chunk that begins here holds the state behind it
-		r.lost++
 		r.next()
+		r.note("a step was too large for a frame, and is missing before this")
 		return
 	}
 	e.close()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -6,6 +6,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/store"
 )
 
 func TestDefaults(t *testing.T) {
@@ -22,6 +25,19 @@
 	}
 }
 
+func TestJournalOptions(t *testing.T) {
+	f, err := Parse("f.toml", []byte("[journal]\nsync = \"interval\"\nsync_interval_ms = 250\nbodies_mb = 0.5\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o := f.Journal.Options(3e6); o.Limit != 3e6 || o.Sync != store.SyncInterval || o.Interval != 250*time.Millisecond || o.Bodies != 512<<10 {
+		t.Errorf("%+v", o)
+	}
+	if o := (Journal{}).Options(1); o.Sync != store.SyncNever || o.Bodies != 0 {
+		t.Errorf("off: %+v", o)
+	}
+}
+
 // Every error of a file is told, with its line or its key.
 func TestBadFiles(t *testing.T) {
 	for text, wants := range map[string][]string{
@@ -31,7 +47,9 @@
 		"[recorder]\nring_mb = 0.1\nwrite = \"some\"\nfolder_mb = -1\n[log]\nformat = \"xml\"\nlevel = \"loud\"\n": {
 			"recorder.ring_mb is 0.1", `recorder.write is "some"`, "recorder.folder_mb is -1", `log.format is "xml"`, `log.level is "loud"`},
 		"[recorder]\nring_mb = 100\nfolder = \"/x\"\nfolder_mb = 50\n": {"does not fit into folder_mb = 50"},
-		"[recorder]\nring_mb = nan\n":                                  {"recorder.ring_mb is NaN"},
+		"[journal]\nsync = \"often\"\nsync_interval_ms = 1\nbodies_mb = -1\n": {
+			`journal.sync is "often"`, "journal.sync_interval_ms is 1", "journal.bodies_mb is -1"},
+		"[recorder]\nring_mb = nan\n": {"recorder.ring_mb is NaN"},
 	} {
 		_, err := Parse("f.toml", []byte(text))
 		for _, want := range wants {
--- /dev/null
+++ b/internal/relay/standing_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/journal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// With no room for bodies in memory they are read from the journal as they are sent; a message whose body the disk no longer gives
+// ends with a notice, and the loop goes on.
+func TestBodiesLeftOnDisk(t *testing.T) {
+	cfg := newTestRelay(t).cfg
+	cfg.StateDir, cfg.Operator.Journal.BodiesMB = t.TempDir(), 1.0/(1<<20) // a byte
+	r, err := New(cfg, quiet(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.callCtx = t.Context()
+	r.resume()
+	t.Cleanup(func() { r.hosts.close(); r.calls.Wait() })
+	in := newHandIn("m1", 7, 5*time.Second)
+	in.m.Body = []byte("a body on disk")
+	decide(r, in)
+	m := r.msgs[in.m.ID]
+	if m.Body != nil || m.Size() != 14 || len(r.calling) != 1 {
+		t.Fatalf("body %q of %d, %d calls", m.Body, m.Size(), len(r.calling))
+	}
+	for c := range r.calling {
+		if string(c.attempts[0].body) != "a body on disk" {
+			t.Errorf("sent %q", c.attempts[0].body)
+		}
+	}
+	paths, _ := filepath.Glob(filepath.Join(journal.Folder(cfg.StateDir), "*.seg"))
+	data, err := os.ReadFile(paths[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[bytes.Index(data, []byte("body on disk"))] ^= 1
+	if err := os.WriteFile(paths[0], data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if calls := r.addSend(nil, m, policy.Action{Kind: policy.Send, ID: m.ID, Route: "s-1", At: time.Minute}); len(calls) != 0 {
+		t.Error("sent without its body")
+	}
+	if len(r.finals.queue) != 1 || r.finals.queue[0].Status != "undeliverable" || r.held != 0 || !m.ended {
+		t.Errorf("notices %+v, held %d", r.finals.queue, r.held)
+	}
+	if a := decide(r, newHandIn("m2", 7, 5*time.Second))[0]; a.status != 202 {
+		t.Errorf("afterwards: %+v", a)
+	}
+}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -152,6 +152,49 @@
 	}
 }
 
+// Settings that change in mid-life are part of what was told, and a module that is restored in mid-life begins a recording with its
+// state: both play without a difference, and not so if what was told is left out.
+func TestSettingsThatChangeAndRestoredModules(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		steps := 0
+		s, rec := flighttest.Drive(5, 6*time.Second, 64<<20, func(s *policy.Sender, rec *flight.Recorder) {
+			if steps++; steps != 60 {
+				return
+			}
+			set := flighttest.Settings()
+			set.MaxAttempts, set.Slots, set.Classes[0].Effect = 2, 3, policy.Unsafe
+			if err := s.Reconfigure(set); err != nil {
+				t.Fatal(err)
+			}
+			if told {
+				rec.Reconfigured(set)
+			}
+		})
+		res, err := Play(written(t, rec), Visitor{})
+		if err != nil || (res.Difference == nil) != told {
+			t.Errorf("told %v: %v, %+v", told, err, res.Difference)
+		}
+		if !told {
+			continue
+		}
+		set := flighttest.Settings()
+		set.MaxAttempts, set.Slots, set.Classes[0].Effect = 2, 3, policy.Unsafe
+		again, err := policy.Restore(set, s.Snapshot(nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resumed := flight.ResumeRecorder(flight.Meta{Revision: policy.Revision(), Settings: set}, 0, again.Snapshot, res.To)
+		for i := range 20 {
+			now := res.To + time.Duration(i+1)*50*time.Millisecond
+			evs := []policy.Event{{Kind: policy.Taken, ID: uint32(1<<20 + i), Destination: 1, Left: 3 * time.Second}}
+			resumed.Step(now, evs, again.Step(now, evs))
+		}
+		if res, err := Play(written(t, resumed), Visitor{}); err != nil || res.Difference != nil || res.Steps != 20 {
+			t.Errorf("resumed: %v, %+v", err, res)
+		}
+	}
+}
+
 // A clock that steps is part of what was told: the module is played with it as it was.
 func TestClockSteps(t *testing.T) {
 	s, err := policy.New(flighttest.Settings(), 9)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -79,14 +79,13 @@
 
 // The kinds of record: the first byte, then fields as unsigned varints, then bytes.
 const (
-	recPut         byte = iota + 1 // value; its key is the record's own number
-	recMovedPut                    // key, value
-	recDelta                       // key, delta
-	recMovedDelta                  // key, number that it had, delta
-	recDelete                      // key, segment that held its put
-	recDirectory                   // the segments that are there: see directory
-	recGone                        // segment that is removed
-	recKindsBehind                 // kinds from here on are of a newer format
+	recPut        byte = iota + 1 // value; its key is the record's own number
+	recMovedPut                   // key, value
+	recDelta                      // key, delta
+	recMovedDelta                 // key, number that it had, delta
+	recDelete                     // key, segment that held its put
+	recDirectory                  // the segments that are there: see directory
+	recGone                       // segment that is removed
 )
 
 // place is where a live value stands.
