--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -31,6 +31,7 @@
 // Frame is one of the things that pass. Exactly one field is set.
 type Frame struct {
 	Hello    *Hello   `json:",omitempty"` // from the second process, first
+	Welcome  bool     `json:",omitempty"` // to it: from here on the first process hands over when it ends
 	State    *State   `json:",omitempty"` // to it, once
 	Outcome  *Outcome `json:",omitempty"` // to it
 	HandIn   *HandIn  `json:",omitempty"` // to it
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -26,6 +26,7 @@
 	at := time.Unix(1e9, 5).UTC()
 	return []Frame{
 		{Hello: &Hello{Revision: "0123"}},
+		{Welcome: true},
 		{State: &State{
 			Now: time.Hour, At: at, WakeAt: at, Snapshot: []byte{0, 1, 255}, Version: 41, Cells: []int{7}, LastID: 9,
 			Terms:    terms.Terms{Classes: []string{"order"}, Settings: policy.Settings{Classes: []policy.Class{{Effect: policy.Keyed}}}, Shape: terms.Shape{"a": 1}},
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -92,6 +92,10 @@
 	err := r.before.Send(handover.Frame{Hello: &handover.Hello{Revision: policy.Revision()}})
 	var f handover.Frame
 	if err == nil {
+		f, err = r.before.Receive()
+	}
+	if err == nil && f.Welcome {
+		// Not before: told to end between a yes here and the hello there, the first process would end without handing over.
 		r.waiting.Store(true)
 		f, err = r.before.Receive()
 		r.waiting.Store(false)
@@ -351,6 +355,7 @@
 		r.successor.Close() // the later one it is
 	}
 	r.successor = c
+	r.send(handover.Frame{Welcome: true})
 }
 
 func (r *Relay) unfollow(c *handover.Conn) {
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -1,8 +1,12 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
+	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
@@ -79,6 +83,45 @@
 	}
 }
 
+// A process that takes over says that it is ready only once the one before it knows of it: told to end before that, this one
+// would end without handing over, and its clients' connections with it.
+func TestReadyToTakeOverOnlyWhenWelcome(t *testing.T) {
+	dir := t.TempDir()
+	l, err := handover.Listen(filepath.Join(dir, "s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r := &Relay{log: quiet()}
+	if r.before, err = handover.Dial(filepath.Join(dir, "s")); err != nil {
+		t.Fatal(err)
+	}
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := handover.NewConn(nc)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- r.takeOver(ctx) }()
+	if f, err := first.Receive(); err != nil || f.Hello == nil {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	if r.waiting.Load() {
+		t.Error("ready before it is welcome")
+	}
+	if err := first.Send(handover.Frame{Welcome: true}); err != nil {
+		t.Fatal(err)
+	}
+	for !r.waiting.Load() { // the test's own time limit ends what never comes
+		runtime.Gosched()
+	}
+	cancel()
+	if err := <-ended; !errors.Is(err, errEnded) {
+		t.Errorf("told to end: %v", err)
+	}
+}
+
 // A message that ended while its end could not be written does not come back with the log.
 func TestTakingOverAnEndThatIsNotInTheLog(t *testing.T) {
 	old := newTestRelay(t)
