--- /dev/null
+++ b/internal/journal/axis_test.go
@@ -0,0 +1,113 @@
+package journal
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"onyxroad.dev/onyxroad/internal/bootclock"
+	"onyxroad.dev/onyxroad/internal/store/faultfs"
+)
+
+// machine is clocks that tests set. real is what has truly passed.
+type machine struct {
+	real, up time.Duration
+	wall     time.Time // at real
+	boot     string
+}
+
+func (m *machine) pass(d time.Duration) { m.real, m.up, m.wall = m.real+d, m.up+d, m.wall.Add(d) }
+
+func (m *machine) read() bootclock.Reading {
+	return bootclock.Reading{Wall: m.wall, Boot: m.boot, Up: m.up}
+}
+
+// Over any history of processes, boots and settings of the wall clock: what a process reads of a time is as long ago as it truly
+// is. Only what the wall clock is set by between the last look and a new boot shows, since nothing there tells.
+func TestTimesGoByWhatHasPassed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{wall: time.Unix(1e9, 0), boot: "first", up: time.Minute}
+		fs := faultfs.New()
+		type sent struct {
+			at    time.Duration // real
+			error time.Duration // by which a boot without a look put it off
+		}
+		var all []*sent
+		for n := range rapid.IntRange(1, 12).Draw(t, "lives") {
+			j, rec, err := Open(fs, Options{Limit: 1 << 20, Clock: m.read})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(rec.Messages) != len(all) {
+				t.Fatalf("%d messages of %d", len(rec.Messages), len(all))
+			}
+			base, began := j.axis.base, m.real
+			for i, x := range rec.Messages {
+				ago := base.Sub(x.MayRun[0].At)
+				if off := ago - (m.real - all[i].at + all[i].error); off.Abs() > time.Duration(n+1)*stepLeast {
+					t.Fatalf("sent %v ago, taken for %v", m.real-all[i].at, ago)
+				}
+				if left := x.Deadline.Sub(base); left != 9*time.Second-ago {
+					t.Fatalf("left %v, sent %v ago", left, ago)
+				}
+			}
+			m.pass(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			m.wall = m.wall.Add(step(t)) // while it runs: its own times do not heed that
+			at := base.Add(m.real - began)
+			x := &Message{ID: uint32(n + 1), Deadline: at.Add(9 * time.Second)}
+			mustBe(t, j.Accept(x))
+			mustBe(t, j.Sent(Send{x, Attempt{Host: "h", At: at}}))
+			all = append(all, &sent{at: m.real})
+			if stamp := j.Stamp(at); j.axis.time(stamp.UnixNano()) != at {
+				t.Fatalf("stamp %v of %v", stamp, at)
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "end") {
+			case 0:
+				mustBe(t, j.Close())
+			case 1: // killed
+				mustBe(t, j.Flush())
+				mustBe(t, j.store.Close())
+			default: // and the machine with it
+				mustBe(t, j.Close())
+				m.boot, m.up = m.boot+"'", 0
+				lost := step(t)
+				m.wall = m.wall.Add(lost)
+				for _, s := range all {
+					s.error += lost
+				}
+			}
+			m.pass(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms down")) * time.Millisecond)
+			if m.up > 0 && rapid.Bool().Draw(t, "set while down") && m.boot == j.anchor.Boot {
+				m.wall = m.wall.Add(step(t))
+			}
+		}
+	})
+}
+
+func step(t *rapid.T) time.Duration {
+	return time.Duration(rapid.SampledFrom([]int{0, 0, -3600_000, -3000, -20, 5, 20, 3000, 3600_000}).Draw(t, "step ms")) * time.Millisecond
+}
+
+// An anchor that cannot be read is as none: times go by the wall clock.
+func TestAnchorsThatCannotBeRead(t *testing.T) {
+	whole := (&anchor{Boot: "b", Up: 1, At: 2, Step: 3}).encode(nil)
+	if a := decodeAnchor(whole); a == nil || *a != (anchor{"b", 1, 2, 3}) {
+		t.Errorf("%+v", a)
+	}
+	for cut := 1; cut < len(whole); cut++ {
+		if a := decodeAnchor(whole[:cut]); a != nil {
+			t.Errorf("cut at %d: %+v", cut, a)
+		}
+	}
+	if decodeAnchor(append(whole, 0)) != nil {
+		t.Error("bytes behind it are taken")
+	}
+}
+
+func mustBe(t *rapid.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/journal/form.go
+++ b/internal/journal/form.go
@@ -11,6 +11,7 @@
 const (
 	version         = 1
 	standingVersion = 0x81 // the first byte of what Journal.Standing keeps
+	anchorVersion   = 0x82 // and of an anchor of the journal's time
 )
 
 // The kinds of delta.
@@ -27,14 +28,12 @@
 	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
 }
 
-// appendTime writes a wall time in nanoseconds.
-func appendTime(b []byte, t time.Time) []byte { return appendInt(b, t.UnixNano()) }
-
-func appendAttempt(b []byte, a *Attempt) []byte {
+// appendAttempt writes an attempt.
+func (x axis) appendAttempt(b []byte, a *Attempt) []byte {
 	b = appendInt(b, int64(a.N))
 	b = appendText(b, a.Host)
 	b = appendInt(b, int64(a.Zone))
-	return appendTime(b, a.At)
+	return appendInt(b, x.of(a.At))
 }
 
 func appendFinal(b []byte, f *Final) []byte {
@@ -46,17 +45,17 @@
 }
 
 // encode appends all of a message but its body.
-func (m *Message) encode(b []byte) []byte {
+func (m *Message) encode(b []byte, x axis) []byte {
 	b = append(b, version)
 	for _, x := range []int64{int64(m.ID), int64(m.Class), int64(m.Customer), int64(m.Dest)} {
 		b = appendInt(b, x)
 	}
-	b = appendTime(b, m.Deadline)
+	b = appendInt(b, x.of(m.Deadline))
 	b = appendText(appendText(appendText(appendText(b, m.Trace), m.Key), m.Order), m.Service)
 	b = appendInt(b, int64(m.Attempts))
 	b = appendInt(b, int64(len(m.MayRun)))
 	for i := range m.MayRun {
-		b = appendAttempt(b, &m.MayRun[i])
+		b = x.appendAttempt(b, &m.MayRun[i])
 	}
 	return b
 }
@@ -64,6 +63,7 @@
 // reader reads fields; the first that is not there makes all behind it zero and bad true.
 type reader struct {
 	data []byte
+	axis axis
 	bad  bool
 }
 
@@ -88,18 +88,18 @@
 	return s
 }
 
-func (r *reader) time() time.Time { return time.Unix(0, r.int()) }
+func (r *reader) time() time.Time { return r.axis.time(r.int()) }
 
 func (r *reader) attempt() Attempt {
 	return Attempt{N: int(r.int()), Host: r.text(), Zone: int(r.int()), At: r.time()}
 }
 
 // decode reads a message; false if the value is none of this form.
-func decode(value []byte) (*Message, bool) {
+func decode(value []byte, x axis) (*Message, bool) {
 	if len(value) == 0 || value[0] != version {
 		return nil, false
 	}
-	r := &reader{data: value[1:]}
+	r := &reader{data: value[1:], axis: x}
 	m := &Message{ID: uint32(r.int()), Class: int(r.int()), Customer: int(r.int()), Dest: int(r.int()), Deadline: r.time()}
 	m.Trace, m.Key, m.Order, m.Service = r.text(), r.text(), r.text(), r.text()
 	m.Attempts = int(r.int())
@@ -120,11 +120,11 @@
 }
 
 // apply applies a delta; false if it is none of this form.
-func (m *Message) apply(delta []byte) bool {
+func (m *Message) apply(delta []byte, x axis) bool {
 	if len(delta) == 0 {
 		return false
 	}
-	r := &reader{data: delta[1:]}
+	r := &reader{data: delta[1:], axis: x}
 	switch delta[0] {
 	case deltaSend:
 		a := r.attempt()
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/bootclock"
 	"onyxroad.dev/onyxroad/internal/store"
 )
 
@@ -70,6 +71,8 @@
 	Standing []byte
 	// Carried is how many messages came over from a log of the form before this one.
 	Carried int
+	// Stepped is by how much the wall clock was set since the journal was last opened, as far as the boot's clock tells.
+	Stepped time.Duration
 	// Unreadable are values of the store that hold no message of this form.
 	Unreadable int
 }
@@ -84,6 +87,10 @@
 	Interval time.Duration
 	// Bodies bounds the bodies that are kept in memory beside the store, in bytes; 0: all are.
 	Bodies int64
+	// Clock reads the machine's clocks; nil: bootclock.Now.
+	Clock func() bootclock.Reading
+
+	readOnly bool
 }
 
 // Steps of compaction, for each write.
@@ -100,9 +107,12 @@
 	notes   []note
 	scratch []byte
 	bodies  int64
-	// standings are the keys of what Standing kept: all but the last are of no use.
-	standings []uint64
-	stalled   error // compaction could not go on; told once
+	// The keys of what Standing kept, and of anchors: all but the last of each are of no use.
+	standings, anchors []uint64
+
+	axis    axis
+	anchor  anchor // in the store, if that had room
+	stalled error  // compaction could not go on; told once
 }
 
 // note is an outcome or an end that is not written yet.
@@ -120,27 +130,30 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
+	opt.readOnly = readOnly
 	j := &Journal{store: s, opt: opt, live: map[uint32]*Message{}}
 	rec := &Recovery{Store: found}
-	for _, key := range found.Keys {
+	keys, err := j.open(found, rec)
+	if err == nil && !readOnly {
+		err = j.keepAnchor()
+	}
+	if err != nil {
+		return nil, nil, errors.Join(fmt.Errorf("journal: %w", err), s.Close())
+	}
+	for _, key := range keys {
 		value, err := s.Get(key, j.scratch[:0])
 		if err != nil {
 			return nil, nil, errors.Join(fmt.Errorf("journal: %w", err), s.Close())
 		}
 		j.scratch = value
-		if len(value) > 0 && value[0] == standingVersion {
-			j.standings = append(j.standings, key) // in the order of their keys: the last counts
-			rec.Standing = append([]byte(nil), value[1:]...)
-			continue
-		}
-		m, ok := decode(value)
+		m, ok := decode(value, j.axis)
 		if !ok {
 			rec.Unreadable++
 			continue
 		}
 		m.key, m.Doubtful = key, found.Doubtful(key)
 		for _, d := range found.Deltas(key) {
-			if !m.apply(d) {
+			if !m.apply(d, j.axis) {
 				m.Doubtful = true
 			}
 		}
@@ -155,6 +168,55 @@
 	return j, rec, nil
 }
 
+// open reads what is no message, and goes on with the axis; the other keys are returned.
+func (j *Journal) open(found *store.Recovery, rec *Recovery) (keys []uint64, err error) {
+	var last *anchor
+	for _, key := range found.Keys {
+		value, err := j.store.Get(key, j.scratch[:0])
+		if err != nil {
+			return nil, err
+		}
+		switch j.scratch = value; {
+		case len(value) > 0 && value[0] == standingVersion:
+			j.standings = append(j.standings, key) // in the order of their keys: the last counts
+			rec.Standing = append([]byte(nil), value[1:]...)
+		case len(value) > 0 && value[0] == anchorVersion:
+			j.anchors, last = append(j.anchors, key), decodeAnchor(value)
+		default:
+			keys = append(keys, key)
+		}
+	}
+	if j.opt.Clock == nil {
+		j.opt.Clock = bootclock.Now
+	}
+	j.axis, j.anchor = goOn(last, j.opt.Clock())
+	if last != nil {
+		rec.Stepped = j.anchor.Step - last.Step
+	}
+	return keys, nil
+}
+
+// keepAnchor writes the anchor, if it is not what was written last. Without room the next process goes by the one before it.
+func (j *Journal) keepAnchor() error {
+	if len(j.anchors) > 0 {
+		value, err := j.store.Get(j.anchors[len(j.anchors)-1], nil)
+		if err != nil {
+			return err
+		}
+		if was := decodeAnchor(value); was != nil && *was == j.anchor {
+			return nil
+		}
+	}
+	if err := j.replace(&j.anchors, j.anchor.encode(nil)); err != nil && !errors.Is(err, ErrFull) {
+		return err
+	}
+	return nil
+}
+
+// Stamp is a time of this process on the journal's axis, to which nothing that is done to the wall clock matters, in the
+// form of a wall time. What Standing keeps should be timed so.
+func (j *Journal) Stamp(t time.Time) time.Time { return time.Unix(0, j.axis.of(t)) }
+
 // keep leaves a body on disk where the bodies in memory would be too many.
 func (j *Journal) keep(m *Message) {
 	m.size = len(m.Body)
@@ -183,20 +245,32 @@
 // Standing keeps data in the place of what was kept before: what a process wants the next one to know beside the messages. It is
 // one commit with all that is noted. With ErrFull what was kept before stays.
 func (j *Journal) Standing(data []byte) error {
+	return j.replace(&j.standings, append([]byte{standingVersion}, data...))
+}
+
+// replace puts a value in the place of those under keys.
+func (j *Journal) replace(keys *[]uint64, value []byte) error {
 	b := j.begin()
-	key := b.Put([]byte{standingVersion}, data)
-	for _, old := range j.standings {
+	key := b.Put(nil, value)
+	for _, old := range *keys {
 		b.Delete(old)
 	}
 	if err := j.commit(b); err != nil {
 		return err
 	}
-	j.standings = append(j.standings[:0], key)
+	*keys = append((*keys)[:0], key)
 	return nil
 }
 
-// Close writes what is noted and closes the store.
-func (j *Journal) Close() error { return errors.Join(j.Flush(), j.store.Close()) }
+// Close writes what is noted and how far the wall clock has been set by now, and closes the store.
+func (j *Journal) Close() error {
+	err := j.Flush()
+	if _, now := goOn(&j.anchor, j.opt.Clock()); err == nil && !j.opt.readOnly && now.Step != j.anchor.Step {
+		j.anchor = now
+		err = j.keepAnchor()
+	}
+	return errors.Join(err, j.store.Close())
+}
 
 // Stats tells how the store fares.
 func (j *Journal) Stats() store.Stats { return j.store.Stats() }
@@ -209,7 +283,7 @@
 	b := j.begin()
 	keys := make([]uint64, 0, 16)
 	for _, m := range ms {
-		j.scratch = m.encode(j.scratch[:0])
+		j.scratch = m.encode(j.scratch[:0], j.axis)
 		keys = append(keys, b.Put(j.scratch, m.Body))
 	}
 	if err := j.commit(b); err != nil {
@@ -228,7 +302,7 @@
 	b := j.begin()
 	for i := range sends {
 		s := &sends[i]
-		j.scratch = appendAttempt(append(j.scratch[:0], deltaSend), &s.Attempt)
+		j.scratch = j.axis.appendAttempt(append(j.scratch[:0], deltaSend), &s.Attempt)
 		b.Append(s.Message.key, j.scratch)
 	}
 	if err := j.commit(b); err != nil {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -255,31 +255,34 @@
 	}
 }
 
+// unset is the axis of a machine whose clock was never set.
+var unset = axis{base: time.Unix(0, 0)}
+
 func TestDecodeRefusesWhatItNeverWrote(t *testing.T) {
-	value := append(message(3).encode(nil), "body"...)
+	value := append(message(3).encode(nil, unset), "body"...)
 	for cut := range len(value) - len("body") {
-		if m, ok := decode(value[:cut]); ok {
+		if m, ok := decode(value[:cut], unset); ok {
 			t.Errorf("a message cut at byte %d is taken: %+v", cut, m)
 		}
 	}
 	m := message(1)
 	for _, d := range [][]byte{nil, {99}, {deltaSend}, {deltaFinal, 2}, {deltaWithdrawn, 1}, append([]byte{deltaNeverRan, 2}, strings.Repeat("x", 9)...)} {
-		if m.apply(d) {
+		if m.apply(d, unset) {
 			t.Errorf("delta %v is taken", d)
 		}
 	}
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add(append(message(3).encode(nil), "body"...))
-	f.Add(appendAttempt([]byte{deltaSend}, &Attempt{1, "h", 2, time.Unix(1, 2)}))
+	f.Add(append(message(3).encode(nil, unset), "body"...))
+	f.Add(unset.appendAttempt([]byte{deltaSend}, &Attempt{1, "h", 2, time.Unix(1, 2)}))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, ok := decode(data)
+		m, ok := decode(data, unset)
 		if !ok {
-			message(1).apply(data)
+			message(1).apply(data, unset)
 			return
 		}
-		again, ok := decode(append(m.encode(nil), m.Body...))
+		again, ok := decode(append(m.encode(nil, unset), m.Body...), unset)
 		if !ok || !same(m, again) {
 			t.Errorf("%+v, %+v", m, again)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -284,7 +284,7 @@
 		known.Full = true
 		evs = append(evs, r.list(known))
 	}
-	evs = append(evs, standing.Events(standing.Decode(found.Standing), time.Now(), r.terms.Settings.WarmWithin)...)
+	evs = append(evs, standing.Events(standing.Decode(found.Standing), r.journal.Stamp(time.Now()), r.terms.Settings.WarmWithin)...)
 	for _, w := range found.Messages {
 		if w.Service != "" {
 			w.Class = slices.Index(r.terms.Classes, w.Service) // the module takes one that is not named for the strictest
@@ -317,6 +317,9 @@
 	if len(found.Messages) > 0 || !found.Sound() {
 		r.log.Info("recovered", "messages", len(found.Messages), "sound", found.Sound())
 	}
+	if found.Stepped != 0 {
+		r.log.Warn("the wall clock was set since the journal was last open; times of messages go by the boot's clock", "by", found.Stepped)
+	}
 	r.carryOut(r.decide(r.now(), evs), nil)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/bootclock"
 	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/internal/store"
 	"onyxroad.dev/onyxroad/internal/wire"
@@ -468,6 +469,59 @@
 	}
 }
 
+// The wall clock is set while no process runs. A message that was sent before the window in which its host drops repeats is not
+// repeated, one sent within it is, and each keeps the time that it truly has left: the boot's clock tells.
+func TestTheWindowGoesByTheBootsClock(t *testing.T) {
+	for _, step := range []time.Duration{0, -7 * time.Second, -time.Hour, 7 * time.Second, time.Hour} {
+		r := newTestRelay(t)
+		now := bootclock.Now()
+		if now.Boot == "" {
+			now.Boot = "a boot"
+		}
+		class := r.cfg.Settings.Classes[0]
+		away := class.Window / 2
+		open := func(now bootclock.Reading) *journal.Recovery {
+			if err := r.journal.Close(); err != nil {
+				t.Fatal(err)
+			}
+			opt := r.cfg.Operator.Journal.Options(3e6)
+			opt.Clock = func() bootclock.Reading { return now }
+			j, found, err := journal.OpenFolder(r.cfg.StateDir, opt)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.journal = j
+			return found
+		}
+		// The process before: it ran until away ago, when the wall clock was step ahead of what it is now.
+		was := bootclock.Reading{Wall: now.Wall.Add(-away - step), Boot: now.Boot, Up: now.Up - away}
+		open(was)
+		for id, sent := range map[uint32]time.Duration{1: away + time.Second, 2: away - time.Second} {
+			m := &journal.Message{ID: id, Trace: fmt.Sprint("m", id), Key: "k", Order: fmt.Sprint(id), Dest: 7, Deadline: was.Wall.Add(away + 9*time.Second)}
+			if err := r.journal.Accept(m); err != nil {
+				t.Fatal(err)
+			}
+			if err := r.journal.Sent(journal.Send{Message: m, Attempt: journal.Attempt{Host: "s-1", At: was.Wall.Add(-sent)}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r.found = open(now)
+		if d := (r.found.Stepped - step).Abs(); d > time.Millisecond {
+			t.Errorf("step %v: taken for %v", step, r.found.Stepped)
+		}
+		for _, m := range r.found.Messages {
+			if left := time.Until(m.Deadline); left < 8*time.Second || left > 9*time.Second {
+				t.Errorf("step %v: %v left of 9 s", step, left)
+			}
+		}
+		r.resume()
+		if len(r.finals.queue) != 1 || r.finals.queue[0].ID != "m1" || r.msgs[2] == nil || r.msgs[2].ended {
+			t.Errorf("step %v: notices %+v", step, r.finals.queue)
+		}
+		r.calls.Wait()
+	}
+}
+
 // A repeat that was decided inside its window waits for a connection that comes up only after it, as from a machine
 // that is back. It must not leave then: no host drops it any more.
 func TestARepeatHeldUpPastItsWindowDoesNotLeave(t *testing.T) {
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -33,7 +33,7 @@
 	}
 	r.standing.due = false
 	views, _ := r.sender.Views()
-	recs := standing.Of(views, r.now(), now.Round(0))
+	recs := standing.Of(views, r.now(), r.journal.Stamp(now))
 	if standing.Changed(r.standing.kept, recs) {
 		if err := r.journal.Standing(standing.Encode(recs)); err != nil {
 			r.log.Debug("standing of hosts not kept", "err", err) // a restart knows less; the messages have the room
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -15,7 +15,7 @@
 // most bounds the records, and so the room that they take: some 100 bytes each.
 const most = 256
 
-// Record is how a route stands, where that is not well. Times are wall times.
+// Record is how a route stands, where that is not well. Times are on one axis over all processes: journal.Stamp.
 type Record struct {
 	Route string
 	At    time.Time // seen so
