--- /dev/null
+++ b/cmd/emulate/check.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/cli"
+	"onyxroad.dev/onyxroad/internal/explore"
+)
+
+type checkCommand struct {
+	Worlds []string `name:"world" help:"Worlds; default: all that come with it."`
+	Mutant string   `help:"Check a relay that has this wrong about it." placeholder:"NAME"`
+	Depth  int      `help:"Moves on a path at most; 0: each world's."`
+	Deeper int      `help:"So many moves more than each world's own bound."`
+	States int      `help:"States of a world at most; 0: 4 million." `
+	Keep   string   `help:"File for the path to a break." default:"counterexample.json" placeholder:"FILE"`
+	Replay string   `help:"Play the path in this file again, and nothing else." type:"existingfile" placeholder:"FILE"`
+	List   bool     `help:"List the worlds."`
+}
+
+// Run explores.
+func (c *checkCommand) Run(ctx context.Context, s *cli.Streams) error {
+	if c.List {
+		for _, w := range explore.Worlds() {
+			fmt.Fprintf(s.Out, "%-10s to %2d moves: %s\n", w.Name, w.Depth, w.About)
+		}
+		return nil
+	}
+	if c.Replay != "" {
+		return c.replay(s)
+	}
+	wrong, err := mutant(c.Mutant)
+	if err != nil {
+		return err
+	}
+	worlds := explore.Worlds()
+	if len(c.Worlds) > 0 {
+		worlds = nil
+		for _, name := range c.Worlds {
+			w := explore.WorldNamed(name)
+			if w == nil {
+				return fmt.Errorf("no world %q", name)
+			}
+			worlds = append(worlds, *w)
+		}
+	}
+	broken := false
+	for i := range worlds {
+		w := &worlds[i]
+		depth := c.Depth
+		if depth == 0 {
+			depth = w.Depth
+		}
+		began := time.Now()
+		f, err := explore.Search(ctx, w, explore.Options{Wrong: wrong, Depth: depth + c.Deeper, StatesMost: c.States})
+		if err != nil && !errors.Is(err, context.Canceled) {
+			return err
+		}
+		how := fmt.Sprintf("to %d moves", f.Depth)
+		switch {
+		case f.Whole:
+			how = "whole"
+		case f.Walked > 0:
+			how += fmt.Sprintf(", and %d random paths", f.Walked)
+		case f.Stopped:
+			how += ", and part of the next: cut off"
+		}
+		fmt.Fprintf(s.Out, "%-10s %9d states  %9d moves played  %s  %v", w.Name, f.States, f.Paths, how, time.Since(began).Round(time.Millisecond))
+		if f.Break == nil {
+			fmt.Fprintln(s.Out, "  all rules held")
+			if err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(s.Out, "\n%s: BROKEN after %d moves: %s\n", f.Break.Rule, len(f.Path), f.Break.Text)
+		p := explore.Path{World: w.Name, Mutant: c.Mutant, Rule: f.Break.Rule, Moves: f.Path}
+		if err := p.Tell(s.Out); err != nil {
+			return err
+		}
+		if !broken {
+			data, err := json.MarshalIndent(p, "", " ")
+			if err == nil {
+				err = os.WriteFile(c.Keep, append(data, '\n'), 0o600)
+			}
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(s.Out, "kept in %s: emulate check --replay %s\n", c.Keep, c.Keep)
+		}
+		broken = true
+	}
+	if broken {
+		return cli.Exit(exitBroken)
+	}
+	return nil
+}
+
+func (c *checkCommand) replay(s *cli.Streams) error {
+	data, err := os.ReadFile(c.Replay)
+	if err != nil {
+		return err
+	}
+	p, err := explore.ParsePath(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Replay, err)
+	}
+	if err := p.Tell(s.Out); err != nil {
+		return err
+	}
+	b, err := p.Replay()
+	if err != nil {
+		return err
+	}
+	if b == nil {
+		fmt.Fprintln(s.Out, "no rule is broken on this path")
+		return nil
+	}
+	fmt.Fprintf(s.Out, "%s: BROKEN: %s\n", b.Rule, b.Text)
+	return cli.Exit(exitBroken)
+}
--- /dev/null
+++ b/internal/emulate/call.go
@@ -0,0 +1,367 @@
+package emulate
+
+import (
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/partner"
+	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// call is a call that a relay makes. The relay has its end of it, the host its own; each learns of the other a latency later.
+type call struct {
+	r     *relay
+	life  int
+	host  *host
+	num   uint64
+	sent  time.Duration
+	until time.Duration // dropped then
+	atts  []attempt
+
+	fresh   bool          // on a new connection
+	began   time.Duration // to be written
+	written bool
+	over    bool // at the relay
+	came    bool // whole, to the host
+	done    bool // at the host
+}
+
+// attempt is one message's part in a call.
+type attempt struct {
+	m     *message
+	n     int
+	until time.Duration
+	over  bool
+}
+
+// result is how an attempt, or all of a call, ended.
+type result struct {
+	outcome policy.Outcome
+	gone    bool
+	wait    time.Duration
+	took    time.Duration
+}
+
+func (c *call) ids() []uint32 {
+	all := make([]uint32, 0, len(c.atts))
+	for _, a := range c.atts {
+		all = append(all, a.m.id)
+	}
+	return all
+}
+
+// latency is one way between the relay and the host.
+func (c *call) latency() time.Duration {
+	d := c.r.w.opts.Latency
+	if c.r.zone != c.host.zone {
+		d += c.r.w.opts.ZoneLatency
+	}
+	return d
+}
+
+// in plans something at the relay, unless the call is over there.
+func (c *call) in(d time.Duration, do func()) {
+	c.r.w.After(d, func() {
+		if !c.over {
+			do()
+		}
+	})
+}
+
+func (r *relay) pool(h *host) *pool {
+	p := r.pools[h]
+	if p == nil {
+		p = &pool{life: h.life}
+		r.pools[h] = p
+	}
+	if p.life != h.life { // all its connections were reset, which the relay has seen
+		p.life, p.idle = h.life, p.idle[:0]
+	}
+	return p
+}
+
+func (p *pool) put(at time.Duration) { p.idle = append(p.idle, at) }
+
+// get takes the connection that was used last; false if there is none.
+func (p *pool) get(now, keep time.Duration) bool {
+	old := 0
+	for old < len(p.idle) && p.idle[old] <= now-keep {
+		old++
+	}
+	p.idle = append(p.idle[:0], p.idle[old:]...)
+	if len(p.idle) == 0 {
+		return false
+	}
+	p.idle = p.idle[:len(p.idle)-1]
+	return true
+}
+
+// launch makes a call.
+func (r *relay) launch(c *call) {
+	w := r.w
+	r.calling[c] = struct{}{}
+	for i := range c.atts {
+		if a := &c.atts[i]; a.until < c.until {
+			c.in(a.until-w.Now(), func() {
+				if !a.over {
+					r.attemptEnded(c, a, result{outcome: policy.Timeout, took: w.Now() - c.sent})
+				}
+			})
+		}
+	}
+	c.in(c.until-w.Now(), c.timeout)
+	keep := time.Duration(keepShare * float64(w.plan.File.Settings.KeepAlive))
+	if r.pool(c.host).get(w.Now(), keep) {
+		c.write()
+		return
+	}
+	c.fresh = true
+	h := c.host
+	connect := w.plan.File.Settings.ConnectTimeout.D()
+	c.in(c.latency(), func() { // the first packet has come to the host
+		switch {
+		case h.isCut:
+			c.in(connect-c.latency(), func() { r.callEnded(c, result{outcome: policy.ConnectFailed}) })
+		case h.isDown || h.stopped:
+			c.in(c.latency(), func() { r.callEnded(c, result{outcome: policy.ConnectFailed}) })
+		default:
+			c.in(c.latency(), func() { // the connection is up; meanwhile a drain or a wait may have been told
+				r.asked = append(r.asked, c)
+				r.plan()
+			})
+		}
+	})
+}
+
+// write writes a call on its connection.
+func (c *call) write() {
+	w := c.r.w
+	c.written, c.began = true, w.Now()
+	h := c.host
+	h.calls[c] = struct{}{}
+	if !c.fresh && w.opts.IdleResets > 0 && w.net.Float64() < w.opts.IdleResets {
+		delete(h.calls, c)
+		c.in(2*c.latency(), func() { c.r.callEnded(c, result{outcome: policy.Reset, took: 2 * c.latency()}) })
+		return
+	}
+	life := h.life
+	w.After(c.latency(), func() {
+		if h.life == life && !c.done {
+			w.Calls++
+			c.arrive()
+		}
+	})
+}
+
+// timeout ends a call whose time is up.
+func (c *call) timeout() {
+	r := c.r
+	outcome := policy.Timeout
+	if !c.written {
+		outcome = policy.ConnectFailed
+	}
+	c.leaves()
+	r.callEnded(c, result{outcome: outcome, took: r.w.Now() - max(c.sent, c.began)})
+}
+
+// leaves tells the host, a latency later, that the relay has closed the connection.
+func (c *call) leaves() {
+	if c.written && !c.done {
+		c.r.w.After(c.latency(), func() { c.endsAtHost(record.CauseRelay) })
+	}
+}
+
+// closed is the end of a call whose relay has died.
+func (c *call) closed() {
+	c.over = true
+	c.leaves()
+}
+
+// endsAtHost ends a call at the host without an answer. What runs there runs on.
+func (c *call) endsAtHost(cause string) {
+	if c.done || c.host.isCut && cause == record.CauseRelay {
+		return // a machine that is cut off hears nothing of that
+	}
+	c.done = true
+	delete(c.host.calls, c)
+	if c.came {
+		c.r.w.see(record.Event{Kind: record.Ended, Call: c.num, Relay: c.r.name, Host: c.host.ID, Cause: cause})
+	}
+}
+
+// broken is the end of a call whose host breaks its connection.
+func (c *call) broken() {
+	c.endsAtHost(record.CauseHost)
+	c.done = true
+	delete(c.host.calls, c)
+	if !c.over {
+		c.in(c.latency(), func() { c.r.callEnded(c, result{outcome: policy.Reset, took: c.r.w.Now() - c.began}) })
+	}
+}
+
+// arrive is the coming of a whole call to its host.
+func (c *call) arrive() {
+	w, h := c.r.w, c.host
+	if h.isCut {
+		return // it is held back, until the host is back and breaks the connection
+	}
+	if h.isDown || h.stopped {
+		c.broken()
+		return
+	}
+	c.came = true
+	if w.opts.Record {
+		e := record.Event{Kind: record.Call, Call: c.num, Relay: c.r.name, Host: h.ID, First: w.Now(), Dest: h.Dest, Weight: h.place.Weight(len(c.atts))}
+		for i := range c.atts {
+			e.IDs = append(e.IDs, c.atts[i].m.name)
+		}
+		w.see(e)
+	}
+	results := make([]result, len(c.atts))
+	live := 0
+	for i := range c.atts {
+		m := c.atts[i].m
+		m.calls++
+		switch {
+		case w.Now() > m.deadline || m.gone:
+			results[i] = result{outcome: policy.Moot, gone: true}
+		case m.calls > w.set.MaxAttempts && w.set.MaxAttempts > 0:
+			results[i] = result{outcome: policy.Moot}
+		default:
+			live++
+			results[i] = result{outcome: policy.OK}
+		}
+	}
+	if live == 0 {
+		c.reply(0, results, policy.OK, 0)
+		return
+	}
+	h.place.Slots++
+	fate := h.place.Arrive(w.Now(), h.ID, live)
+	if fate.Fell {
+		w.Fell++
+		w.see(record.Event{Kind: record.Fell, Place: h.place.Name, Dest: h.Dest, Hosts: ids(h.place.standing())})
+		w.able(h.place, 0, 0)
+	}
+	if fate.Result != partner.Mute && h.place.Resets != nil && w.net.Float64() < h.place.Resets(c.r.n) {
+		w.After(0, c.broken)
+		return
+	}
+	switch fate.Result {
+	case partner.Mute:
+	case partner.Served:
+		c.reply(fate.After, results, policy.OK, 0)
+	case partner.Refused:
+		c.reply(fate.After, results, policy.Full, fate.Wait.Round(time.Millisecond))
+	case partner.Failed:
+		c.reply(fate.After, results, policy.Error, 0)
+	}
+}
+
+// reply answers a call after a time: as a whole, or where the outcome is OK each of its messages.
+func (c *call) reply(after time.Duration, results []result, outcome policy.Outcome, wait time.Duration) {
+	w, h := c.r.w, c.host
+	w.After(after, func() {
+		if c.done || h.isCut {
+			return
+		}
+		c.done = true
+		delete(h.calls, c)
+		e := record.Event{Kind: record.Reply, Call: c.num, Relay: c.r.name, Host: h.ID, Status: 200, Wait: wait}
+		switch outcome {
+		case policy.Full:
+			w.CallsFull++
+			if e.Status = 503; wait > 0 {
+				e.Status = 429
+			}
+		case policy.Error:
+			w.CallsFailed++
+			e.Status = 500
+		default:
+			w.CallsOK++
+			for i := range c.atts {
+				switch {
+				case results[i].outcome == policy.OK:
+					w.delivered(c.atts[i].m)
+				case len(c.atts) == 1 && results[i].gone:
+					e.Status = 410
+				case len(c.atts) == 1:
+					e.Status = 504
+				}
+			}
+			if w.opts.Record && len(c.atts) > 1 {
+				for _, x := range results {
+					e.States = append(e.States, stateOf(x))
+				}
+			}
+		}
+		w.see(e)
+		took := w.Now() + c.latency() - c.began
+		for i := range results {
+			if outcome != policy.OK {
+				results[i] = result{outcome: outcome}
+			}
+			results[i].took, results[i].wait = took, wait
+		}
+		c.in(c.latency(), func() {
+			c.r.pool(h).put(w.Now())
+			c.r.callEnded(c, results...)
+		})
+	})
+}
+
+func stateOf(x result) string {
+	switch {
+	case x.outcome == policy.OK:
+		return "ok"
+	case x.gone:
+		return "gone"
+	}
+	return "exhausted"
+}
+
+// callEnded takes the end of a call: of each attempt, or of all alike.
+func (r *relay) callEnded(c *call, results ...result) {
+	if c.over {
+		return
+	}
+	c.over = true
+	delete(r.calling, c)
+	for i := range c.atts {
+		r.attemptEnded(c, &c.atts[i], results[min(i, len(results)-1)])
+	}
+	r.plan()
+}
+
+// attemptEnded takes the outcome of an attempt: in the journal, and for the module.
+func (r *relay) attemptEnded(c *call, a *attempt, res result) {
+	m := a.m
+	ok := res.outcome == policy.OK
+	if a.over { // cut off before; a delivery still ends the message
+		if ok {
+			if !m.ended {
+				r.pending = append(r.pending, policy.Event{Kind: policy.Withdrawn, ID: m.id})
+			}
+			r.done(m)
+			r.end(m)
+		}
+		return
+	}
+	a.over = true
+	m.out--
+	switch res.outcome {
+	case policy.Full, policy.ConnectFailed, policy.Moot:
+		if len(m.mayRun) > 0 {
+			was := m.mayRun
+			m.neverRan(a.n)
+			r.journal.note(r, func() { m.mayRun = was })
+		}
+	}
+	if ok || res.gone {
+		r.done(m)
+		r.end(m)
+	}
+	r.tell(policy.Event{
+		Kind: policy.Finished, ID: m.id, Attempt: a.n, Route: c.host.ID, Outcome: res.outcome, Took: res.took, Ended: ok || res.gone, Wait: res.wait,
+	})
+}
--- /dev/null
+++ b/internal/emulate/measures.go
@@ -0,0 +1,117 @@
+package emulate
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"onyxroad.dev/onyxroad/internal/judge"
+	"onyxroad.dev/onyxroad/internal/record"
+)
+
+// Measures are what a run is counted by as it goes, in a room that does not grow with the messages.
+type Measures struct {
+	Offered     int // first tries
+	InFull      int // delivered within the aim
+	InPart      int // delivered after it
+	Refused     int // hand-ins turned away at the door, further tries too
+	Deferred    int // notices that tell to come again
+	Failed      int // notices that promise nothing, and answers that are neither taken nor refused
+	Unanswered  int // hand-ins without an answer
+	Calls       int // that were written
+	CallsOK     int
+	CallsFull   int
+	CallsFailed int
+	Fell        int // places pushed over
+	Steps       int // of modules
+	Events      int // told to them
+
+	classes []record.Class
+	worth   []float64 // asked for, in each second
+	value   []float64 // of it, delivered
+	late    *hdrhistogram.Histogram
+}
+
+const (
+	lateMost  = 10 * time.Minute
+	worstSpan = 10 // seconds
+)
+
+func (m *Measures) init(classes []record.Class, length time.Duration) {
+	m.classes = classes
+	m.worth = make([]float64, int(length/time.Second)+1)
+	m.value = make([]float64, len(m.worth))
+	m.late = hdrhistogram.New(int64(10*time.Microsecond), int64(lateMost), 3)
+}
+
+func (w *World) worthOf(x *ask) float64 {
+	worth := w.classes[x.class].Worth
+	if x.over {
+		worth *= w.header.Rules.OverShareWorth
+	}
+	return worth
+}
+
+func (m *Measures) second(at time.Duration) int { return min(len(m.worth)-1, int(at/time.Second)) }
+
+func (w *World) asked(x *ask) {
+	w.Offered++
+	w.worth[w.second(x.at)] += w.worthOf(x)
+}
+
+// delivered counts a delivery, of the first try's the first.
+func (w *World) delivered(m *message) {
+	x := m.ask
+	if x.done {
+		return
+	}
+	x.done = true
+	if w.opts.Delivered != nil {
+		w.opts.Delivered(x.dest, x.at, w.Now())
+	}
+	c := w.classes[x.class]
+	took := w.Now() - x.at
+	if took <= c.Aim {
+		w.InFull++
+	} else {
+		w.InPart++
+	}
+	w.value[w.second(x.at)] += w.worthOf(x) * judge.WorthAfter(c, took)
+	w.late.RecordValue(int64(min(took, lateMost))) // within its range
+}
+
+// Whole is the worth delivered of the worth asked for.
+func (m *Measures) Whole() float64 { return m.Between(0, lateMost*1000) }
+
+// Between is the same of what was asked for in a span of whole seconds.
+func (m *Measures) Between(from, to time.Duration) float64 {
+	worth, value := 0.0, 0.0
+	for i := int(from / time.Second); i < len(m.worth) && time.Duration(i)*time.Second < to; i++ {
+		worth, value = worth+m.worth[i], value+m.value[i]
+	}
+	if worth == 0 {
+		return 1
+	}
+	return value / worth
+}
+
+// Worst10s is the worst of any ten seconds, a second apart.
+func (m *Measures) Worst10s() float64 {
+	worst := math.Inf(1)
+	for from := 0; from == 0 || from+worstSpan < len(m.worth); from++ {
+		worst = min(worst, m.Between(time.Duration(from)*time.Second, time.Duration(from+worstSpan)*time.Second))
+	}
+	return worst
+}
+
+// Undelivered are the first tries that were never delivered.
+func (m *Measures) Undelivered() int { return m.Offered - m.InFull - m.InPart }
+
+// Late is the time from hand-in to delivery at a percentile of the delivered, to three digits.
+func (m *Measures) Late(percentile float64) time.Duration {
+	return time.Duration(m.late.ValueAtPercentile(percentile))
+}
+
+// Histogram is the times from hand-in to delivery, in nanoseconds.
+func (m *Measures) Histogram() *hdrhistogram.Histogram { return m.late }
--- /dev/null
+++ b/internal/emulate/world.go
@@ -0,0 +1,500 @@
+// Package emulate plays a scenario in virtual time: decision modules as they are, each as a relay of its own that shares
+// nothing with the others, beside models of what relays serve. No clock, no socket, no disk; the same plan and options give
+// the same history, byte for byte. What it sees is a record in the form of package record, so that package judge judges it as
+// it judges a rehearsal of real processes. What the models follow and what they leave out: docs/emulator.md.
+package emulate
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/des"
+	"onyxroad.dev/onyxroad/internal/judge"
+	"onyxroad.dev/onyxroad/internal/partner"
+	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/internal/scenario"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Module is what decides: a *policy.Sender, or one with something wrong about it.
+type Module interface {
+	Step(now time.Duration, events []policy.Event) []policy.Action
+	MayStill(route string, ids []uint32, now time.Duration) bool
+}
+
+// Sync says what of a relay's journal outlasts a death of its machine. A death of its process alone loses nothing.
+type Sync int
+
+// The policies.
+const (
+	SyncNever    Sync = iota // nothing that was written since the machine began
+	SyncInterval             // all but the last second
+	SyncAlways               // all
+)
+
+// Options say how a plan is played. The zero value is a sound relay on a fast network, with no record.
+type Options struct {
+	Record bool // what is seen is kept, to be judged: World.Result
+	// Latency is one way between a relay and a host, and between a client and a relay; 0: 100 µs, as on loopback.
+	Latency time.Duration
+	// ZoneLatency is added between a relay and a host of another zone. Relays stand in the zones in turn.
+	ZoneLatency time.Duration
+	IdleResets  float64 // share of the calls on a kept connection that find it reset, and never run
+	Sync        Sync
+	// ListDelay is how late a relay learns of a change of the list, in place of what the scenario draws; nil: that.
+	ListDelay func(relay int) time.Duration
+	// Wrong is what is wrong with all relays; nil: nothing.
+	Wrong *Mutant
+	// Settings changes what the modules are told, not what the rules are; nil: nothing.
+	Settings func(*policy.Settings)
+	// Stepped is told of each step of a module; nil: nobody is.
+	Stepped func(relay int, now time.Duration, events []policy.Event, actions []policy.Action)
+	// Delivered is told of each message that is delivered for the first time; nil: nobody is.
+	Delivered func(dest int, asked, at time.Duration)
+	// Machines says that machines may die: what their journals have not synced is kept to be undone.
+	Machines bool
+	// EventsMost bounds the engine's events; 0: 2,000 for each message and second of length and relay, and a million more.
+	EventsMost uint64
+}
+
+// Place is a destination, or a route that stands apart, with what a network can do to it beside.
+type Place struct {
+	*partner.Place
+	Name   string
+	Dest   int
+	Resets func(relay int) float64 // share of a relay's calls whose connections break under them, and which run; nil: none
+	Slots  int                     // calls that are being served
+	outage string                  // its cause; "": in service
+	slow   float64
+	hosts  []*host
+}
+
+// host is one endpoint.
+type host struct {
+	scenario.Endpoint
+	n                      int
+	zone                   int
+	place                  *Place
+	isDown, isCut, stopped bool
+	life                   int // raised when all its connections are reset
+	calls                  map[*call]struct{}
+}
+
+// ask is what a client asks for with its first try, and what came of it.
+type ask struct {
+	at                time.Duration
+	class, cust, dest int
+	over, done        bool
+}
+
+// World is a plan at work.
+type World struct {
+	des.Engine
+	Measures
+	plan   scenario.Plan
+	opts   Options
+	set    policy.Settings // as the rules have them
+	places map[string]*Place
+	order  []*Place
+	hosts  map[string]*host
+	relays []*relay
+	net    *rand.Rand // what the network does
+	delays *rand.Rand // how late discovery is
+	events []record.Event
+	header record.Header
+	calls  uint64
+	ids    uint64
+	length time.Duration
+	shares judge.Shares
+}
+
+// ErrRecord tells that a run saw more than a record may hold.
+var ErrRecord = errors.New("emulate: the record is full")
+
+// New returns a world in which nothing has happened yet. Its relays are up, and know the list.
+func New(plan scenario.Plan, opts Options) (*World, error) {
+	opts.Latency = cmp.Or(opts.Latency, 100*time.Microsecond)
+	w := &World{
+		plan: plan, opts: opts, set: Settings(plan.File), places: map[string]*Place{}, hosts: map[string]*host{},
+		net: des.Stream(plan.Seed, "network", 0), delays: rand.New(rand.NewPCG(plan.Delays, 1)), length: plan.File.Length.D(),
+	}
+	if opts.EventsMost == 0 {
+		rate := 0.0
+		for _, t := range plan.File.Traffic {
+			rate += t.Rate * (t.To - t.From).D().Seconds()
+		}
+		opts.EventsMost = 1e6 + uint64(2000*(rate+float64(len(plan.Arrivals))+w.length.Seconds()*float64(plan.File.Relays)))
+	}
+	w.Bound(opts.EventsMost)
+	w.header = plan.File.Header(plan.Seed)
+	w.header.Format, w.header.Plan = record.Format, plan.Digest()
+	w.header.Began = time.Unix(0, 0).UTC()
+	w.Measures.init(w.header.Classes, w.length)
+	w.shares = judge.NewShares(w.header)
+	for _, p := range plan.Places {
+		w.addPlace(p)
+	}
+	for _, e := range plan.Endpoints {
+		if !e.Later {
+			if _, err := w.addHost(e); err != nil {
+				return nil, err
+			}
+			w.changed(e, record.StateReady)
+		}
+	}
+	for i := range plan.File.Relays {
+		r, err := newRelay(w, i)
+		if err != nil {
+			return nil, err
+		}
+		w.relays = append(w.relays, r)
+	}
+	for _, r := range w.relays {
+		r.start()
+	}
+	return w, nil
+}
+
+// Settings are what a scenario's relays are told.
+func Settings(f scenario.File) policy.Settings {
+	s := f.Settings
+	set := policy.Settings{
+		Senders: f.Relays, Slots: s.Slots, MaxHeld: s.Held, MaxAttempts: s.Attempts, MaxRetryAfter: s.MaxRetryAfter.D(),
+		ColdShare: 1, OverloadFactor: s.FallMultiple, OverloadWindow: s.FallWindow.D(), OrderPause: s.OrderPause.D(),
+	}
+	for _, c := range f.Classes {
+		effect := map[string]policy.Effect{"safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}[c.Effect]
+		set.Classes = append(set.Classes, policy.Class{
+			Effect: effect, GroupAll: c.Group == "all", Window: c.Window.D(), Ordered: c.Order, Aim: c.Aim.D(), GiveUp: c.GiveUp.D(), Value: c.Worth,
+		})
+	}
+	for _, k := range f.Kinds {
+		set.Kinds = append(set.Kinds, policy.Kind{Separate: k.Separate, PerCall: k.PerCall})
+		set.ColdShare, set.WarmWithin = min(set.ColdShare, k.ColdFrom), max(set.WarmWithin, k.Warm.D())
+	}
+	for _, c := range f.Customers {
+		set.Customers = append(set.Customers, policy.Customer{Quota: c.Quota})
+	}
+	return set
+}
+
+func (w *World) addPlace(p scenario.Place) {
+	x := &Place{Place: partner.New(p.Spec, p.Seed), Name: p.Name, Dest: p.Dest, slow: 1}
+	w.places[p.Name] = x
+	w.order = append(w.order, x)
+}
+
+// see adds an event to the record, at this moment.
+func (w *World) see(e record.Event) {
+	if w.opts.Record && len(w.events) < record.EventsMost {
+		e.At = w.Now()
+		w.events = append(w.events, e)
+	}
+}
+
+// Place returns a place by its name; nil if there is none.
+func (w *World) Place(name string) *Place { return w.places[name] }
+
+// Places are all of them, in the plan's order; a destination's own where dest is above 0.
+func (w *World) Places(dest int) (all []*Place) {
+	for _, p := range w.order {
+		if dest == 0 || p.Dest == dest {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// Play plays the plan to its end, and until all that was handed in must have its end.
+func (w *World) Play() error {
+	for _, s := range w.plan.Steps {
+		w.At(s.At, func() { w.do(s) })
+	}
+	if len(w.plan.Arrivals) > 0 {
+		w.arrive(0)
+	} else {
+		for i := range w.plan.File.Traffic {
+			w.stream(w.plan.File.Flow(w.plan.Seed, i))
+		}
+	}
+	longest := time.Duration(0)
+	for _, c := range w.plan.File.Classes {
+		longest = max(longest, c.GiveUp.D())
+	}
+	if err := w.Run(w.length + longest + judge.FinalWithin + judge.Slack + time.Second); err != nil {
+		return err
+	}
+	if w.opts.Record && len(w.events) >= record.EventsMost {
+		return ErrRecord
+	}
+	w.see(record.Event{Kind: record.End})
+	return nil
+}
+
+// arrive hands the plan's arrivals in, one after the other, so that the engine holds one of them.
+func (w *World) arrive(n int) {
+	w.At(w.plan.Arrivals[n].At, func() {
+		w.Offer(w.plan.Arrivals[n])
+		if n+1 < len(w.plan.Arrivals) {
+			w.arrive(n + 1)
+		}
+	})
+}
+
+// stream hands in what a flow draws as time passes, where a plan was drawn without arrivals.
+func (w *World) stream(f *scenario.Flow) {
+	group, ok := f.Next()
+	if !ok {
+		return
+	}
+	w.At(group[0].At, func() {
+		for _, a := range group[1:] {
+			w.At(a.At, func() { w.Offer(a) })
+		}
+		w.Offer(group[0])
+		w.stream(f)
+	})
+}
+
+// Every runs do at random times, rate times a second in the mean, in a span.
+func (w *World) Every(from, to time.Duration, rate float64, do func()) {
+	if rate <= 0 {
+		return
+	}
+	next := max(w.Now(), from) + time.Duration(w.net.ExpFloat64()/rate*float64(time.Second))
+	if next >= to {
+		return
+	}
+	w.At(next, func() { do(); w.Every(next, to, rate, do) })
+}
+
+// Result is what was seen, for package judge.
+func (w *World) Result() (record.Header, []record.Event) { return w.header, w.events }
+
+// do carries a step of the plan out.
+func (w *World) do(s scenario.Step) {
+	switch s.Op {
+	case scenario.OpBegins:
+		w.see(record.Event{Kind: record.Trouble, Name: s.Target, State: record.StateBegin, Cause: s.Note})
+	case scenario.OpEnds:
+		w.see(record.Event{Kind: record.Trouble, Name: s.Target, State: record.StateEnd, Cause: s.Note})
+	case scenario.OpList:
+		w.List(w.endpoint(s.Target))
+	case scenario.OpDrain:
+		w.Tell(s.Target, record.StateDraining)
+	case scenario.OpGone:
+		w.Tell(s.Target, record.StateGone)
+	case scenario.OpStop:
+		w.stop(w.hosts[s.Target])
+	case scenario.OpSlow:
+		w.Slow(s.Target, s.X)
+	case scenario.OpFail, scenario.OpShut, scenario.OpMute, scenario.OpDown, scenario.OpCut:
+		w.Outage(s.Target, s.Op, s.X, s.For)
+	case scenario.OpBack:
+		w.Back(s.Target)
+	case scenario.OpHush, scenario.OpSpeak:
+		w.relay(s.Target).hush(s.Op == scenario.OpHush)
+	case scenario.OpDelay:
+		w.relay(s.Target).late = s.For
+	case scenario.OpTerm:
+		w.relay(s.Target).term()
+	case scenario.OpKill:
+		w.relay(s.Target).kill(false)
+	case scenario.OpHUP:
+		w.see(record.Event{Kind: record.Process, Relay: s.Target, State: record.StateHUP})
+	}
+}
+
+func (w *World) relay(name string) *relay {
+	return w.relays[slices.IndexFunc(w.relays, func(r *relay) bool { return r.name == name })]
+}
+
+func (w *World) endpoint(id string) scenario.Endpoint {
+	return w.plan.Endpoints[slices.IndexFunc(w.plan.Endpoints, func(e scenario.Endpoint) bool { return e.ID == id })]
+}
+
+// Kill ends a relay's process, counted from 0, or its machine with it; it starts again as the kit starts one.
+func (w *World) Kill(relay int, machine bool) { w.relays[relay].kill(machine) }
+
+// Hosts and places.
+
+func (w *World) addHost(e scenario.Endpoint) (*host, error) {
+	p := w.places[e.Place]
+	if p == nil {
+		return nil, fmt.Errorf("emulate: host %s of no place %q", e.ID, e.Place)
+	}
+	h := &host{Endpoint: e, n: len(w.hosts), zone: slices.Index(w.plan.File.Zones, e.Zone), place: p, calls: map[*call]struct{}{}}
+	w.hosts[e.ID] = h
+	p.hosts = append(p.hosts, h)
+	p.Add(e.ID)
+	w.able(p, 1, 0)
+	return h, nil
+}
+
+// List has a new endpoint come up and be listed.
+func (w *World) List(e scenario.Endpoint) {
+	if w.places[e.Place] == nil {
+		spec := w.hostsOf(e.Dest)[0].place.Spec
+		w.addPlace(scenario.Place{Name: e.Place, Dest: e.Dest, Spec: spec, Seed: w.net.Uint64()})
+	}
+	if _, err := w.addHost(e); err != nil {
+		return // its place was made above
+	}
+	w.Tell(e.ID, record.StateReady)
+}
+
+// hostsOf are the hosts that a destination has ever had.
+func (w *World) hostsOf(dest int) (all []*host) {
+	for _, p := range w.Places(dest) {
+		all = append(all, p.hosts...)
+	}
+	return all
+}
+
+// Tell has discovery tell each relay of a change of an entry, as late as it is and in the order of the changes.
+func (w *World) Tell(id, state string) {
+	h := w.hosts[id]
+	w.changed(h.Endpoint, state)
+	d := w.plan.File.Discovery
+	for _, r := range w.relays {
+		late := d.Least.D() + time.Duration(w.delays.Float64()*float64(d.Most-d.Least)) + r.late
+		if w.opts.ListDelay != nil {
+			late = w.opts.ListDelay(r.n)
+		}
+		r.due = max(r.due, w.Now()+late)
+		w.At(r.due, func() { r.news(h, state) })
+	}
+}
+
+func (w *World) changed(e scenario.Endpoint, state string) {
+	place := ""
+	if e.Place == e.ID {
+		place = e.ID // a route that stands apart
+	}
+	w.see(record.Event{Kind: record.Change, Host: e.ID, Dest: e.Dest, Zone: e.Zone, Place: place, State: state})
+}
+
+// standing are a place's hosts that run.
+func (p *Place) standing() (all []*host) {
+	for _, h := range p.hosts {
+		if !h.stopped {
+			all = append(all, h)
+		}
+	}
+	slices.SortFunc(all, func(a, b *host) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+func ids(hosts []*host) (all []string) {
+	for _, h := range hosts {
+		all = append(all, h.ID)
+	}
+	return all
+}
+
+// able notes what each host of a place can do from now on.
+func (w *World) able(p *Place, share float64, warm time.Duration) {
+	if !w.opts.Record {
+		return
+	}
+	rate := p.PerEndpoint() / p.slow
+	if p.outage != "" || p.Fallen() {
+		rate = 0
+	}
+	for _, h := range p.standing() {
+		w.see(record.Event{Kind: record.Able, Host: h.ID, Dest: p.Dest, Rate: rate, Share: share, For: warm})
+	}
+}
+
+// stop ends a host's process for good.
+func (w *World) stop(h *host) {
+	if h.stopped {
+		return
+	}
+	h.stopped = true
+	h.place.Remove(h.ID)
+	w.reset(h)
+	w.see(record.Event{Kind: record.Able, Host: h.ID, Dest: h.Dest})
+}
+
+// reset breaks all connections of a host.
+func (w *World) reset(h *host) {
+	h.life++
+	var all []*call
+	for c := range h.calls {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *call) int { return cmp.Compare(a.num, b.num) })
+	for _, c := range all {
+		c.broken()
+	}
+}
+
+// Slow has a place take factor times as long; 1 ends it.
+func (w *World) Slow(name string, factor float64) {
+	p := w.places[name]
+	p.slow = factor
+	p.Slow(factor)
+	w.able(p, 1, 0)
+}
+
+// Outage begins one of a place, as a scenario's step does.
+func (w *World) Outage(name string, op scenario.Op, share float64, lasts time.Duration) {
+	p := w.places[name]
+	if p.outage != "" {
+		return // it is out already: the first outage's end ends both
+	}
+	p.outage = map[scenario.Op]string{
+		scenario.OpFail: record.OutageFailing, scenario.OpShut: record.OutageShut, scenario.OpMute: record.OutageSilent,
+		scenario.OpDown: record.OutageDown, scenario.OpCut: record.OutageDown,
+	}[op]
+	w.see(record.Event{Kind: record.Outage, Place: name, Dest: p.Dest, Hosts: ids(p.standing()), Cause: p.outage})
+	w.able(p, 1, 0)
+	switch op {
+	case scenario.OpFail:
+		p.Fail(share)
+	case scenario.OpShut:
+		p.Shut(w.Now() + lasts)
+	case scenario.OpMute:
+		p.Mute(true)
+	case scenario.OpDown:
+		for _, h := range p.standing() {
+			h.isDown = true
+			w.reset(h)
+		}
+	case scenario.OpCut:
+		for _, h := range p.standing() {
+			h.isCut = true
+		}
+	}
+}
+
+// Back ends a place's outage: it returns cold, unless it was pushed over.
+func (w *World) Back(name string) {
+	p := w.places[name]
+	cause := p.outage
+	if p.outage = ""; p.Fallen() {
+		return
+	}
+	p.Fail(0)
+	p.Open()
+	p.Mute(false)
+	hosts := p.standing()
+	if len(hosts) == 0 {
+		return // all were replaced meanwhile
+	}
+	cold := p.Return(w.Now())
+	w.see(record.Event{Kind: record.Back, Place: name, Dest: p.Dest, Hosts: ids(hosts), Rate: cold.Rate, Share: cold.Share, For: cold.Warm})
+	w.able(p, cold.Share, cold.Warm)
+	if cause == record.OutageSilent || cause == record.OutageDown {
+		for _, h := range hosts { // its processes have started anew
+			h.isDown, h.isCut = false, false
+			w.reset(h)
+		}
+	}
+}
--- /dev/null
+++ b/internal/explore/explore.go
@@ -0,0 +1,1000 @@
+// Package explore plays decision modules through all orders of events of tiny worlds, up to a bound, and asserts the six rules
+// on every path: what the module is told by whom comes in any order that a network, a partner, an operator and a death may
+// give. States that were met before are not visited again; the search is by breadth, so that the first break found is by a
+// shortest path. It does no I/O and knows no clock. The module is the one under test, through its own interface, its state
+// taken and put back by its Snapshot and Restore.
+package explore
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"onyxroad.dev/onyxroad/internal/des"
+	"onyxroad.dev/onyxroad/internal/emulate"
+	"onyxroad.dev/onyxroad/internal/judge"
+	"onyxroad.dev/onyxroad/internal/partner"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Message is one that is handed in.
+type Message struct {
+	Class int
+	Key   string
+}
+
+// Outcome is how a call may end.
+type Outcome struct {
+	Outcome policy.Outcome
+	Wait    time.Duration // told with it
+}
+
+// World is what is explored: its moves are all that its fields allow, at any time and in any order.
+type World struct {
+	Name, About string
+	Rules       []judge.Rule // that it puts to the test most
+	Relays      int
+	Settings    policy.Settings
+	Routes      []policy.Listing // of one destination
+	Messages    []Message        // handed in in this order, each to any relay
+	Outcomes    []Outcome        // of any call
+	Faults      int              // outcomes other than a delivery, on one path at most; a time-out is none
+	Drains      []string         // routes that each relay may be told drain, and then are gone, each at its own time
+	Restarts    int              // kills of relays, on one path at most
+	Outage      bool             // the destination may fail, once, and come back cold
+	Out         bool             // and is out from the start
+	Lasts       time.Duration    // the outage lasts so long at least
+	Knows       int              // failures in a row that a relay has seen of an outage when it counts as knowing; 0: one
+	Quantum     time.Duration    // time passes by so much at most in a move
+	Depth       int              // moves on a path at most
+	// Walks are paths of WalkDepth moves, drawn at random, that are played behind the bound: for what needs many calls.
+	Walks, WalkDepth int
+}
+
+// The rules' figures that the settings do not hold.
+const (
+	drainGrace = time.Second
+	lostAfter  = judge.FinalWithin
+)
+
+// MoveKind names a move.
+type MoveKind string
+
+// The moves.
+const (
+	HandIn  MoveKind = "hand in"      // the next message, to Relay
+	End     MoveKind = "a call ends"  // call N of Relay, with outcome Choice
+	Pass    MoveKind = "time passes"  // until something is due, or a quantum; what is decided has been told by then
+	Noticed MoveKind = "notice taken" // of a message of Relay that was given up on: the N-th
+	Drained MoveKind = "told: drains" // Relay, of drain N
+	Left    MoveKind = "told: gone"   // the same
+	Killed  MoveKind = "killed"       // Relay, and started anew
+	Fails   MoveKind = "outage"       // begins
+	Returns MoveKind = "comes back"   // cold
+)
+
+// Move is one step of a path.
+type Move struct {
+	Kind   MoveKind `json:"kind"`
+	Relay  int      `json:"relay,omitempty"`
+	N      int      `json:"n,omitempty"`
+	Choice int      `json:"choice,omitempty"`
+}
+
+// Break is a rule that a path breaks.
+type Break struct {
+	Rule judge.Rule `json:"rule"`
+	Text string     `json:"text"`
+}
+
+// Found is what an exploration found.
+type Found struct {
+	World   string
+	States  int  // different ones
+	Paths   int  // moves played
+	Walked  int  // random paths behind that
+	Depth   int  // to which all were played
+	Whole   bool // no path is longer
+	Break   *Break
+	Path    []Move // to the break
+	Stopped bool   // it ended early: too many states, or the context
+}
+
+// Options of a search.
+type Options struct {
+	Wrong      *emulate.Mutant
+	Depth      int // 0: the world's
+	StatesMost int // 0: 4 million
+	Workers    int // 0: as many as there are cores
+	NoWalks    bool
+}
+
+const statesMost = 4 << 20
+
+// node is a state of a world. It is not changed once it is in the frontier.
+type node struct {
+	now      time.Duration
+	relays   []relayState
+	given    int
+	faults   int
+	restarts int
+	phase    int // of the outage: 0 none yet, 1 out, 2 back
+	failedAt time.Duration
+	backAt   time.Duration
+	arrivals []arrival // calls since the return
+	fell     bool
+	from     int32 // in the path table
+	brk      *Break
+}
+
+type arrival struct {
+	at    time.Duration
+	relay int
+}
+
+type relayState struct {
+	module []byte // its snapshot
+	epoch  time.Duration
+	life   int
+	wake   time.Duration // 0: none asked for
+	msgs   []msgState
+	calls  []callState
+	wait   map[string]time.Duration // told, by gate
+	told   map[string]toldState
+	seen   int // failures in the outage
+	held   []heldState
+}
+
+type toldState struct {
+	gone bool
+	at   time.Duration
+}
+
+type heldState struct {
+	due time.Duration
+	e   policy.Event
+}
+
+type msgState struct {
+	id       uint32
+	n        int // in World.Messages
+	at       time.Duration
+	deadline time.Duration
+	sends    int
+	ran      bool
+	ranAt    time.Duration
+	ranZone  int
+	doubtAt  time.Duration // last outcome that may still run
+	doubt    bool
+	ended    bool
+	told     bool // its end was told
+	lost     bool // a restart has forgotten it
+	mayRun   []int
+	freed    bool // taken before a restart: its order counts no more
+}
+
+type callState struct {
+	id    uint32
+	n     int
+	route int
+	sent  time.Duration
+	cut   time.Duration
+}
+
+type step struct {
+	parent int32
+	move   Move
+}
+
+type explorer struct {
+	w     *World
+	wrong *emulate.Mutant
+	set   policy.Settings // as the module is told
+
+	shards [64]struct {
+		sync.Mutex
+		seen map[uint64]struct{}
+	}
+	mu    sync.Mutex
+	steps []step
+}
+
+// Search explores a world.
+func Search(ctx context.Context, w *World, opts Options) (Found, error) {
+	x, root, err := begin(w, opts.Wrong)
+	if err != nil {
+		return Found{}, err
+	}
+	most, workers, depth := opts.StatesMost, opts.Workers, opts.Depth
+	if most == 0 {
+		most = statesMost
+	}
+	if workers == 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	if depth == 0 {
+		depth = w.Depth
+	}
+	f := Found{World: w.Name, States: 1}
+	x.visit(root)
+	frontier := []*node{root}
+	for ; f.Depth < depth && len(frontier) > 0; f.Depth++ {
+		last := f.Depth == depth-1
+		next, paths, broken := x.level(ctx, frontier, workers, last, most-f.States)
+		f.Paths += paths
+		f.States += next.states
+		if broken != nil {
+			f.Break, f.Path = broken.brk, x.path(broken.from)
+			return f, nil
+		}
+		if next.stopped || ctx.Err() != nil {
+			f.Stopped = true
+			return f, ctx.Err()
+		}
+		frontier = next.nodes
+	}
+	f.Whole = len(frontier) == 0 && f.Depth < depth
+	if !f.Whole && !opts.NoWalks {
+		x.walks(ctx, root, workers, &f)
+	}
+	return f, ctx.Err()
+}
+
+// walks plays random paths. Of those that break a rule the first by its number is taken, and what is not needed for the break
+// left out.
+func (x *explorer) walks(ctx context.Context, root *node, workers int, f *Found) {
+	found := make([][]Move, x.w.Walks)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	next := 0
+	for range workers {
+		wg.Go(func() {
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= x.w.Walks || ctx.Err() != nil {
+					return
+				}
+				rng := des.Stream(1, x.w.Name, i)
+				n, path := root, []Move(nil)
+				for range x.w.WalkDepth {
+					moves := x.moves(n)
+					if len(moves) == 0 {
+						break
+					}
+					m := moves[rng.IntN(len(moves))]
+					path = append(path, m)
+					if n = x.play(n, m); n.brk != nil {
+						found[i] = path
+						break
+					}
+				}
+				mu.Lock()
+				f.Paths += len(path)
+				f.Walked++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	if i := slices.IndexFunc(found, func(p []Move) bool { return p != nil }); i >= 0 {
+		f.Path, f.Break = x.shorten(root, found[i])
+	}
+}
+
+// replay plays moves as far as they can be made; it is the break at their end, if there is one.
+func (x *explorer) replay(n *node, path []Move) *Break {
+	for i, m := range path {
+		if !slices.Contains(x.moves(n), m) {
+			return nil
+		}
+		if n = x.play(n, m); n.brk != nil {
+			if i < len(path)-1 {
+				return nil
+			}
+			return n.brk
+		}
+	}
+	return nil
+}
+
+// shorten leaves moves out of a path while it ends in the same break.
+func (x *explorer) shorten(root *node, path []Move) ([]Move, *Break) {
+	b := x.replay(root, path)
+	for again := true; again; {
+		again = false
+		for i := len(path) - 2; i >= 0; i-- {
+			shorter := slices.Delete(slices.Clone(path), i, i+1)
+			if c := x.replay(root, shorter); c != nil && c.Rule == b.Rule {
+				path, b, again = shorter, c, true
+			}
+		}
+	}
+	return path, b
+}
+
+type found struct {
+	nodes   []*node
+	states  int
+	stopped bool
+}
+
+// level plays every move at every state of a frontier. The result does not hang on the workers: states are in the order of
+// their paths, and of several breaks the first by that order is taken.
+func (x *explorer) level(ctx context.Context, frontier []*node, workers int, last bool, room int) (f found, paths int, broken *node) {
+	type part struct {
+		nodes  []*node
+		moves  []Move
+		paths  int
+		states int
+		broken *node
+		move   Move
+		from   int32
+	}
+	const chunk = 64
+	parts := make([]part, (len(frontier)+chunk-1)/chunk)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	taken, states := 0, 0
+	for range workers {
+		wg.Go(func() {
+			for {
+				mu.Lock()
+				i := taken
+				taken++
+				full := states > room
+				mu.Unlock()
+				if i >= len(parts) || full || ctx.Err() != nil {
+					return
+				}
+				p := &parts[i]
+				for _, n := range frontier[i*chunk : min(len(frontier), (i+1)*chunk)] {
+					for _, m := range x.moves(n) {
+						next := x.play(n, m)
+						p.paths++
+						next.from = n.from
+						if next.brk != nil {
+							if p.broken == nil {
+								p.broken, p.move = next, m
+							}
+							continue
+						}
+						if !x.visit(next) {
+							continue
+						}
+						p.states++
+						if !last {
+							p.nodes, p.moves = append(p.nodes, next), append(p.moves, m)
+						}
+					}
+				}
+				mu.Lock()
+				states += p.states
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	for i := range parts {
+		p := &parts[i]
+		paths += p.paths
+		f.states += p.states
+		if p.broken != nil && broken == nil {
+			broken = p.broken
+			broken.from = x.note(broken.from, p.move)
+		}
+	}
+	if f.stopped = f.states > room; broken != nil || f.stopped {
+		return f, paths, broken
+	}
+	for i := range parts {
+		for k, n := range parts[i].nodes {
+			n.from = x.note(n.from, parts[i].moves[k])
+			f.nodes = append(f.nodes, n)
+		}
+		parts[i] = part{}
+	}
+	return f, paths, nil
+}
+
+func (x *explorer) note(parent int32, m Move) int32 {
+	x.steps = append(x.steps, step{parent, m})
+	return int32(len(x.steps) - 1)
+}
+
+func (x *explorer) path(at int32) (all []Move) {
+	for ; at >= 0; at = x.steps[at].parent {
+		all = append(all, x.steps[at].move)
+	}
+	slices.Reverse(all)
+	return all
+}
+
+// visit tells whether a state is new.
+func (x *explorer) visit(n *node) bool {
+	h := xxhash.Sum64(n.encode(nil))
+	s := &x.shards[h%64]
+	s.Lock()
+	defer s.Unlock()
+	if s.seen == nil {
+		s.seen = map[uint64]struct{}{}
+	}
+	if _, ok := s.seen[h]; ok {
+		return false
+	}
+	s.seen[h] = struct{}{}
+	return true
+}
+
+// encode writes all of a state that what follows hangs on.
+func (n *node) encode(b []byte) []byte {
+	num := func(x int64) { b = binary.AppendVarint(b, x) }
+	flag := func(x bool) {
+		if x {
+			num(1)
+		} else {
+			num(0)
+		}
+	}
+	num(int64(n.now))
+	num(int64(n.given))
+	num(int64(n.faults))
+	num(int64(n.restarts))
+	num(int64(n.phase))
+	num(int64(n.failedAt))
+	num(int64(n.backAt))
+	for _, a := range n.arrivals {
+		num(int64(a.at))
+		num(int64(a.relay))
+	}
+	for i := range n.relays {
+		r := &n.relays[i]
+		num(int64(len(r.module)))
+		b = append(b, r.module...)
+		num(int64(r.epoch))
+		num(int64(r.wake))
+		num(int64(r.seen))
+		for _, m := range r.msgs {
+			num(int64(m.id))
+			num(int64(m.n))
+			num(int64(m.deadline))
+			num(int64(m.sends))
+			flag(m.ran)
+			num(int64(m.ranAt))
+			num(int64(m.ranZone))
+			flag(m.doubt)
+			num(int64(m.doubtAt))
+			flag(m.ended)
+			flag(m.told)
+			flag(m.freed)
+			flag(m.lost)
+			for _, k := range m.mayRun {
+				num(int64(k))
+			}
+		}
+		for _, c := range r.calls {
+			num(int64(c.id))
+			num(int64(c.n))
+			num(int64(c.route))
+			num(int64(c.sent))
+			num(int64(c.cut))
+		}
+		for _, k := range sortedKeys(r.wait) {
+			b = append(b, k...)
+			num(int64(r.wait[k]))
+		}
+		for _, k := range sortedKeys(r.told) {
+			b = append(b, k...)
+			flag(r.told[k].gone)
+			num(int64(r.told[k].at))
+		}
+		for _, h := range r.held {
+			num(int64(h.due))
+			num(int64(h.e.Kind))
+		}
+	}
+	return b
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// clone copies a state so far that playing a move at one relay does not change it: relay -1 for all.
+func (n *node) clone(relay int) *node {
+	c := *n
+	c.relays = slices.Clone(n.relays)
+	c.arrivals = slices.Clone(n.arrivals)
+	for i := range c.relays {
+		if relay >= 0 && relay != i {
+			continue
+		}
+		r := &c.relays[i]
+		r.msgs, r.calls, r.held = slices.Clone(r.msgs), slices.Clone(r.calls), slices.Clone(r.held)
+		for k := range r.msgs {
+			r.msgs[k].mayRun = slices.Clone(r.msgs[k].mayRun)
+		}
+		wait, told := make(map[string]time.Duration, len(r.wait)), make(map[string]toldState, len(r.told))
+		for k, v := range r.wait {
+			wait[k] = v
+		}
+		for k, v := range r.told {
+			told[k] = v
+		}
+		r.wait, r.told = wait, told
+	}
+	return &c
+}
+
+const moduleStart = time.Second
+
+func begin(w *World, wrong *emulate.Mutant) (*explorer, *node, error) {
+	x := &explorer{w: w, wrong: wrong, set: w.Settings}
+	x.set.Classes = slices.Clone(x.set.Classes)
+	x.set.Senders = w.Relays
+	if wrong != nil && wrong.Set != nil {
+		wrong.Set(&x.set)
+	}
+	root := &node{from: -1}
+	for i := range w.Relays {
+		s, err := policy.New(x.set, uint64(i))
+		if err != nil {
+			return nil, nil, fmt.Errorf("explore: %s: %w", w.Name, err)
+		}
+		root.relays = append(root.relays, relayState{wait: map[string]time.Duration{}, told: map[string]toldState{}, epoch: -moduleStart})
+		r := &root.relays[i]
+		x.decide(root, i, s, []policy.Event{{Kind: policy.ListWhole, List: w.Routes}})
+		r.module = s.Snapshot(nil)
+	}
+	if w.Out {
+		root.phase = 1
+	}
+	return x, root, root.err()
+}
+
+func (n *node) err() error {
+	if n.brk != nil {
+		return fmt.Errorf("explore: broken at the start: %s", n.brk.Text)
+	}
+	return nil
+}
+
+func (n *node) breaks(rule judge.Rule, format string, args ...any) {
+	if n.brk == nil {
+		n.brk = &Break{rule, fmt.Sprintf("at %v: ", n.now) + fmt.Sprintf(format, args...)}
+	}
+}
+
+// moves are all that may happen at a state.
+func (x *explorer) moves(n *node) (all []Move) {
+	w := x.w
+	if n.given < len(w.Messages) {
+		for r := range n.relays {
+			if r > 0 && equal(&n.relays[0], &n.relays[r]) {
+				continue // it is as the first: one of them is enough
+			}
+			all = append(all, Move{Kind: HandIn, Relay: r})
+		}
+	}
+	for r := range n.relays {
+		for c := range n.relays[r].calls {
+			for o, out := range w.Outcomes {
+				if out.Outcome != policy.OK && n.faults >= w.Faults || n.phase == 1 && out.Outcome == policy.OK {
+					continue
+				}
+				all = append(all, Move{Kind: End, Relay: r, N: c, Choice: o})
+			}
+			if n.phase == 1 { // out of service: it fails, and that is no fault of its own
+				all = append(all, Move{Kind: End, Relay: r, N: c, Choice: -1})
+			}
+		}
+		for d, route := range w.Drains {
+			if t, ok := n.relays[r].told[route]; !ok {
+				all = append(all, Move{Kind: Drained, Relay: r, N: d})
+			} else if !t.gone {
+				all = append(all, Move{Kind: Left, Relay: r, N: d})
+			}
+		}
+		for k, m := range n.relays[r].msgs {
+			if m.ended && !m.told && w.Restarts > n.restarts && !x.quiet(m.id) {
+				all = append(all, Move{Kind: Noticed, Relay: r, N: k})
+			}
+		}
+		if n.restarts < w.Restarts && (len(n.relays[r].msgs) > 0 || len(n.relays[r].wait) > 0) {
+			all = append(all, Move{Kind: Killed, Relay: r})
+		}
+	}
+	if w.Outage && n.phase == 0 {
+		all = append(all, Move{Kind: Fails})
+	}
+	if n.phase == 1 && n.now >= n.failedAt+w.Lasts {
+		all = append(all, Move{Kind: Returns})
+	}
+	if n.given > 0 {
+		all = append(all, Move{Kind: Pass})
+	}
+	return all
+}
+
+// equal tells whether nothing has happened to two relays.
+func equal(a, b *relayState) bool {
+	return len(a.msgs)+len(b.msgs)+len(a.told)+len(b.told)+len(a.wait)+len(b.wait) == 0 && a.seen+b.seen == 0 && a.life == b.life
+}
+
+// play is the state after a move.
+func (x *explorer) play(from *node, m Move) *node {
+	relay := m.Relay
+	if m.Kind == Pass {
+		relay = -1
+	}
+	n := from.clone(relay)
+	n.brk = nil
+	w := x.w
+	switch m.Kind {
+	case HandIn:
+		r := &n.relays[m.Relay]
+		msg := w.Messages[n.given]
+		n.given++
+		r.msgs = append(r.msgs, msgState{id: uint32(n.given), n: n.given - 1, at: n.now, deadline: n.now + w.Settings.Classes[msg.Class].GiveUp})
+		x.step(n, m.Relay, x.taken(n, &r.msgs[len(r.msgs)-1]))
+	case End:
+		out := Outcome{Outcome: policy.Error}
+		if m.Choice >= 0 {
+			out = w.Outcomes[m.Choice]
+			if out.Outcome != policy.OK {
+				n.faults++
+			}
+		} else {
+			n.relays[m.Relay].seen++
+		}
+		x.end(n, m.Relay, m.N, out)
+	case Drained, Left:
+		route := w.Drains[m.N]
+		i := slices.IndexFunc(w.Routes, func(l policy.Listing) bool { return l.Route == route })
+		l := w.Routes[i]
+		l.InService, l.Gone = false, m.Kind == Left
+		t, ok := n.relays[m.Relay].told[route]
+		if !ok {
+			t.at = n.now
+		}
+		t.gone = l.Gone
+		n.relays[m.Relay].told[route] = t
+		x.step(n, m.Relay, policy.Event{Kind: policy.ListChanges, List: []policy.Listing{l}})
+	case Noticed:
+		n.relays[m.Relay].msgs[m.N].told = true
+	case Killed:
+		n.restarts++
+		x.restart(n, m.Relay)
+	case Fails:
+		n.phase, n.failedAt = 1, n.now
+	case Returns:
+		n.phase, n.backAt = 2, n.now
+	case Pass:
+		x.pass(n)
+	}
+	return n
+}
+
+func (x *explorer) taken(n *node, m *msgState) policy.Event {
+	msg := x.w.Messages[m.n]
+	return policy.Event{Kind: policy.Taken, ID: m.id, Key: msg.Key, Class: msg.Class, Customer: -1, Destination: x.w.Routes[0].Destination, Left: m.deadline - n.now}
+}
+
+// pass lets time pass until something is due, or by a quantum, and has that happen.
+func (x *explorer) pass(n *node) {
+	to := n.now + x.w.Quantum
+	soon := func(t time.Duration) {
+		if t > n.now {
+			to = min(to, t)
+		}
+	}
+	for i := range n.relays {
+		r := &n.relays[i]
+		if r.wake > 0 {
+			soon(r.wake)
+		}
+		for _, c := range r.calls {
+			soon(c.cut)
+		}
+		for _, h := range r.held {
+			soon(h.due)
+		}
+		for _, m := range r.msgs {
+			if !m.told {
+				soon(m.deadline + lostAfter + time.Millisecond)
+			}
+		}
+	}
+	for i := range n.relays {
+		for k := range n.relays[i].msgs {
+			m := &n.relays[i].msgs[k]
+			m.told = m.told || m.ended && !m.lost && !x.quiet(m.id)
+		}
+	}
+	n.now = to
+	for i := range n.relays {
+		r := &n.relays[i]
+		for c := 0; c < len(r.calls); c++ {
+			if r.calls[c].cut <= n.now {
+				x.end(n, i, c, Outcome{Outcome: policy.Timeout})
+				c = -1
+			}
+		}
+		var due []policy.Event
+		r.held = slices.DeleteFunc(r.held, func(h heldState) bool {
+			if h.due <= n.now {
+				due = append(due, h.e)
+			}
+			return h.due <= n.now
+		})
+		if r.wake > 0 && r.wake <= n.now {
+			r.wake = 0
+			due = append(due, policy.Event{Kind: policy.Woken})
+		}
+		if len(due) > 0 {
+			x.heard(n, i, due)
+		}
+		for k := range r.msgs {
+			if m := &r.msgs[k]; !m.told && n.now > m.deadline+lostAfter {
+				n.breaks(judge.Lost, "message %d, taken on by relay %d at %v, has no end %v after its time", m.id, i, m.at, n.now-m.deadline)
+			}
+		}
+	}
+}
+
+// end ends a call with an outcome.
+func (x *explorer) end(n *node, relay, call int, out Outcome) {
+	r := &n.relays[relay]
+	c := r.calls[call]
+	r.calls = slices.Delete(r.calls, call, call+1)
+	k := slices.IndexFunc(r.msgs, func(m msgState) bool { return m.id == c.id })
+	m := &r.msgs[k]
+	switch out.Outcome {
+	case policy.OK:
+		m.ended, m.told = true, true
+		if r.seen < x.w.Knows {
+			r.seen = 0 // not in a row
+		}
+	case policy.Full, policy.ConnectFailed, policy.Moot:
+		m.mayRun = slices.DeleteFunc(m.mayRun, func(a int) bool { return a == c.n })
+		m.ran = len(m.mayRun) > 0
+	case policy.Reset, policy.Timeout, policy.Cancelled:
+		m.doubt, m.doubtAt = true, n.now
+	}
+	route := x.w.Routes[c.route]
+	if out.Wait > 0 {
+		g := x.gate(route)
+		r.wait[g] = max(r.wait[g], n.now+out.Wait)
+	}
+	if out.Outcome == policy.Timeout && n.phase == 1 {
+		r.seen++
+	}
+	x.step(n, relay, policy.Event{
+		Kind: policy.Finished, ID: c.id, Attempt: c.n, Route: route.Route, Outcome: out.Outcome, Took: n.now - c.sent, Ended: out.Outcome == policy.OK, Wait: out.Wait,
+	})
+}
+
+// gate names what shares a wait.
+func (x *explorer) gate(l policy.Listing) string {
+	if x.w.Settings.Kinds[l.Kind].Separate {
+		return l.Route
+	}
+	return ""
+}
+
+// step tells a relay's module of an event, as far as the mutant lets it hear.
+func (x *explorer) step(n *node, relay int, e policy.Event) {
+	if x.wrong != nil && x.wrong.Hears != nil {
+		e.List = slices.Clone(e.List)
+		switch late := x.wrong.Hears(&e); {
+		case late < 0:
+			return
+		case late > 0:
+			r := &n.relays[relay]
+			r.held = append(r.held, heldState{n.now + late, e})
+			return
+		}
+	}
+	x.heard(n, relay, []policy.Event{e})
+}
+
+func (x *explorer) heard(n *node, relay int, evs []policy.Event) {
+	s, err := policy.Restore(x.set, n.relays[relay].module)
+	if err != nil {
+		n.breaks(judge.Lost, "relay %d: its state cannot be put back: %v", relay, err)
+		return
+	}
+	x.decide(n, relay, s, evs)
+	n.relays[relay].module = s.Snapshot(nil)
+}
+
+// restart kills a relay and starts it anew on what its journal holds.
+func (x *explorer) restart(n *node, relay int) {
+	r := &n.relays[relay]
+	r.life++
+	s, err := policy.New(x.set, uint64(relay+100*r.life))
+	if err != nil {
+		n.breaks(judge.Lost, "relay %d does not start again: %v", relay, err)
+		return
+	}
+	r.epoch, r.wake, r.calls, r.held = n.now-moduleStart, 0, nil, nil
+	clear(r.wait) // a restart ends a wait
+	r.seen = 0
+	whole := policy.Event{Kind: policy.ListWhole}
+	for _, l := range x.w.Routes {
+		if t, ok := r.told[l.Route]; ok {
+			if t.gone {
+				continue
+			}
+			l.InService = false
+		}
+		whole.List = append(whole.List, l)
+	}
+	evs := []policy.Event{whole}
+	for k := range r.msgs {
+		m := &r.msgs[k]
+		m.freed = true
+		if x.wrong != nil && x.wrong.Loses != nil && x.wrong.Loses(m.ended, m.ran, m.id) || x.wrong != nil && x.wrong.Lag > 0 && n.now-m.at < x.wrong.Lag {
+			m.lost = true
+			continue // it is owed all the same
+		}
+		if m.ended {
+			continue // its notice is sent once more
+		}
+		e := x.taken(n, m)
+		e.Resumed = &policy.Resumed{Attempts: m.sends, Ran: m.ran, RanAgo: n.now - m.ranAt, RanZone: m.ranZone}
+		if !m.ran {
+			e.Resumed.RanAgo = 0
+		} else {
+			m.doubt, m.doubtAt = true, n.now
+		}
+		if x.wrong != nil && x.wrong.Hears != nil {
+			x.wrong.Hears(&e)
+		}
+		evs = append(evs, e)
+	}
+	x.decide(n, relay, s, evs)
+	r.module = s.Snapshot(nil)
+}
+
+// decide has a module step, carries out what it says, and judges that.
+func (x *explorer) decide(n *node, relay int, s *policy.Sender, evs []policy.Event) {
+	r := &n.relays[relay]
+	acts := s.Step(n.now-r.epoch, evs)
+	for i := range acts {
+		a := acts[i]
+		if x.wrong != nil && x.wrong.Says != nil && !x.wrong.Says(&a) {
+			continue
+		}
+		switch a.Kind {
+		case policy.Wake:
+			r.wake = n.now + a.Delay
+		case policy.Send:
+			x.send(n, relay, a)
+		case policy.Refuse, policy.Fail:
+			x.gaveUp(n, relay, a)
+		}
+	}
+}
+
+func (x *explorer) gaveUp(n *node, relay int, a policy.Action) {
+	r := &n.relays[relay]
+	k := slices.IndexFunc(r.msgs, func(m msgState) bool { return m.id == a.ID })
+	if k < 0 {
+		return
+	}
+	m := &r.msgs[k]
+	if m.ended {
+		n.breaks(judge.Lost, "message %d ends twice", m.id)
+		return
+	}
+	c := x.w.Settings.Classes[x.w.Messages[m.n].Class]
+	if a.Kind == policy.Refuse && m.ran && (c.Effect == policy.Unsafe || c.Effect == policy.Keyed && !c.GroupAll) {
+		n.breaks(judge.Twice, "message %d is refused, which says that it may come again, though a call may have run", m.id)
+	}
+	m.ended = true
+}
+
+// quiet tells whether a mutant sends no notice for a message.
+func (x *explorer) quiet(id uint32) bool {
+	return x.wrong != nil && x.wrong.Quiet != nil && x.wrong.Quiet(id)
+}
+
+// send judges a send by the rules.
+func (x *explorer) send(n *node, relay int, a policy.Action) {
+	w, r := x.w, &n.relays[relay]
+	k := slices.IndexFunc(r.msgs, func(m msgState) bool { return m.id == a.ID })
+	route := slices.IndexFunc(w.Routes, func(l policy.Listing) bool { return l.Route == a.Route })
+	if k < 0 || route < 0 {
+		n.breaks(judge.Lost, "relay %d sends message %d to %q, of which one is not there", relay, a.ID, a.Route)
+		return
+	}
+	m, l := &r.msgs[k], w.Routes[route]
+	c := w.Settings.Classes[w.Messages[m.n].Class]
+	if m.ended {
+		n.breaks(judge.Lost, "message %d is sent after its end", m.id)
+	}
+	if m.ran {
+		switch c.Effect {
+		case policy.Unsafe:
+			n.breaks(judge.Twice, "message %d must never run twice, may have run, and is sent again", m.id)
+		case policy.Keyed:
+			if late := n.now - m.ranAt - c.Window; late > 0 {
+				n.breaks(judge.Twice, "message %d is repeated %v after its window", m.id, late)
+			} else if l.Zone != m.ranZone && !c.GroupAll {
+				n.breaks(judge.Twice, "message %d may have run in zone %d and is repeated in zone %d", m.id, m.ranZone, l.Zone)
+			}
+		}
+	}
+	if t, ok := r.told[a.Route]; ok && n.now > t.at+drainGrace {
+		n.breaks(judge.Drain, "relay %d sends to %s %v after it was told that it is no longer in service", relay, a.Route, n.now-t.at)
+	}
+	if until := r.wait[x.gate(l)]; n.now < until-time.Millisecond {
+		n.breaks(judge.Wait, "relay %d sends to %s %v before the end of a told wait", relay, a.Route, until-n.now)
+	}
+	if c.Ordered && w.Messages[m.n].Key != "" {
+		x.inTurn(n, r, m)
+	}
+	m.sends++
+	m.mayRun = append(m.mayRun, m.sends-1)
+	if !m.ran {
+		m.ran, m.ranAt, m.ranZone = true, n.now, l.Zone
+	}
+	r.calls = append(r.calls, callState{id: m.id, n: m.sends - 1, route: route, sent: n.now, cut: a.At + r.epoch})
+	if n.phase == 2 {
+		x.arrived(n, relay, l)
+	}
+}
+
+// inTurn judges a send beside the earlier messages of its key.
+func (x *explorer) inTurn(n *node, r *relayState, m *msgState) {
+	key := x.w.Messages[m.n].Key
+	for k := range r.msgs {
+		e := &r.msgs[k]
+		if e.id >= m.id || x.w.Messages[e.n].Key != key || e.freed || x.w.Messages[e.n].Class != x.w.Messages[m.n].Class {
+			continue
+		}
+		switch {
+		case !e.ended:
+			n.breaks(judge.Order, "message %d is sent while %d, before it of its key, is unfinished", m.id, e.id)
+		case slices.ContainsFunc(r.calls, func(c callState) bool { return c.id == e.id }):
+			n.breaks(judge.Order, "message %d is sent while a call of %d, before it of its key, is out", m.id, e.id)
+		case e.doubt && n.now < e.doubtAt+x.w.Settings.OrderPause:
+			n.breaks(judge.Order, "message %d is sent %v after a call of %d that may still run", m.id, n.now-e.doubtAt, e.id)
+		}
+	}
+}
+
+// arrived judges a call to a destination that has come back, as package judge does: by the load of the relays that knew.
+func (x *explorer) arrived(n *node, relay int, l policy.Listing) {
+	set := x.w.Settings
+	n.arrivals = slices.DeleteFunc(n.arrivals, func(a arrival) bool { return a.at <= n.now-set.OverloadWindow })
+	n.arrivals = append(n.arrivals, arrival{n.now, relay})
+	able := partner.Cold{At: n.backAt, Rate: l.Weight, Share: set.ColdShare, Warm: set.WarmWithin}.Able(n.now)
+	knew := 0
+	for _, a := range n.arrivals {
+		if n.relays[a.relay].seen >= max(1, x.w.Knows) {
+			knew++
+		}
+	}
+	sum := float64(len(n.arrivals))
+	if n.now-n.backAt < set.WarmWithin && sum > partner.Budget(set.OverloadFactor, able, set.OverloadWindow) && float64(knew) >= judge.SeenShare*sum {
+		n.breaks(judge.Return, "%.0f calls in %v to a destination that is back since %v and can do %.2f a second, %d of them by relays that saw it fail",
+			sum, set.OverloadWindow, n.now-n.backAt, math.Round(able*100)/100, knew)
+	}
+}
--- /dev/null
+++ b/internal/explore/path.go
@@ -0,0 +1,134 @@
+package explore
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	"onyxroad.dev/onyxroad/internal/emulate"
+	"onyxroad.dev/onyxroad/internal/judge"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Path is a path through a world, as it is kept in a file.
+type Path struct {
+	World  string     `json:"world"`
+	Mutant string     `json:"mutant,omitempty"`
+	Rule   judge.Rule `json:"rule,omitempty"` // that it broke when it was kept
+	Moves  []Move     `json:"moves"`
+}
+
+const movesMost = 1000
+
+// ParsePath reads a path that was kept.
+func ParsePath(data []byte) (Path, error) {
+	var p Path
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil {
+		return Path{}, fmt.Errorf("path: %w", err)
+	}
+	if len(p.Moves) > movesMost {
+		return Path{}, fmt.Errorf("path: %d moves, %d at most", len(p.Moves), movesMost)
+	}
+	_, _, _, err := p.begin()
+	return p, err
+}
+
+func (p Path) begin() (*World, *explorer, *node, error) {
+	w := WorldNamed(p.World)
+	if w == nil {
+		return nil, nil, nil, fmt.Errorf("path: no world %q", p.World)
+	}
+	var wrong *emulate.Mutant
+	if p.Mutant != "" {
+		if wrong = emulate.MutantNamed(p.Mutant); wrong == nil {
+			return nil, nil, nil, fmt.Errorf("path: no mutant %q", p.Mutant)
+		}
+	}
+	x, n, err := begin(w, wrong)
+	return w, x, n, err
+}
+
+// walk plays the moves; each is told with the state behind it.
+func (p Path) walk(told func(m Move, from, to *node)) (*Break, error) {
+	_, x, n, err := p.begin()
+	if err != nil {
+		return nil, err
+	}
+	for i, m := range p.Moves {
+		if !slices.Contains(x.moves(n), m) {
+			return nil, fmt.Errorf("path: move %d (%s) cannot be made there: the decisions are not those that it was kept with", i+1, m.Kind)
+		}
+		next := x.play(n, m)
+		if told != nil {
+			told(m, n, next)
+		}
+		if next.brk != nil {
+			return next.brk, nil
+		}
+		n = next
+	}
+	return nil, nil
+}
+
+// Replay plays a path again and returns the break at its end, if there still is one.
+func (p Path) Replay() (*Break, error) { return p.walk(nil) }
+
+var outcomeNames = map[policy.Outcome]string{
+	policy.OK: "delivered", policy.Error: "an error", policy.Full: "refused", policy.Timeout: "no answer in time",
+	policy.ConnectFailed: "no connection", policy.Reset: "broken off", policy.Cancelled: "cancelled", policy.Moot: "never sent",
+}
+
+// Tell writes a path for people: each move, and what the modules then had out.
+func (p Path) Tell(out io.Writer) error {
+	w := WorldNamed(p.World)
+	var err error
+	_, walkErr := p.walk(func(m Move, from, to *node) {
+		if err != nil {
+			return
+		}
+		text := string(m.Kind)
+		switch m.Kind {
+		case HandIn:
+			text = fmt.Sprintf("message %d is handed in to relay %d", from.given+1, m.Relay)
+		case End:
+			c := from.relays[m.Relay].calls[m.N]
+			o := Outcome{Outcome: policy.Error}
+			if m.Choice >= 0 {
+				o = w.Outcomes[m.Choice]
+			}
+			text = fmt.Sprintf("relay %d: the call of message %d to %s ends: %s", m.Relay, c.id, w.Routes[c.route].Route, outcomeNames[o.Outcome])
+			if o.Wait > 0 {
+				text += fmt.Sprintf(", told to wait %v", o.Wait)
+			}
+		case Drained, Left:
+			text = fmt.Sprintf("relay %d is %s: %s", m.Relay, m.Kind, w.Drains[m.N])
+		case Killed:
+			text = fmt.Sprintf("relay %d is killed and started anew", m.Relay)
+		case Pass:
+			text = fmt.Sprintf("time passes to %v", to.now)
+		}
+		if _, e := fmt.Fprintf(out, "  %8v  %s%s\n", from.now, text, started(w, from, to)); e != nil {
+			err = e
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return walkErr
+}
+
+// started tells of the calls that are out after a move and were not before.
+func started(w *World, from, to *node) (text string) {
+	for i := range to.relays {
+		for _, c := range to.relays[i].calls {
+			if !slices.Contains(from.relays[i].calls, c) {
+				text += fmt.Sprintf("; relay %d sends message %d to %s", i, c.id, w.Routes[c.route].Route)
+			}
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/explore/worlds.go
@@ -0,0 +1,121 @@
+package explore
+
+import (
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/judge"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// settings are those of all worlds: short times, so that a short path sees the end of each.
+func settings() policy.Settings {
+	return policy.Settings{
+		Classes: []policy.Class{
+			{Effect: policy.Unsafe, Aim: time.Second, GiveUp: 4 * time.Second, Value: 1},
+			{Effect: policy.Keyed, Window: 2 * time.Second, Aim: time.Second, GiveUp: 4 * time.Second, Value: 1},
+			{Effect: policy.Safe, Ordered: true, Aim: time.Second, GiveUp: 6 * time.Second, Value: 1},
+			{Effect: policy.Safe, Aim: time.Second, GiveUp: 5 * time.Second, Value: 1},
+			{Effect: policy.Safe, Aim: 3 * time.Second, GiveUp: 20 * time.Second, Value: 1},
+		},
+		Kinds: []policy.Kind{{PerCall: 1}, {PerCall: 1, Separate: true}}, Slots: 8, MaxHeld: 100, MaxAttempts: 4, MaxRetryAfter: 2 * time.Second,
+		ColdShare: 0.18, WarmWithin: 14 * time.Second, OverloadFactor: 2, OverloadWindow: 3 * time.Second, OrderPause: time.Second,
+	}
+}
+
+// The classes of settings.
+const (
+	unsafe = iota
+	keyed
+	ordered
+	safe
+	patient
+)
+
+func routes(weight float64, zones ...int) (all []policy.Listing) {
+	for i, z := range zones {
+		all = append(all, policy.Listing{Route: string(rune('a' + i)), Destination: 1, Zone: z, Weight: weight, InService: true})
+	}
+	return all
+}
+
+func outcomes(all ...policy.Outcome) (list []Outcome) {
+	for _, o := range all {
+		list = append(list, Outcome{Outcome: o})
+	}
+	return list
+}
+
+// Worlds are those that come with the program. Their depths are such that all of them end within a minute on two cores.
+func Worlds() []World {
+	const quantum = 500 * time.Millisecond
+	told := Outcome{Outcome: policy.Full, Wait: time.Second}
+	return []World{
+		{
+			Name: "repeats", Rules: []judge.Rule{judge.Twice, judge.Lost}, About: "one relay, two zones: an unsafe message, a keyed one, calls that end in any way, a kill",
+			Relays: 1, Settings: settings(), Routes: routes(20, 0, 1), Messages: []Message{{Class: keyed}, {Class: unsafe}},
+			Outcomes: outcomes(policy.OK, policy.Reset, policy.ConnectFailed, policy.Error), Faults: 2, Restarts: 1, Quantum: quantum, Depth: 11,
+		},
+		{
+			Name: "window", Rules: []judge.Rule{judge.Twice}, About: "one relay, one zone: a keyed message whose calls break or are refused until its window is over",
+			Relays: 1, Settings: settings(), Routes: routes(20, 0, 0), Messages: []Message{{Class: keyed}},
+			Outcomes: outcomes(policy.Reset, policy.Full, policy.ConnectFailed), Faults: 5, Quantum: 200 * time.Millisecond, Depth: 18,
+		},
+		{
+			Name: "order", Rules: []judge.Rule{judge.Order}, About: "one relay: three messages of a key, calls that break or err, a drain",
+			Relays: 1, Settings: settings(), Routes: routes(20, 0, 0), Messages: []Message{{ordered, "k"}, {ordered, "k"}, {ordered, "k"}},
+			Outcomes: outcomes(policy.OK, policy.Reset, policy.Error), Faults: 3, Quantum: quantum, Drains: []string{"a"}, Depth: 10,
+		},
+		{
+			Name: "waits", Rules: []judge.Rule{judge.Wait}, About: "two relays, a destination with one wait for both its routes and one with a wait for each: calls that are told to wait",
+			Relays: 2, Settings: settings(), Routes: routes(20, 0, 0), Messages: []Message{{Class: safe}, {Class: safe}, {Class: keyed}},
+			Outcomes: []Outcome{{Outcome: policy.OK}, told, {Outcome: policy.Full}}, Faults: 2, Quantum: quantum, Depth: 10,
+		},
+		{
+			Name: "drains", Rules: []judge.Rule{judge.Drain}, About: "two relays that learn at different times that both routes of three drain and go",
+			Relays: 2, Settings: settings(), Routes: routes(20, 0, 0, 1), Messages: []Message{{Class: safe}, {Class: keyed}, {Class: safe}},
+			Outcomes: outcomes(policy.OK, policy.Full), Faults: 1, Quantum: 600 * time.Millisecond, Drains: []string{"a", "b"}, Depth: 7,
+		},
+		{
+			Name: "return", Rules: []judge.Rule{judge.Return}, About: "one relay, a destination that fails and comes back cold",
+			Relays: 1, Settings: settings(), Routes: routes(1, 0), Messages: slices.Repeat([]Message{{Class: safe}}, 6),
+			Outcomes: outcomes(policy.OK), Quantum: quantum, Outage: true, Knows: 2, Depth: 10,
+		},
+		{
+			Name: "return-2", Rules: []judge.Rule{judge.Return}, About: "two relays, a destination that is out at the start and comes back cold",
+			Relays: 2, Settings: settings(), Routes: routes(1, 0), Messages: slices.Repeat([]Message{{Class: safe}}, 5),
+			Outcomes: outcomes(policy.OK), Quantum: time.Second, Outage: true, Out: true, Knows: 2, Depth: 9,
+		},
+		{
+			Name: "return-many", Rules: []judge.Rule{judge.Return}, About: "two relays with messages enough, a destination that fails and comes back cold; random paths",
+			Relays: 2, Settings: settings(), Routes: routes(4, 0), Messages: slices.Repeat([]Message{{Class: patient}}, 100),
+			Outcomes: outcomes(policy.OK), Quantum: 200 * time.Millisecond, Outage: true, Lasts: 3 * time.Second, Knows: 2, Depth: 4, Walks: 1000, WalkDepth: 200,
+		},
+		{
+			Name: "restarts", Rules: []judge.Rule{judge.Lost, judge.Twice}, About: "two relays that are killed at any moment, with a message given up on",
+			Relays: 2, Settings: settings(), Routes: routes(20, 0, 1), Messages: []Message{{Class: unsafe}, {Class: keyed}, {Class: safe}},
+			Outcomes: outcomes(policy.OK, policy.Reset, policy.Full), Faults: 2, Restarts: 2, Quantum: time.Second, Depth: 8,
+		},
+		{
+			Name: "separate", Rules: []judge.Rule{judge.Drain, judge.Wait, judge.Twice}, About: "two relays, routes that stand apart, a told wait, a drain and a kill together",
+			Relays: 2, Settings: settings(), Routes: apart(routes(20, 0, 1)), Messages: []Message{{Class: keyed}, {Class: unsafe}, {Class: safe}},
+			Outcomes: append(outcomes(policy.OK, policy.Reset), told), Faults: 2, Restarts: 1, Drains: []string{"a"}, Quantum: quantum, Depth: 7,
+		},
+	}
+}
+
+func apart(all []policy.Listing) []policy.Listing {
+	for i := range all {
+		all[i].Kind = 1
+	}
+	return all
+}
+
+// WorldNamed returns a world by its name; nil if there is none.
+func WorldNamed(name string) *World {
+	all := Worlds()
+	if i := slices.IndexFunc(all, func(w World) bool { return w.Name == name }); i >= 0 {
+		return &all[i]
+	}
+	return nil
+}
--- a/internal/partner/partner.go
+++ b/internal/partner/partner.go
@@ -25,11 +25,13 @@
 
 // Spec says what a place is like.
 type Spec struct {
-	Pace     time.Duration // mean time to serve a call, warm
-	Spread   float64       // coefficient of variation of that time (lognormal); 0: always the same
-	Slots    int           // calls that an endpoint serves at once
-	Queue    time.Duration // a call that would wait longer than this for a slot is refused
-	ItemCost float64       // extra work for each further message in a call, as a share of one
+	Pace   time.Duration // mean time to serve a call, warm
+	Spread float64       // coefficient of variation of that time (lognormal); 0: always the same
+	// Exponential has that time be exponential in place of lognormal: for what queueing theory tells.
+	Exponential bool
+	Slots       int           // calls that an endpoint serves at once
+	Queue       time.Duration // a call that would wait longer than this for a slot is refused
+	ItemCost    float64       // extra work for each further message in a call, as a share of one
 
 	Limit     Limit
 	Rate      float64       // calls a second
@@ -294,7 +296,9 @@
 	if p.isCold {
 		x *= p.cold.Rate / p.cold.Able(at)
 	}
-	if p.Spread > 0 {
+	if p.Exponential {
+		x *= p.draw.ExpFloat64()
+	} else if p.Spread > 0 {
 		v := math.Log(1 + p.Spread*p.Spread)
 		x *= math.Exp(p.draw.NormFloat64()*math.Sqrt(v) - v/2)
 	}
