--- a/cmd/emulate/main.go
+++ b/cmd/emulate/main.go
@@ -139,18 +139,7 @@
 }
 
 func status(v judge.Verdict) int {
-	for _, f := range v.Findings {
-		if f.State == judge.Broken {
-			return exitBroken
-		}
-	}
-	switch {
-	case len(v.Faults) > 0:
-		return exitBroken
-	case !v.OK():
-		return exitNotJudged
-	}
-	return exitHeld
+	return map[judge.State]int{judge.Held: exitHeld, judge.Broken: exitBroken, judge.NotJudged: exitNotJudged}[v.State()]
 }
 
 // revision names the decisions that results were had with.
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -93,6 +93,18 @@
 	Steps    int       `json:"clock_steps,omitempty"` // of the wall clock, of which nothing here depends
 }
 
+// State sums the verdict up: Broken if a rule was, or what voids the run came up; NotJudged if it proves nothing; else Held.
+func (v Verdict) State() State {
+	broken := slices.ContainsFunc(v.Findings, func(f Finding) bool { return f.State == Broken })
+	switch {
+	case broken || len(v.Faults) > 0:
+		return Broken
+	case !v.OK():
+		return NotJudged
+	}
+	return Held
+}
+
 // OK tells whether the run was judged, no rule was broken and nothing voids it.
 func (v Verdict) OK() bool {
 	if len(v.Faults) > 0 || len(v.Doubts) > 0 {
