--- a/internal/emulate/call.go
+++ b/internal/emulate/call.go
@@ -1,6 +1,7 @@
 package emulate
 
 import (
+	"slices"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/partner"
@@ -352,9 +353,11 @@
 	switch res.outcome {
 	case policy.Full, policy.ConnectFailed, policy.Moot:
 		if len(m.mayRun) > 0 {
-			was := m.mayRun
+			if r.undoes {
+				was := slices.Clone(m.mayRun)
+				r.journal.note(r, func() { m.mayRun = was })
+			}
 			m.neverRan(a.n)
-			r.journal.note(r, func() { m.mayRun = was })
 		}
 	}
 	if ok || res.gone {
--- a/internal/emulate/relay.go
+++ b/internal/emulate/relay.go
@@ -33,6 +33,7 @@
 	zone   int
 	set    policy.Settings // as its module is told
 	wrong  *Mutant
+	undoes bool // a death may undo what is in the journal
 	seed   uint64
 	module Module
 
@@ -115,6 +116,7 @@
 		w: w, n: n, name: scenario.RelayName(n + 1), zone: n % len(w.plan.File.Zones), wrong: w.opts.Wrong, seed: w.plan.Seed*1000 + uint64(n),
 		msgs: map[uint32]*message{}, view: map[string]policy.Listing{},
 	}
+	r.undoes = r.wrong.lag() > 0 || w.opts.Machines && w.opts.Sync != SyncAlways
 	r.set = Settings(w.plan.File)
 	if w.opts.Settings != nil {
 		w.opts.Settings(&r.set)
@@ -286,8 +288,9 @@
 			id: r.lastID, name: in.t.ID, ask: in.t.ask, class: a.Class, cust: a.Customer, dest: a.Dest, order: a.Order, deadline: in.t.deadline,
 		}
 		r.msgs[r.lastID] = in.m
-		m := in.m
-		r.journal.note(r, func() { delete(r.msgs, m.id) })
+		if m := in.m; r.undoes {
+			r.journal.note(r, func() { delete(r.msgs, m.id) })
+		}
 		r.held++
 		taken = append(taken, in)
 	}
@@ -326,7 +329,9 @@
 				continue
 			}
 			m.final = f
-			r.journal.note(r, func() { m.final = nil })
+			if r.undoes {
+				r.journal.note(r, func() { m.final = nil })
+			}
 			ended = append(ended, m)
 		case policy.Wake:
 			at := w.Now() + a.Delay
@@ -348,10 +353,12 @@
 			a := &c.atts[i]
 			m, n := a.m, a.n
 			m.mayRun = append(m.mayRun, ran{n, c.host.zone, w.Now()})
-			r.journal.note(r, func() {
-				m.neverRan(n)
-				m.sends--
-			})
+			if r.undoes {
+				r.journal.note(r, func() {
+					m.neverRan(n)
+					m.sends--
+				})
+			}
 		}
 	}
 	for _, in := range ins {
@@ -421,7 +428,9 @@
 func (r *relay) end(m *message) {
 	if r.msgs[m.id] == m {
 		delete(r.msgs, m.id)
-		r.journal.note(r, func() { r.msgs[m.id] = m })
+		if r.undoes {
+			r.journal.note(r, func() { r.msgs[m.id] = m })
+		}
 	}
 }
 
@@ -566,9 +575,6 @@
 // note keeps how to undo something that is written now, where a death may.
 func (j *journal) note(r *relay, undo func()) {
 	lag := r.wrong.lag()
-	if lag == 0 && (!r.w.opts.Machines || r.w.opts.Sync == SyncAlways) {
-		return
-	}
 	now := r.w.Now()
 	keep := max(lag, syncEvery)
 	if r.w.opts.Machines && r.w.opts.Sync == SyncNever {
