After a new boot nothing that may have run is repeated: its time goes by a clock that may be set

The rule on repeats still had a hole: over a new start of the machine a step of the wall clock that is smaller than the time since a send cannot be seen, and let a keyed repeat leave after its window. Tests: the relay over two boots and three steps, the property test over lives and boots.

--- a/internal/journal/axis.go
+++ b/internal/journal/axis.go
@@ -17,6 +17,8 @@
 	Up   time.Duration // of the boot
 	At   int64         // on the axis, then
 	Step time.Duration // wall time less axis, when last looked at
+	// Epoch counts the boots, from 1: between two of them the axis goes by the wall clock. 0: this machine tells no boot.
+	Epoch int64
 }
 
 // stepLeast is by how much the clocks must part to count as set. Guards against taking the time between the reading of the two,
@@ -25,8 +27,9 @@
 
 // axis is the journal's time in one process.
 type axis struct {
-	base time.Time // of this process
-	at   int64     // on the axis, then
+	base  time.Time // of this process
+	at    int64     // on the axis, then
+	epoch int64
 }
 
 func (x axis) of(t time.Time) int64    { return x.at + int64(t.Sub(x.base)) }
@@ -38,27 +41,32 @@
 		a = &anchor{}
 	}
 	wall := now.Wall.UnixNano()
-	x := axis{base: now.Wall, at: wall - int64(a.Step)}
-	if a.Boot == now.Boot && now.Boot != "" {
-		if at := a.At + int64(now.Up-a.Up); time.Duration(at-x.at).Abs() >= stepLeast {
-			x.at = at // the wall clock was set
-		} else {
+	x := axis{base: now.Wall, at: wall - int64(a.Step), epoch: a.Epoch}
+	switch {
+	case now.Boot == "":
+		x.epoch = 0
+	case a.Boot != now.Boot:
+		x.epoch++
+	default:
+		at := a.At + int64(now.Up-a.Up)
+		if time.Duration(at-x.at).Abs() < stepLeast {
 			return x, *a
 		}
+		x.at = at // the wall clock was set
 	}
-	return x, anchor{Boot: now.Boot, Up: now.Up, At: x.at, Step: time.Duration(wall - x.at)}
+	return x, anchor{Boot: now.Boot, Up: now.Up, At: x.at, Step: time.Duration(wall - x.at), Epoch: max(x.epoch, a.Epoch)}
 }
 
 // encode writes an anchor.
 func (a *anchor) encode(b []byte) []byte {
 	b = appendInt(appendText(append(b, anchorVersion), a.Boot), int64(a.Up))
-	return appendInt(appendInt(b, a.At), int64(a.Step))
+	return appendInt(appendInt(appendInt(b, a.At), int64(a.Step)), a.Epoch)
 }
 
 // decodeAnchor reads an anchor; nil if the value is none of this form.
 func decodeAnchor(value []byte) *anchor {
 	r := &reader{data: value[1:]}
-	a := &anchor{Boot: r.text(), Up: time.Duration(r.int()), At: r.int(), Step: time.Duration(r.int())}
+	a := &anchor{Boot: r.text(), Up: time.Duration(r.int()), At: r.int(), Step: time.Duration(r.int()), Epoch: r.int()}
 	if r.bad || len(r.data) > 0 {
 		return nil
 	}
--- a/internal/journal/axis_test.go
+++ b/internal/journal/axis_test.go
@@ -31,6 +31,7 @@
 		fs := faultfs.New()
 		type sent struct {
 			at    time.Duration // real
+			boot  string
 			error time.Duration // by which a boot without a look put it off
 		}
 		var all []*sent
@@ -44,6 +45,9 @@
 			}
 			base, began := j.axis.base, m.real
 			for i, x := range rec.Messages {
+				if x.MayRun[0].Undated != (all[i].boot != m.boot) {
+					t.Fatalf("sent on boot %q, now %q: undated %v", all[i].boot, m.boot, x.MayRun[0].Undated)
+				}
 				ago := base.Sub(x.MayRun[0].At)
 				if off := ago - (m.real - all[i].at + all[i].error); off.Abs() > time.Duration(n+1)*stepLeast {
 					t.Fatalf("sent %v ago, taken for %v", m.real-all[i].at, ago)
@@ -58,7 +62,7 @@
 			x := &Message{ID: uint32(n + 1), Deadline: at.Add(9 * time.Second)}
 			mustBe(t, j.Accept(x))
 			mustBe(t, j.Sent(Send{x, Attempt{Host: "h", At: at}}))
-			all = append(all, &sent{at: m.real})
+			all = append(all, &sent{at: m.real, boot: m.boot})
 			if stamp := j.Stamp(at); j.axis.time(stamp.UnixNano()) != at {
 				t.Fatalf("stamp %v of %v", stamp, at)
 			}
@@ -91,8 +95,8 @@
 
 // An anchor that cannot be read is as none: times go by the wall clock.
 func TestAnchorsThatCannotBeRead(t *testing.T) {
-	whole := (&anchor{Boot: "b", Up: 1, At: 2, Step: 3}).encode(nil)
-	if a := decodeAnchor(whole); a == nil || *a != (anchor{"b", 1, 2, 3}) {
+	whole := (&anchor{Boot: "b", Up: 1, At: 2, Step: 3, Epoch: 4}).encode(nil)
+	if a := decodeAnchor(whole); a == nil || *a != (anchor{"b", 1, 2, 3, 4}) {
 		t.Errorf("%+v", a)
 	}
 	for cut := 1; cut < len(whole); cut++ {
--- a/internal/journal/form.go
+++ b/internal/journal/form.go
@@ -33,7 +33,11 @@
 	b = appendInt(b, int64(a.N))
 	b = appendText(b, a.Host)
 	b = appendInt(b, int64(a.Zone))
-	return appendInt(b, x.of(a.At))
+	b = appendInt(b, x.of(a.At))
+	if a.Undated {
+		return appendInt(b, 0)
+	}
+	return appendInt(b, x.epoch)
 }
 
 func appendFinal(b []byte, f *Final) []byte {
@@ -91,7 +95,10 @@
 func (r *reader) time() time.Time { return r.axis.time(r.int()) }
 
 func (r *reader) attempt() Attempt {
-	return Attempt{N: int(r.int()), Host: r.text(), Zone: int(r.int()), At: r.time()}
+	a := Attempt{N: int(r.int()), Host: r.text(), Zone: int(r.int()), At: r.time()}
+	epoch := r.int()
+	a.Undated = epoch == 0 || epoch != r.axis.epoch
+	return a
 }
 
 // decode reads a message; false if the value is none of this form.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -49,6 +49,9 @@
 	Host string
 	Zone int
 	At   time.Time
+	// Undated tells that the machine was started anew since, or that this cannot be told: At goes by the wall clock alone, which
+	// may have been set.
+	Undated bool
 }
 
 // Final is the notice that ends a message which was not delivered.
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -70,8 +70,8 @@
 	ms[5].Body, ms[5].Attempts, ms[5].MayRun = nil, 2, []Attempt{{N: 1, Host: "h", Zone: 1, At: time.Unix(5, 5)}}
 	must(t, j.Accept(ms...))
 	at := time.Unix(7, 8)
-	must(t, j.Sent(Send{ms[0], Attempt{0, "s-1", 1, at}}, Send{ms[1], Attempt{0, "s-2", 0, at}}))
-	must(t, j.Sent(Send{ms[0], Attempt{1, "s-3", 1, at}}))
+	must(t, j.Sent(Send{ms[0], Attempt{N: 0, Host: "s-1", Zone: 1, At: at}}, Send{ms[1], Attempt{N: 0, Host: "s-2", Zone: 0, At: at}}))
+	must(t, j.Sent(Send{ms[0], Attempt{N: 1, Host: "s-3", Zone: 1, At: at}}))
 	j.NeverRan(ms[0], 0)
 	j.Decide(ms[1], Final{Deferred: true, Again: 500 * time.Millisecond})
 	j.Decide(ms[2], Final{})
@@ -204,7 +204,7 @@
 		t.Error("the one that was refused is owed")
 	}
 	for i, m := range ms {
-		must(t, j.Sent(Send{m, Attempt{0, "s-0123456789", 1, time.Unix(1, 1)}}))
+		must(t, j.Sent(Send{m, Attempt{N: 0, Host: "s-0123456789", Zone: 1, At: time.Unix(1, 1)}}))
 		if i%2 == 0 {
 			j.NeverRan(m, 0)
 			if err := j.Accept(&Message{ID: 1e6, Body: make([]byte, 100000)}); !errors.Is(err, ErrFull) {
@@ -256,7 +256,7 @@
 }
 
 // unset is the axis of a machine whose clock was never set.
-var unset = axis{base: time.Unix(0, 0)}
+var unset = axis{base: time.Unix(0, 0), epoch: 1}
 
 func TestDecodeRefusesWhatItNeverWrote(t *testing.T) {
 	value := append(message(3).encode(nil, unset), "body"...)
@@ -275,7 +275,7 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add(append(message(3).encode(nil, unset), "body"...))
-	f.Add(unset.appendAttempt([]byte{deltaSend}, &Attempt{1, "h", 2, time.Unix(1, 2)}))
+	f.Add(unset.appendAttempt([]byte{deltaSend}, &Attempt{N: 1, Host: "h", Zone: 2, At: time.Unix(1, 2)}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, ok := decode(data, unset)
 		if !ok {
--- a/internal/journal/legacy.go
+++ b/internal/journal/legacy.go
@@ -58,7 +58,7 @@
 			Deadline: old.Deadline, Body: old.Body, Attempts: old.Attempts, Doubtful: found.Damaged,
 		}
 		for _, a := range old.MayRun {
-			m.MayRun = append(m.MayRun, Attempt(a))
+			m.MayRun = append(m.MayRun, Attempt{N: a.N, Host: a.Host, Zone: a.Zone, At: a.At, Undated: true})
 		}
 		if err := j.Accept(m); err != nil {
 			return fmt.Errorf("journal: carry over: %w", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -330,8 +330,8 @@
 	if len(m.MayRun) > 0 {
 		first := m.MayRun[0]
 		e.Resumed.Ran, e.Resumed.RanZone = true, first.Zone
-		if e.Resumed.RanAgo = time.Since(first.At); e.Resumed.RanAgo < -clockSlack {
-			// The clock was set back: nobody can tell how long its host still drops a repeat.
+		if e.Resumed.RanAgo = time.Since(first.At); first.Undated || e.Resumed.RanAgo < -clockSlack {
+			// The clock was set, or may have been: nobody can tell how long its host still drops a repeat.
 			e.Resumed.RanAgo = longAgoRan
 		}
 		e.Resumed.RanAgo = max(0, e.Resumed.RanAgo)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -469,6 +469,22 @@
 	}
 }
 
+// reopen opens a relay's journal as a process would that begins at now.
+func reopen(t *testing.T, r *Relay, now bootclock.Reading) *journal.Recovery {
+	t.Helper()
+	if err := r.journal.Close(); err != nil {
+		t.Fatal(err)
+	}
+	opt := r.cfg.Operator.Journal.Options(3e6)
+	opt.Clock = func() bootclock.Reading { return now }
+	j, found, err := journal.OpenFolder(r.cfg.StateDir, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.journal = j
+	return found
+}
+
 // The wall clock is set while no process runs. A message that was sent before the window in which its host drops repeats is not
 // repeated, one sent within it is, and each keeps the time that it truly has left: the boot's clock tells.
 func TestTheWindowGoesByTheBootsClock(t *testing.T) {
@@ -480,22 +496,9 @@
 		}
 		class := r.cfg.Settings.Classes[0]
 		away := class.Window / 2
-		open := func(now bootclock.Reading) *journal.Recovery {
-			if err := r.journal.Close(); err != nil {
-				t.Fatal(err)
-			}
-			opt := r.cfg.Operator.Journal.Options(3e6)
-			opt.Clock = func() bootclock.Reading { return now }
-			j, found, err := journal.OpenFolder(r.cfg.StateDir, opt)
-			if err != nil {
-				t.Fatal(err)
-			}
-			r.journal = j
-			return found
-		}
 		// The process before: it ran until away ago, when the wall clock was step ahead of what it is now.
 		was := bootclock.Reading{Wall: now.Wall.Add(-away - step), Boot: now.Boot, Up: now.Up - away}
-		open(was)
+		reopen(t, r, was)
 		for id, sent := range map[uint32]time.Duration{1: away + time.Second, 2: away - time.Second} {
 			m := &journal.Message{ID: id, Trace: fmt.Sprint("m", id), Key: "k", Order: fmt.Sprint(id), Dest: 7, Deadline: was.Wall.Add(away + 9*time.Second)}
 			if err := r.journal.Accept(m); err != nil {
@@ -505,7 +508,7 @@
 				t.Fatal(err)
 			}
 		}
-		r.found = open(now)
+		r.found = reopen(t, r, now)
 		if d := (r.found.Stepped - step).Abs(); d > time.Millisecond {
 			t.Errorf("step %v: taken for %v", step, r.found.Stepped)
 		}
@@ -522,6 +525,34 @@
 	}
 }
 
+// The machine was started anew while a call was out, and its clock set: whatever the wall clock says, what may have run is not repeated,
+// since nobody can tell how long its host drops repeats. So over the next process of the new boot, too.
+func TestAfterANewBootNothingThatMayHaveRunIsRepeated(t *testing.T) {
+	for _, step := range []time.Duration{0, -7 * time.Second, 7 * time.Second} {
+		r := newTestRelay(t)
+		now := bootclock.Now()
+		was := bootclock.Reading{Wall: now.Wall.Add(-6*time.Second - step), Boot: "before", Up: time.Hour}
+		later := bootclock.Reading{Wall: now.Wall, Boot: "after", Up: 6 * time.Second}
+		reopen(t, r, was)
+		m := &journal.Message{ID: 1, Trace: "m1", Key: "k", Order: "1", Dest: 7, Deadline: was.Wall.Add(15 * time.Second)}
+		if err := r.journal.Accept(m); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.journal.Sent(journal.Send{Message: m, Attempt: journal.Attempt{Host: "s-1", At: was.Wall.Add(time.Second)}}); err != nil {
+			t.Fatal(err)
+		}
+		reopen(t, r, bootclock.Reading{Wall: now.Wall, Boot: "after", Up: 5 * time.Second})
+		if r.found = reopen(t, r, later); len(r.found.Messages) != 1 {
+			t.Fatalf("%d messages", len(r.found.Messages))
+		}
+		r.resume()
+		if len(r.finals.queue) != 1 || r.finals.queue[0].ID != "m1" {
+			t.Errorf("step %v: notices %+v", step, r.finals.queue)
+		}
+		r.calls.Wait()
+	}
+}
+
 // A repeat that was decided inside its window waits for a connection that comes up only after it, as from a machine
 // that is back. It must not leave then: no host drops it any more.
 func TestARepeatHeldUpPastItsWindowDoesNotLeave(t *testing.T) {
