--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -449,10 +449,7 @@
 	if p.outage != "" {
 		return // it is out already: the first outage's end ends both
 	}
-	p.outage = map[scenario.Op]string{
-		scenario.OpFail: record.OutageFailing, scenario.OpShut: record.OutageShut, scenario.OpMute: record.OutageSilent,
-		scenario.OpDown: record.OutageDown, scenario.OpCut: record.OutageDown,
-	}[op]
+	p.outage = op.Cause()
 	w.see(record.Event{Kind: record.Outage, Place: name, Dest: p.Dest, Hosts: ids(p.standing()), Cause: p.outage})
 	w.able(p, 1, 0)
 	switch op {
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -15,6 +15,7 @@
 
 	"onyxroad.dev/onyxroad/internal/des"
 	"onyxroad.dev/onyxroad/internal/partner"
+	"onyxroad.dev/onyxroad/internal/record"
 )
 
 // Place is a destination, or a route that stands apart.
@@ -77,6 +78,21 @@
 	OpEnds   Op = "ends"
 )
 
+// Cause is why a place is out of service that an operation strikes; "" if it strikes none.
+func (o Op) Cause() string {
+	switch o {
+	case OpFail:
+		return record.OutageFailing
+	case OpShut:
+		return record.OutageShut
+	case OpMute:
+		return record.OutageSilent
+	case OpDown, OpCut:
+		return record.OutageDown
+	}
+	return ""
+}
+
 // Step is something that happens to the world.
 type Step struct {
 	At     time.Duration
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -129,10 +129,7 @@
 		if p.outage != "" {
 			return // it is out already: the first outage's end ends both
 		}
-		p.outage = map[scenario.Op]string{
-			scenario.OpFail: record.OutageFailing, scenario.OpShut: record.OutageShut, scenario.OpMute: record.OutageSilent,
-			scenario.OpDown: record.OutageDown, scenario.OpCut: record.OutageDown,
-		}[op]
+		p.outage = op.Cause()
 		hosts = w.placeHosts(name)
 		w.rec.Add(record.Event{Kind: record.Outage, Place: name, Dest: p.dest, Hosts: hostIDs(hosts), Cause: p.outage})
 		w.able(p, 1, 0)
