--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -35,6 +35,7 @@
 	Serve     serve            `cmd:"" default:"withargs" help:"Run the relay (the default)."`
 	Replay    replayCommand    `cmd:"" help:"Play recordings to the decision module as built here, and tell whether it decides the same."`
 	Explain   explainCommand   `cmd:"" help:"Tell from recordings what held messages up."`
+	Fleet     fleetCommand     `cmd:"" help:"Count across the recordings of many relays what all of them together did."`
 	Recording recordingCommand `cmd:"" help:"List recordings, or take them out of a log."`
 	Journal   journalCommand   `cmd:"" help:"Look into a relay's journal, running or not."`
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,6 +38,8 @@
 	paceNear     = 0.85                    // "near": above this share of that rate
 	paceFree     = 3.0                     // above this multiple of the rate in use a pace does not grow
 	paceBurst    = 300 * time.Millisecond  // span of pace that may be sent at once after idling
+	manyBurst    = 1.0                     // calls beyond one that one of many may send at once after idling
+	manyMost     = 2.0                     // of its part: above this the pace of one of many does not grow
 	toldShare    = 2.0 / 3                 // of a push: less from senders told of failures breaks no failback
 	scatter      = 1                       // deviations of the sum of all calls that are kept free
 	lapseShare   = 0.1                     // of the window: a call due in doubt lapses after this
@@ -271,6 +273,9 @@
 		return math.MaxInt64
 	}
 	at := max(g.wait, r.skipUntil, s.coldUntil(r))
+	if g.pace == 0 && s.many(g) {
+		g.pace, g.tokens, g.tokensAt = s.part(g), 1+manyBurst*s.rng.Float64(), s.now
+	}
 	if g.pace > 0 {
 		s.refill(g, paceBurst)
 		if g.tokens < 1 {
@@ -329,6 +334,9 @@
 	// Where successes are seconds apart, each counts for the seconds that it stands for.
 	steps := min(max(1, (s.now-max(g.creptAt, g.halvedAt)).Seconds()), creepSteps)
 	g.pace, g.creptAt = g.pace*math.Pow(growth, steps), s.now
+	if s.many(g) {
+		g.pace = math.Min(g.pace, manyMost*s.part(g))
+	}
 	// While one call carries all that waits, more than this part only takes the room of others' backlogs.
 	if n := s.perCall(g.kind); n > 1 && len(g.dest.queue) < n && s.limit(g) > 0 {
 		g.pace = math.Min(g.pace, s.part(g))
@@ -424,6 +432,9 @@
 	}
 }
 
+// many tells whether a gate's told limit is shared by more senders than see it filled.
+func (s *Sender) many(g *gate) bool { return s.set.Senders > fewSenders && s.limit(g) > 0 }
+
 // sparse tells whether this sender's part of a gate is less than a call in the span of a fall.
 func (s *Sender) sparse(g *gate) bool { return s.part(g)*s.set.OverloadWindow.Seconds() < 1 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -411,7 +411,11 @@
 
 // refill adds to a gate's tokens what its pace has earned, up to one and a burst.
 func (s *Sender) refill(g *gate, burst time.Duration) {
-	g.tokens = math.Min(1+g.pace*burst.Seconds(), g.tokens+g.pace*(s.now-g.tokensAt).Seconds())
+	most := g.pace * burst.Seconds()
+	if s.many(g) {
+		most = math.Max(most, manyBurst)
+	}
+	g.tokens = math.Min(1+most, g.tokens+g.pace*(s.now-g.tokensAt).Seconds())
 	g.tokensAt = s.now
 }
 
