Many senders pace from their part of a told limit instead of free

Every relay began free and was above the limit for a second together; refused calls use the limit up (from 2.0 to 5.0 s 17 calls a second came to a route that takes 21, and 90 % were refused), halvings stopped at half the part and paces grew to three calls a second for each relay. Ruled out: hosts without connections (none refused), slots (under 1 % of the waiting), processor time (0.01 s in the busiest second).

--- /dev/null
+++ b/internal/tally/tally_test.go
@@ -0,0 +1,74 @@
+package tally
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// relay records a life of one relay: a bundle of two is refused with a wait and later delivered, late by one message.
+func relay(t *testing.T, name string, started time.Time) flight.Recording {
+	t.Helper()
+	set := policy.Settings{
+		Classes: []policy.Class{{Aim: time.Second, GiveUp: 10 * time.Second}}, Kinds: []policy.Kind{{PerCall: 2}, {Separate: true}},
+	}
+	rec := flight.NewRecorder(flight.Meta{Name: name, Settings: set, Started: started}, 1<<20, func(b []byte) []byte { return b })
+	rec.Step(time.Second, []policy.Event{
+		{Kind: policy.ListWhole, List: []policy.Listing{{Route: "a", Destination: 1, Weight: 7}, {Route: "b", Destination: 2, Kind: 1, Weight: 3}}},
+		{Kind: policy.Taken, ID: 1, Destination: 1, Left: 10 * time.Second},
+		{Kind: policy.Taken, ID: 2, Destination: 1, Left: 10 * time.Second, Resumed: &policy.Resumed{}},
+	}, []policy.Action{{Kind: policy.Send, ID: 1, Route: "a"}, {Kind: policy.Send, ID: 2, Route: "a"}})
+	rec.Step(2*time.Second, []policy.Event{
+		{Kind: policy.Finished, ID: 1, Route: "a", Outcome: policy.Full, Wait: time.Second},
+		{Kind: policy.Finished, ID: 2, Route: "a", Outcome: policy.Full},
+		{Kind: policy.Taken, ID: 3, Destination: 2, Left: 10 * time.Second},
+	}, []policy.Action{{Kind: policy.Send, ID: 3, Route: "b"}, {Kind: policy.Refuse, ID: 2}})
+	rec.Step(3*time.Second, []policy.Event{{Kind: policy.Finished, ID: 3, Route: "b", Outcome: policy.Timeout}},
+		[]policy.Action{{Kind: policy.Fail, ID: 3}, {Kind: policy.Send, ID: 1, Route: "a"}})
+	rec.Step(4*time.Second, []policy.Event{{Kind: policy.Finished, ID: 1, Attempt: 1, Route: "a", Outcome: policy.OK, Ended: true}}, nil)
+	var data bytes.Buffer
+	if _, err := rec.WriteTo(&data); err != nil {
+		t.Fatal(err)
+	}
+	return flight.Recording{Data: data.Bytes(), Meta: flight.Meta{Name: name, Settings: set, Started: started}}
+}
+
+func TestCountsAcrossRelays(t *testing.T) {
+	start := time.Date(2026, 12, 1, 9, 0, 0, 0, time.UTC)
+	f, err := Read([]flight.Recording{relay(t, "n0", start), relay(t, "n1", start.Add(time.Second))}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Relays != 2 || f.Told["1"] != 7 || f.Told["2/b"] != 3 {
+		t.Errorf("relays %d, told %v", f.Relays, f.Told)
+	}
+	all := map[string]Count{}
+	for _, places := range f.Bins {
+		for place, c := range places {
+			sum := all[place]
+			sum.add(&c)
+			all[place] = sum
+		}
+	}
+	for place, want := range map[string]Count{
+		"1":   {Taken: 4, Resumed: 2, Calls: 4, Sent: 6, Refused: 2, Waits: 2, OK: 2, Late: 2, Deferred: 2},
+		"2":   {Taken: 2, Failed: 2},
+		"2/b": {Calls: 2, Sent: 2, Bad: 2},
+	} {
+		if all[place] != want {
+			t.Errorf("place %s: %+v, want %+v", place, all[place], want)
+		}
+	}
+	// The second relay began a second later: its first step falls into the next bin.
+	if a, b := f.Bins[1]["1"].Taken, f.Bins[2]["1"].Taken; a != 2 || b != 2 {
+		t.Errorf("taken in the first bins: %d, %d", a, b)
+	}
+	var out bytes.Buffer
+	if err := f.Write(&out, 0, 2*time.Second, "1"); err != nil || strings.Count(out.String(), "\n") != 3 {
+		t.Errorf("one place up to 2 s: %v\n%s", err, out.String())
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,7 @@
 	shutRefusals = 4                       // refusals in a row, with no answer between, that mean shut
 	sparseShut   = 2                       // refusals in a row after which a sparse sender doubts
 	hintDoubt    = 0.6                     // chance that one does, and that a connection failed at once does
-	sparseSpread = 3.5                     // calls at the pace over which refused sparse senders spread
+	sparseSpread = 1.0                     // calls at the pace over which refused sparse senders spread
 	shutSpan     = 2 * time.Second         // and over at least this long: longer than a limit's usual span
 	streakSkip   = 3                       // failures in a row that skip a route
 	streakDoubt  = 2                       // failures in a row after which a route may be in an outage
@@ -38,8 +38,8 @@
 	paceNear     = 0.85                    // "near": above this share of that rate
 	paceFree     = 3.0                     // above this multiple of the rate in use a pace does not grow
 	paceBurst    = 300 * time.Millisecond  // span of pace that may be sent at once after idling
-	manyBurst    = 1.0                     // calls beyond one that one of many may send at once after idling
-	manyMost     = 2.0                     // of its part: above this the pace of one of many does not grow
+	manyBurst    = 0.5                     // calls beyond one that one of many may send after idling
+	manySpread   = 3 * time.Second         // over this at most the first calls of many spread
 	toldShare    = 2.0 / 3                 // of a push: less from senders told of failures breaks no failback
 	scatter      = 1                       // deviations of the sum of all calls that are kept free
 	lapseShare   = 0.1                     // of the window: a call due in doubt lapses after this
@@ -274,7 +274,7 @@
 	}
 	at := max(g.wait, r.skipUntil, s.coldUntil(r))
 	if g.pace == 0 && s.many(g) {
-		g.pace, g.tokens, g.tokensAt = s.part(g), 1+manyBurst*s.rng.Float64(), s.now
+		s.startPace(g)
 	}
 	if g.pace > 0 {
 		s.refill(g, paceBurst)
@@ -328,15 +328,12 @@
 		return
 	}
 	growth := 1 + paceCreep
-	if g.ceiling > 0 && g.pace > paceNear*g.ceiling {
+	if g.ceiling > 0 && g.pace > paceNear*g.ceiling || s.many(g) && g.pace > paceNear*s.part(g) {
 		growth = 1 + paceCrawl
 	}
 	// Where successes are seconds apart, each counts for the seconds that it stands for.
 	steps := min(max(1, (s.now-max(g.creptAt, g.halvedAt)).Seconds()), creepSteps)
 	g.pace, g.creptAt = g.pace*math.Pow(growth, steps), s.now
-	if s.many(g) {
-		g.pace = math.Min(g.pace, manyMost*s.part(g))
-	}
 	// While one call carries all that waits, more than this part only takes the room of others' backlogs.
 	if n := s.perCall(g.kind); n > 1 && len(g.dest.queue) < n && s.limit(g) > 0 {
 		g.pace = math.Min(g.pace, s.part(g))
@@ -435,6 +432,13 @@
 // many tells whether a gate's told limit is shared by more senders than see it filled.
 func (s *Sender) many(g *gate) bool { return s.set.Senders > fewSenders && s.limit(g) > 0 }
 
+// startPace gives a gate of many its first pace: this sender's part of the told limit. Guards against a fleet that is
+// free at first, together far above the limit, and where refused calls use it up is refused for as long as it goes on.
+func (s *Sender) startPace(g *gate) {
+	g.pace, g.tokensAt = s.part(g), s.now
+	g.tokens = 1 - s.rng.Float64()*math.Min(1, g.pace*manySpread.Seconds())
+}
+
 // sparse tells whether this sender's part of a gate is less than a call in the span of a fall.
 func (s *Sender) sparse(g *gate) bool { return s.part(g)*s.set.OverloadWindow.Seconds() < 1 }
 
--- /dev/null
+++ b/policy/snapshot.go
@@ -0,0 +1,153 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/archive"
+)
+
+// The state of a Sender as bytes, for recordings that begin in mid-life: one description for both directions.
+
+// snapshotForm is raised with every change of what follows: one of another form is refused.
+const snapshotForm = 3
+
+// Snapshot appends the Sender's state, between two steps, to buf. Equal states give equal bytes.
+func (s *Sender) Snapshot(buf []byte) []byte {
+	c := archive.Writer(buf)
+	s.code(c)
+	return c.Bytes()
+}
+
+// Restore returns a Sender of these settings as Snapshot found it: equal events give equal actions from there on.
+func Restore(set Settings, data []byte) (*Sender, error) {
+	s, err := New(set, 0)
+	if err != nil {
+		return nil, err
+	}
+	c := archive.Reader(data)
+	s.code(c)
+	if err := c.Close(); err != nil {
+		return nil, fmt.Errorf("policy: snapshot: %w", err)
+	}
+	for _, d := range s.order {
+		s.dests[d.id] = d
+		for _, g := range d.gates {
+			for _, r := range g.routes {
+				s.routes[r.Route] = r
+			}
+		}
+	}
+	return s, nil
+}
+
+func (s *Sender) code(c *archive.Coder) {
+	form := snapshotForm
+	if c.Ints(&form); form != snapshotForm {
+		c.Fail()
+		return
+	}
+	state, _ := s.pcg.MarshalBinary() // never fails
+	text := string(state)
+	if c.Text(&text); c.Reading() && s.pcg.UnmarshalBinary([]byte(text)) != nil {
+		c.Fail()
+	}
+	s.rng = rand.New(s.pcg)
+	c.Times(&s.now, &s.wakeAt)
+	c.Ints(&s.held, &s.slots)
+	msgs := func(m **message) { s.codeMessage(c, m) }
+	archive.List(c, &s.order, func(d **dest) { s.codeDest(c, d) })
+	archive.List(c, &s.active, func(d **dest) { s.codeDest(c, d) })
+	archive.List(c, &s.bare, func(d **dest) { s.codeDest(c, d) })
+	archive.Map(c, s.msgs, func(id *uint32, m **message) { archive.Uint(c, id); msgs(m) })
+	for _, d := range s.active { // apart from the destinations, so that messages do not nest
+		archive.List(c, &d.queue, msgs)
+	}
+	turns := func(t **turn) { s.codeTurn(c, t) }
+	archive.Map(c, s.turns, func(key *string, t **turn) { c.Text(key); turns(t) })
+	archive.List(c, &s.parked, turns)
+	archive.Map(c, s.least, func(k *int, v *float64) { c.Ints(k); c.Floats(v) })
+	archive.Map(c, s.scarce, func(k *int, v *time.Duration) { c.Ints(k); c.Times(v) })
+	archive.List(c, &s.shares, func(b *bucket) { c.Floats(&b.level); c.Times(&b.at) })
+	if len(s.shares) != len(s.set.Customers) {
+		c.Fail()
+	}
+	archive.List(c, (*[]end)(&s.ends), func(e *end) { c.Times(&e.at); msgs(&e.m) })
+}
+
+func (s *Sender) codeDest(c *archive.Coder, p **dest) {
+	archive.Must(c, p, func(d *dest) {
+		c.Ints(&d.id, &d.held, &d.at)
+		c.Times(&d.opens, &d.bareAt)
+		archive.List(c, &d.gates, func(g **gate) { s.codeGate(c, g) })
+	})
+}
+
+func (s *Sender) codeGate(c *archive.Coder, p **gate) {
+	archive.Must(c, p, func(g *gate) {
+		s.codeDest(c, &g.dest)
+		archive.List(c, &g.routes, func(r **route) { archive.Must(c, r, func(r *route) { s.codeRoute(c, r) }) })
+		c.Bools(&g.separate)
+		c.Ints(&g.kind, &g.out, &g.streak, &g.tights)
+		c.Floats(&g.pace, &g.ceiling, &g.tokens, &g.credit, &g.limit, &g.got)
+		c.Times(&g.wait, &g.halvedAt, &g.creptAt, &g.tokensAt, &g.coldAt, &g.coldLeft, &g.gotAt)
+		archive.List(c, &g.sent, func(at *time.Duration) { c.Times(at) })
+	})
+}
+
+func (s *Sender) codeRoute(c *archive.Coder, r *route) {
+	c.Text(&r.Route)
+	c.Ints(&r.Destination, &r.Kind, &r.Zone, &r.run, &r.streak, &r.refusals)
+	c.Floats(&r.Weight)
+	c.Bools(&r.InService, &r.Gone, &r.down, &r.cold, &r.slight, &r.lost)
+	c.Times(&r.skipUntil, &r.skipLen, &r.back, &r.refusedAt, &r.okAt, &r.okSent, &r.mean, &r.dev)
+	archive.Uint(c, &r.lot)
+	archive.Uint(c, &r.recent)
+	s.codeGate(c, &r.gate)
+	archive.List(c, &r.calls, func(x **call) { s.codeCall(c, x) })
+}
+
+func (s *Sender) codeCall(c *archive.Coder, p **call) {
+	archive.Must(c, p, func(x *call) {
+		archive.Must(c, &x.r, func(r *route) { s.codeRoute(c, r) })
+		c.Ints(&x.left)
+		c.Bools(&x.ok)
+		c.Times(&x.sent, &x.expect, &x.cut)
+	})
+}
+
+func (s *Sender) codeMessage(c *archive.Coder, p **message) {
+	archive.Must(c, p, func(m *message) {
+		archive.Uint(c, &m.id)
+		if c.Reading() {
+			m.class = new(Class)
+		}
+		class := slices.Index(s.set.Classes, *m.class) // by its value; the settings may no longer name it
+		if c.Ints(&class); class >= 0 && class < len(s.set.Classes) {
+			m.class = &s.set.Classes[class]
+		} else {
+			archive.Int(c, &m.class.Effect)
+			c.Bools(&m.class.GroupAll, &m.class.Ordered)
+			c.Times(&m.class.Window, &m.class.Aim, &m.class.GiveUp)
+			c.Floats(&m.class.Value)
+		}
+		s.codeDest(c, &m.dest)
+		s.codeTurn(c, &m.turn)
+		c.Times(&m.due, &m.deadline, &m.rank, &m.ranAt)
+		c.Ints(&m.sends, &m.most, &m.ranZone, &m.timeouts)
+		c.Bools(&m.ran, &m.ended, &m.queued)
+		archive.Ref(c, &m.avoid, func(r *route) { s.codeRoute(c, r) })
+		archive.List(c, &m.out, func(a *attempt) { c.Ints(&a.n); s.codeCall(c, &a.call) })
+	})
+}
+
+func (s *Sender) codeTurn(c *archive.Coder, p **turn) {
+	archive.Ref(c, p, func(t *turn) {
+		c.Text(&t.key)
+		c.Bools(&t.parked)
+		c.Times(&t.rest)
+		archive.List(c, &t.line, func(m **message) { s.codeMessage(c, m) })
+	})
+}
