Connections of many senders stay open through an outage; paces above the part grow only with a backlog

An at-once failed connection, a down host's too, had every later call of its kind close its connections for 30 s (policy.go: learn, scarce).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,6 +39,7 @@
 	paceFree     = 3.0                     // above this multiple of the rate in use a pace does not grow
 	paceBurst    = 300 * time.Millisecond  // span of pace that may be sent at once after idling
 	manyBurst    = 0.5                     // calls beyond one that one of many may send after idling
+	manyCut      = 0.75                    // of its pace: what a refusal leaves one of many, its part at most
 	manySpread   = 3 * time.Second         // over this at most the first calls of many spread
 	toldShare    = 2.0 / 3                 // of a push: less from senders told of failures breaks no failback
 	scatter      = 1                       // deviations of the sum of all calls that are kept free
@@ -114,7 +115,7 @@
 	return &Sender{
 		set: set, pcg: pcg, rng: rand.New(pcg),
 		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
-		scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
+		scarce: map[int]time.Duration{}, short: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
 		shares: make([]bucket, len(set.Customers)),
 	}, nil
 }
@@ -311,6 +312,9 @@
 	// Counts of few calls a second are rough: halvings must not starve a gate whose limit is known.
 	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
 	g.ceiling, g.pace = math.Max(rate, least), math.Max(rate/2, least)
+	if s.many(g) {
+		g.pace = math.Max(math.Min(rate*manyCut, s.part(g)), least)
+	}
 	g.tokens, g.tokensAt, g.halvedAt = 0, s.now, s.now
 	// A clump refused at hundreds of senders comes again spread over several times its own length.
 	if s.sparse(g) {
@@ -327,6 +331,9 @@
 	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) {
 		return
 	}
+	if s.many(g) && g.pace >= s.part(g) && len(g.dest.queue) == 0 {
+		return
+	}
 	growth := 1 + paceCreep
 	if g.ceiling > 0 && g.pace > paceNear*g.ceiling || s.many(g) && g.pace > paceNear*s.part(g) {
 		growth = 1 + paceCrawl
@@ -356,7 +363,7 @@
 
 // learn takes an outcome as an observation of its route.
 func (s *Sender) learn(r *route, o sample, took time.Duration) {
-	if s.now < s.scarce[r.Kind] && s.set.Senders > fewSenders {
+	if s.now < s.short[r.Kind] {
 		s.act(Action{Kind: CloseIdle, Route: r.Route})
 	}
 	switch o.outcome {
@@ -503,6 +510,11 @@
 
 func (s *Sender) delivered(r *route, sent, took time.Duration) {
 	g := r.gate
+	// A table that was full and takes a call again was not away. Guards against closing connections after every use
+	// for an outage of others, which made each call of a fleet cost a handshake.
+	if g.tights > 0 && g.streak == 0 && s.set.Senders > fewSenders {
+		s.short[r.Kind] = s.now + scarceSpan
+	}
 	r.okAt, r.okSent, r.streak, r.refusals, r.lost = s.now, max(r.okSent, sent), 0, 0, false
 	r.recent, g.streak, g.tights = r.recent<<1, 0, 0
 	s.answered(r, took)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -507,11 +507,21 @@
 		set := settings()
 		set.Senders = c.senders
 		d := newDesk(t, set, Listing{Route: "a"}, Listing{Route: "b", Destination: 1})
+		other := func(id uint32) bool {
+			d.step(Event{Kind: Taken, ID: id, Destination: 1, Left: 9 * time.Second})
+			return has(d.end(id, "b", OK, 10*ms, 0), CloseIdle)
+		}
 		d.take(1, 0)
-		d.end(1, "a", ConnectFailed, 10*ms, 0)
-		d.step(Event{Kind: Taken, ID: 2, Destination: 1, Left: 9 * time.Second})
-		if got := has(d.end(2, "b", OK, 10*ms, 0), CloseIdle); got != c.want {
-			t.Errorf("%d senders: closed %v after a failed connection of the kind", c.senders, got)
+		d.end(1, "a", OK, 10*ms, 0)
+		d.take(2, 0)
+		d.end(2, "a", ConnectFailed, 10*ms, 0)
+		if other(3) {
+			t.Errorf("%d senders: closed after a connection of the kind that failed: it may be an outage's", c.senders)
+		}
+		d.wake(time.Second)
+		d.end(2, "a", OK, 10*ms, 0)
+		if got := other(4); got != c.want {
+			t.Errorf("%d senders: closed %v after a failed connection and an answer of the kind", c.senders, got)
 		}
 	}
 }
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -12,7 +12,7 @@
 // The state of a Sender as bytes, for recordings that begin in mid-life: one description for both directions.
 
 // snapshotForm is raised with every change of what follows: one of another form is refused.
-const snapshotForm = 3
+const snapshotForm = 4
 
 // Snapshot appends the Sender's state, between two steps, to buf. Equal states give equal bytes.
 func (s *Sender) Snapshot(buf []byte) []byte {
@@ -69,7 +69,9 @@
 	archive.Map(c, s.turns, func(key *string, t **turn) { c.Text(key); turns(t) })
 	archive.List(c, &s.parked, turns)
 	archive.Map(c, s.least, func(k *int, v *float64) { c.Ints(k); c.Floats(v) })
-	archive.Map(c, s.scarce, func(k *int, v *time.Duration) { c.Ints(k); c.Times(v) })
+	for _, until := range []map[int]time.Duration{s.scarce, s.short} {
+		archive.Map(c, until, func(k *int, v *time.Duration) { c.Ints(k); c.Times(v) })
+	}
 	archive.List(c, &s.shares, func(b *bucket) { c.Floats(&b.level); c.Times(&b.at) })
 	if len(s.shares) != len(s.set.Customers) {
 		c.Fail()
--- a/policy/state.go
+++ b/policy/state.go
@@ -140,7 +140,8 @@
 	msgs     map[uint32]*message
 	turns    map[string]*turn
 	least    map[int]float64       // by kind: the least limit told
-	scarce   map[int]time.Duration // by kind: connections are scarce until then
+	scarce   map[int]time.Duration // by kind: a failed connection may be a full table's until then
+	short    map[int]time.Duration // by kind: tables were full: connections are closed after use until then
 	held     int
 	slots    int // used
 	shares   []bucket
