--- a/policy/inspect.go
+++ b/policy/inspect.go
@@ -10,7 +10,7 @@
 
 // What a Sender tells of itself, for recordings and explanations. Nothing here decides.
 
-//go:embed api.go policy.go resume.go spent.go state.go
+//go:embed api.go many.go policy.go resume.go spent.go state.go
 var text embed.FS
 
 // Revision names the text of the decisions as built: equal revisions decide alike.
--- /dev/null
+++ b/policy/many.go
@@ -0,0 +1,73 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// What senders of a large fleet do otherwise than a few: each sees little of any destination, and what is harmless from
+// one of them is not from all.
+
+const (
+	manyBurst  = 0.5              // calls beyond one that one of many may send after idling
+	manyCut    = 0.75             // of its pace: what a refusal leaves one of many, its part at most
+	fairMargin = 0.9              // of a limit that many senders use together
+	takenSpan  = 10 * time.Second // span over which a sender's own traffic is counted
+	takenPrior = 5                // messages that count as seen at the usual rate before any
+	takenShare = 0.6              // of a fair pace that goes by own traffic
+	takenMost  = 2.5              // most that own traffic counts for, as a multiple of the usual
+	manySpread = 3 * time.Second  // over this at most the first calls of many spread
+)
+
+// many tells whether a gate's told limit is shared by more senders than see it filled.
+func (s *Sender) many(g *gate) bool { return s.set.Senders > fewSenders && s.limit(g) > 0 }
+
+// startPace gives a gate of many its first pace: this sender's part of the told limit. Guards against a fleet that is
+// free at first, together far above the limit, and where refused calls use it up is refused for as long as it goes on.
+func (s *Sender) startPace(g *gate) {
+	g.pace, g.tokensAt = s.fair(g), s.now
+	g.tokens = 1 - s.rng.Float64()*math.Min(1, g.pace*manySpread.Seconds())
+}
+
+// fair is the pace that one of many keeps to until it learns better: its part, by the share of all traffic that comes to
+// it, as far as its own count and the customers' told rates tell, and a little less. Guards against senders with much
+// traffic that wait at paces which others do not use, and against a fleet at its limit by chance above it: where refused
+// calls use the limit up, a limit passed is lost for seconds.
+func (s *Sender) fair(g *gate) float64 {
+	quota, share := 0.0, 1.0
+	for _, c := range s.set.Customers {
+		quota += c.Quota
+	}
+	if quota > 0 {
+		faded := func(at time.Duration) float64 { return math.Exp(-float64(s.now-at) / float64(takenSpan)) }
+		usual := quota / float64(s.set.Senders) * takenSpan.Seconds() * (1 - faded(s.began))
+		share = math.Min((takenPrior+s.taken.level*faded(s.taken.at))/(takenPrior+usual), takenMost)
+	}
+	return fairMargin * s.part(g) * (1 - takenShare + takenShare*share)
+}
+
+// sparse tells whether this sender's part of a gate is less than a call in the span of a fall.
+func (s *Sender) sparse(g *gate) bool { return s.part(g)*s.set.OverloadWindow.Seconds() < 1 }
+
+// suspect puts a route in slight doubt, which one delivery clears, where this sender's part is under a call
+// in the span of a fall. Guards against hundreds of senders, told of one failure each, that push as one.
+func (s *Sender) suspect(r *route) {
+	if !r.cold && s.sparse(r.gate) {
+		s.doubt(r)
+		r.slight = true
+	}
+}
+
+// hint takes two refusals some time apart for a sign of an outage and, where this sender's part is under a
+// call in a warm-up, by chance one refusal or one connection failed as at a full table. Guards against many
+// senders told once that all come again. Most refusals being a limit's, some must: those left are under two
+// thirds while they come less than five times as often as senders not told.
+func (s *Sender) hint(r *route) {
+	again := r.refusals >= sparseShut && s.now-r.refusedAt >= shutSpan
+	seldom := !s.alive(r) && s.part(r.gate)*s.set.WarmWithin.Seconds() < 1
+	if again && s.set.Senders > fewSenders && !s.sparse(r.gate) {
+		s.doubt(r)
+	} else if again || seldom && s.rng.Float64() < hintDoubt {
+		s.suspect(r)
+	}
+}
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -59,3 +59,47 @@
 		})
 	}
 }
+
+// A sender with twice the usual traffic takes more of a limit than one with half of it, and a whole fleet of both no more
+// than the limit.
+func TestFairPacesGoByTraffic(t *testing.T) {
+	const senders, limit, usual = 40, 60.0, 5.0 // messages a second of a sender
+	set := settings()
+	set.Senders, set.Customers = senders, []Customer{{Quota: senders * usual}}
+	pace := func(rate float64) float64 {
+		s, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Step(time.Second, []Event{{Kind: ListWhole, List: []Listing{{Route: "a", Weight: limit, InService: true}}}})
+		for i := range int(rate * 20) {
+			now := 2*time.Second + time.Duration(float64(i)/rate*float64(time.Second))
+			s.Step(now, []Event{{Kind: Taken, ID: uint32(i), Left: time.Second}, {Kind: Withdrawn, ID: uint32(i)}})
+		}
+		return s.fair(s.routes["a"].gate)
+	}
+	busy, quiet, part := pace(2*usual), pace(usual/2), limit/senders
+	if busy < 1.05*part || quiet > 0.65*part {
+		t.Errorf("paces %.2f and %.2f of a part of %.2f", busy, quiet, part)
+	}
+	if sum := senders/3*busy + 2*senders/3*quiet; sum > limit {
+		t.Errorf("the fleet's paces add up to %.1f of %v", sum, limit)
+	}
+}
+
+// Pace after refusal: a sender above its fair pace falls back to it at once, and never under half its part.
+func TestRefusedPaceOfMany(t *testing.T) {
+	set := settings()
+	set.Senders = 80
+	d := newDesk(t, set, Listing{Route: "a", Weight: 80})
+	g := d.s.routes["a"].gate
+	for _, c := range []struct{ pace, want float64 }{{5, d.s.fair(g)}, {0.9, 0.9 * manyCut}, {0.5, 0.5}} {
+		d.now += 10 * time.Second
+		d.s.now = d.now
+		g.pace, g.sent = c.pace, []time.Duration{d.now, d.now, d.now, d.now, d.now}
+		d.s.halve(d.s.routes["a"], sample{outcome: Full, sent: d.now})
+		if g.pace < c.want*0.99 || g.pace > c.want*1.01 {
+			t.Errorf("a pace of %v becomes %v after a refusal, want %v", c.pace, g.pace, c.want)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,9 +38,6 @@
 	paceNear     = 0.85                    // "near": above this share of that rate
 	paceFree     = 3.0                     // above this multiple of the rate in use a pace does not grow
 	paceBurst    = 300 * time.Millisecond  // span of pace that may be sent at once after idling
-	manyBurst    = 0.5                     // calls beyond one that one of many may send after idling
-	manyCut      = 0.75                    // of its pace: what a refusal leaves one of many, its part at most
-	manySpread   = 3 * time.Second         // over this at most the first calls of many spread
 	toldShare    = 2.0 / 3                 // of a push: less from senders told of failures breaks no failback
 	scatter      = 1                       // deviations of the sum of all calls that are kept free
 	lapseShare   = 0.1                     // of the window: a call due in doubt lapses after this
@@ -115,7 +112,8 @@
 	return &Sender{
 		set: set, pcg: pcg, rng: rand.New(pcg),
 		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
-		scarce: map[int]time.Duration{}, short: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
+		scarce: map[int]time.Duration{}, short: map[int]time.Duration{},
+		msgs: map[uint32]*message{}, turns: map[string]*turn{},
 		shares: make([]bucket, len(set.Customers)),
 	}, nil
 }
@@ -123,6 +121,7 @@
 // Step takes what has come in at now and returns what to do, in order.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.acts = now, s.acts[:0]
+	s.began = cmp.Or(s.began, now)
 	// A wake may come a little early, for a clock coarser than ours: one so near does not count as asked for.
 	if s.wakeAt <= now+time.Millisecond {
 		s.wakeAt = 0
@@ -313,7 +312,7 @@
 	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
 	g.ceiling, g.pace = math.Max(rate, least), math.Max(rate/2, least)
 	if s.many(g) {
-		g.pace = math.Max(math.Min(rate*manyCut, s.part(g)), least)
+		g.pace = math.Max(math.Min(rate*manyCut, s.fair(g)), least)
 	}
 	g.tokens, g.tokensAt, g.halvedAt = 0, s.now, s.now
 	// A clump refused at hundreds of senders comes again spread over several times its own length.
@@ -331,11 +330,11 @@
 	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) {
 		return
 	}
-	if s.many(g) && g.pace >= s.part(g) && len(g.dest.queue) == 0 {
+	if s.many(g) && g.pace >= s.fair(g) && len(g.dest.queue) == 0 {
 		return
 	}
 	growth := 1 + paceCreep
-	if g.ceiling > 0 && g.pace > paceNear*g.ceiling || s.many(g) && g.pace > paceNear*s.part(g) {
+	if g.ceiling > 0 && g.pace > paceNear*g.ceiling || s.many(g) && g.pace > paceNear*s.fair(g) {
 		growth = 1 + paceCrawl
 	}
 	// Where successes are seconds apart, each counts for the seconds that it stands for.
@@ -436,42 +435,6 @@
 	}
 }
 
-// many tells whether a gate's told limit is shared by more senders than see it filled.
-func (s *Sender) many(g *gate) bool { return s.set.Senders > fewSenders && s.limit(g) > 0 }
-
-// startPace gives a gate of many its first pace: this sender's part of the told limit. Guards against a fleet that is
-// free at first, together far above the limit, and where refused calls use it up is refused for as long as it goes on.
-func (s *Sender) startPace(g *gate) {
-	g.pace, g.tokensAt = s.part(g), s.now
-	g.tokens = 1 - s.rng.Float64()*math.Min(1, g.pace*manySpread.Seconds())
-}
-
-// sparse tells whether this sender's part of a gate is less than a call in the span of a fall.
-func (s *Sender) sparse(g *gate) bool { return s.part(g)*s.set.OverloadWindow.Seconds() < 1 }
-
-// suspect puts a route in slight doubt, which one delivery clears, where this sender's part is under a call
-// in the span of a fall. Guards against hundreds of senders, told of one failure each, that push as one.
-func (s *Sender) suspect(r *route) {
-	if !r.cold && s.sparse(r.gate) {
-		s.doubt(r)
-		r.slight = true
-	}
-}
-
-// hint takes two refusals some time apart for a sign of an outage and, where this sender's part is under a
-// call in a warm-up, by chance one refusal or one connection failed as at a full table. Guards against many
-// senders told once that all come again. Most refusals being a limit's, some must: those left are under two
-// thirds while they come less than five times as often as senders not told.
-func (s *Sender) hint(r *route) {
-	again := r.refusals >= sparseShut && s.now-r.refusedAt >= shutSpan
-	seldom := !s.alive(r) && s.part(r.gate)*s.set.WarmWithin.Seconds() < 1
-	if again && s.set.Senders > fewSenders && !s.sparse(r.gate) {
-		s.doubt(r)
-	} else if again || seldom && s.rng.Float64() < hintDoubt {
-		s.suspect(r)
-	}
-}
-
 // alive tells whether a route has answered of late.
 func (s *Sender) alive(r *route) bool { return r.okAt > 0 && s.now-r.okAt < aliveSpan }
 
@@ -510,8 +473,8 @@
 
 func (s *Sender) delivered(r *route, sent, took time.Duration) {
 	g := r.gate
-	// A table that was full and takes a call again was not away. Guards against closing connections after every use
-	// for an outage of others, which made each call of a fleet cost a handshake.
+	// A table that was full and takes a call again was not away. Guards against connections closed after every
+	// use for an outage of others: each call of a fleet then cost a handshake.
 	if g.tights > 0 && g.streak == 0 && s.set.Senders > fewSenders {
 		s.short[r.Kind] = s.now + scarceSpan
 	}
@@ -547,6 +510,7 @@
 		m.rank += time.Duration(overShare * float64(e.Left))
 	}
 	s.msgs[m.id] = m
+	s.tally()
 	s.held++
 	m.dest.held++
 	if c.Ordered && e.Key != "" {
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -55,7 +55,8 @@
 		c.Fail()
 	}
 	s.rng = rand.New(s.pcg)
-	c.Times(&s.now, &s.wakeAt)
+	c.Times(&s.now, &s.wakeAt, &s.began, &s.taken.at)
+	c.Floats(&s.taken.level)
 	c.Ints(&s.held, &s.slots)
 	msgs := func(m **message) { s.codeMessage(c, m) }
 	archive.List(c, &s.order, func(d **dest) { s.codeDest(c, d) })
--- a/policy/state.go
+++ b/policy/state.go
@@ -145,6 +145,8 @@
 	held     int
 	slots    int // used
 	shares   []bucket
+	taken    bucket        // messages handed in, fading over takenSpan
+	began    time.Duration // of the first step
 	ends     endHeap
 	wakeAt   time.Duration // earliest wake asked for; 0: none
 	wantWake time.Duration
@@ -410,6 +412,12 @@
 	g.got, g.gotAt = g.got*math.Exp(-since/ownSpan.Seconds())+1/ownSpan.Seconds(), s.now
 }
 
+// tally counts a message that was handed in.
+func (s *Sender) tally() {
+	b := &s.taken
+	b.level, b.at = b.level*math.Exp(-float64(s.now-b.at)/float64(takenSpan))+1, s.now
+}
+
 // refill adds to a gate's tokens what its pace has earned, up to one and a burst.
 func (s *Sender) refill(g *gate, burst time.Duration) {
 	most := g.pace * burst.Seconds()
