--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -103,3 +103,29 @@
 		}
 	}
 }
+
+// A number of senders that makes no sense is told, and where settings change the ones before stay; none at all is one.
+func TestNumberOfSenders(t *testing.T) {
+	set := settings()
+	set.Senders = 80
+	d := newDesk(t, set, Listing{Route: "a", Weight: 8})
+	d.take(1, 0)
+	for _, senders := range []int{-1, sendersMost + 1} {
+		wrong := set
+		wrong.Senders = senders
+		if _, err := New(wrong, 1); err == nil {
+			t.Errorf("%d senders are taken", senders)
+		}
+		if err := d.s.Reconfigure(wrong); err == nil || d.s.set.Senders != 80 {
+			t.Errorf("%d senders: error %v, and %d hold", senders, err, d.s.set.Senders)
+		}
+	}
+	set.Senders = 0
+	if err := d.s.Reconfigure(set); err != nil || d.s.set.Senders != 1 || d.s.msgs[1] == nil {
+		t.Errorf("none told: error %v, %d hold, message 1 held: %v", err, d.s.set.Senders, d.s.msgs[1] != nil)
+	}
+	set.Senders = 8
+	if err := d.s.Reconfigure(set); err != nil || !d.s.many(d.s.routes["a"].gate) {
+		t.Errorf("8 senders: error %v", err)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -482,6 +483,10 @@
 	c.r.calls = slices.DeleteFunc(c.r.calls, func(x *call) bool { return x == c })
 }
 
+// sendersMost bounds the told number of senders. Guards against one that was mistyped: no sender's part would let a call
+// through within a message's time.
+const sendersMost = 1_000_000
+
 // check tells what makes no sense in settings.
 func (set *Settings) check() error {
 	if len(set.Classes) == 0 {
@@ -490,6 +495,9 @@
 	if min(set.Senders, set.Slots, set.MaxHeld, set.MaxAttempts) < 0 {
 		return errors.New("policy: settings hold a negative count")
 	}
+	if set.Senders > sendersMost {
+		return fmt.Errorf("policy: settings name %d senders, %d at most", set.Senders, sendersMost)
+	}
 	least := min(set.MaxRetryAfter, set.WarmWithin, set.OverloadWindow, set.OrderPause)
 	sum := set.ColdShare + set.OverloadFactor
 	for _, c := range set.Classes {
