--- a/policy/spent.go
+++ b/policy/spent.go
@@ -46,6 +46,7 @@
 		after = max(after, g.wait-s.now)
 	}
 	s.act(Action{Kind: Refuse, ID: m.id, Delay: min(after, s.set.MaxRetryAfter)})
+	s.taken.level = max(0, s.taken.level-1) // it may come again, here or elsewhere, and counts then
 	s.over(m)
 }
 
