Tokens of many senders grow from when a gate is listed, not from its first message

Traced by relay: first calls waited up to three seconds for their spread, counted from the first message, while the next ones of the relays before them left at once; together they passed the limit, and messages that came again kept it passed (many.go: startPace set the tokens' time anew). A relay that had been up for long held up its first message for nothing, too.

--- a/policy/many.go
+++ b/policy/many.go
@@ -26,7 +26,7 @@
 // startPace gives a gate of many its first pace: this sender's part of the told limit. Guards against a fleet that is
 // free at first, together far above the limit, and where refused calls use it up is refused for as long as it goes on.
 func (s *Sender) startPace(g *gate) {
-	g.pace, g.tokensAt, g.creptAt = s.fair(g), s.now, s.now
+	g.pace, g.creptAt = s.fair(g), s.now // and its tokens grow from when it was listed
 	g.tokens = 1 - s.rng.Float64()*math.Min(1, g.pace*manySpread.Seconds())
 }
 
