First calls for the list come within five seconds, however large the fleet

Seen: internal/herd spread first calls over 120 ms for each relay, 9.6 s at 80 and 36 s at 300, while what discovery has to tell counts as told 6 s later. Capped at five seconds; the test of callers that jam a service now holds with 300 too, which it did not.

--- a/internal/herd/herd.go
+++ b/internal/herd/herd.go
@@ -15,6 +15,9 @@
 const (
 	share      = 60 * time.Millisecond // what a client adds to the spread of all
 	spreadMost = 10 * time.Second      // of repeated calls: services bear one call of each in less
+	// firstMost bounds the spread of first calls: what a service tells may count as told some seconds after it changed, whether
+	// a client has called by then or not.
+	firstMost = 5 * time.Second
 	// few is a number of clients that any such service bears at once.
 	few = 6
 
@@ -35,7 +38,8 @@
 	if c.Clients <= few {
 		return 0
 	}
-	return time.Duration(rng.Float64() * float64(c.Clients) * float64(2*share))
+	window := min(firstMost, time.Duration(c.Clients)*2*share)
+	return time.Duration(rng.Float64() * float64(window))
 }
 
 // Failed is how long to wait before the next call, after one that failed or was turned away.
--- a/internal/herd/herd_test.go
+++ b/internal/herd/herd_test.go
@@ -76,7 +76,7 @@
 // pauses of few clients, used by many, jam it: the test can fail.
 func TestManyThatCallAtOnceAreAllAnswered(t *testing.T) {
 	jammed := false
-	for _, n := range []int{1, 3, 8, 16, 36, 48, 80} {
+	for _, n := range []int{1, 3, 8, 16, 36, 48, 80, 300} {
 		for _, all := range []time.Duration{2 * time.Second, 8 * time.Second} {
 			for seed := range uint64(20) {
 				s := service{each: all / time.Duration(max(n, 12)), patience: 2 * time.Second}
@@ -116,3 +116,22 @@
 		t.Errorf("after an answer: %v", d)
 	}
 }
+
+// However many they are, no client goes by an old list for long after a start.
+func TestFirstCallsComeSoon(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for _, n := range []int{7, 80, 300, 100_000} {
+		c := Caller{Clients: n}
+		sum := time.Duration(0)
+		for range 1000 {
+			d := c.First(rng)
+			if d > firstMost {
+				t.Fatalf("%d clients: first call after %v", n, d)
+			}
+			sum += d
+		}
+		if want := min(firstMost, time.Duration(n)*2*share) / 2; sum/1000 < want*8/10 || sum/1000 > want*12/10 {
+			t.Errorf("%d clients: first calls after %v in the mean, want about %v", n, sum/1000, want)
+		}
+	}
+}
