--- a/policy/many.go
+++ b/policy/many.go
@@ -46,10 +46,17 @@
 	return quota
 }
 
-// manyGrowth is the growth of the pace of one of many near and above its fair one. One that cannot tell its share of the
-// traffic has to find it out, until it is refused.
+// manyGrowth is the growth of the pace of one of many, quick below its fair one. Where rates are told it stops there: fair
+// paces add up to the limit, and growth beyond takes the room of others. One that cannot tell its share of the traffic has to
+// find it out, with a backlog, until it is refused.
 func (s *Sender) manyGrowth(g *gate) float64 {
-	if s.usual() > 0 || g.halvedAt > 0 && s.now-g.halvedAt < calmSpan {
+	fair, told := s.fair(g), s.usual() > 0
+	switch {
+	case g.pace >= fair && (told || len(g.dest.queue) == 0):
+		return 0
+	case g.pace <= paceNear*fair:
+		return paceCreep
+	case told || g.halvedAt > 0 && s.now-g.halvedAt < calmSpan:
 		return paceCrawl
 	}
 	return manyCreep
@@ -72,9 +79,8 @@
 func (s *Sender) fair(g *gate) float64 {
 	share := 1.0
 	if quota := s.usual(); quota > 0 {
-		faded := func(at time.Duration) float64 { return math.Exp(-float64(s.now-at) / float64(takenSpan)) }
-		mean := quota / float64(s.set.Senders) * takenSpan.Seconds() * (1 - faded(s.began))
-		share = (takenPrior + s.taken.level*faded(s.taken.at)) / (takenPrior + mean)
+		mean := quota / float64(s.set.Senders) * takenSpan.Seconds() * (1 - fade(s.now-s.began, takenSpan))
+		share = (takenPrior + s.taken.level*fade(s.now-s.taken.at, takenSpan)) / (takenPrior + mean)
 	}
 	return math.Min(s.limit(g), s.part(g)*(1-takenShare+takenShare*share))
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -308,14 +308,15 @@
 	if g.pace > 0 {
 		rate = math.Min(rate, g.pace)
 	}
-	// Counts of few calls a second are rough: halvings must not starve a gate whose limit is known.
-	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
-	g.ceiling, g.pace = math.Max(rate, least), math.Max(rate/2, least)
 	if s.many(g) {
 		g.ceiling, g.pace = 0, s.cut(r, rate)
+	} else {
+		// Counts of few calls a second are rough: halvings must not starve a gate whose limit is known.
+		least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
+		g.ceiling, g.pace = math.Max(rate, least), math.Max(rate/2, least)
 	}
 	g.tokens, g.tokensAt, g.halvedAt = 0, s.now, s.now
-	// A clump refused at hundreds of senders comes again spread over several times its own length.
+	// A clump refused at hundreds of senders comes again spread over a call's time.
 	if s.sparse(g) {
 		g.tokens = 0.5 - sparseSpread*s.rng.Float64()
 	}
@@ -330,18 +331,18 @@
 	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) {
 		return
 	}
-	if s.many(g) && g.pace >= s.fair(g) && (len(g.dest.queue) == 0 || s.usual() > 0) {
-		return // fair paces add up to the limit: growth beyond takes the room of others
+	growth := paceCreep
+	if s.many(g) {
+		growth = s.manyGrowth(g)
+	} else if g.ceiling > 0 && g.pace > paceNear*g.ceiling {
+		growth = paceCrawl
 	}
-	growth := 1 + paceCreep
-	if g.ceiling > 0 && g.pace > paceNear*g.ceiling {
-		growth = 1 + paceCrawl
-	} else if s.many(g) && g.pace > paceNear*s.fair(g) {
-		growth = 1 + s.manyGrowth(g)
+	if growth == 0 {
+		return
 	}
 	// Where successes are seconds apart, each counts for the seconds that it stands for.
 	steps := min(max(1, (s.now-max(g.creptAt, g.halvedAt)).Seconds()), creepSteps)
-	g.pace, g.creptAt = g.pace*math.Pow(growth, steps), s.now
+	g.pace, g.creptAt = g.pace*math.Pow(1+growth, steps), s.now
 	// While one call carries all that waits, more than this part only takes the room of others' backlogs.
 	if n := s.perCall(g.kind); n > 1 && len(g.dest.queue) < n && s.limit(g) > 0 {
 		g.pace = math.Min(g.pace, s.part(g))
--- a/policy/state.go
+++ b/policy/state.go
@@ -396,12 +396,15 @@
 	return float64(len(g.sent))
 }
 
+// fade is what is left after a while of a count that fades over a span.
+func fade(since, span time.Duration) float64 { return math.Exp(-float64(since) / float64(span)) }
+
 // rate is the mean rate of own deliveries of a gate; while a route of it is in doubt, as of the doubt.
 func (s *Sender) rate(g *gate) float64 {
 	if g.doubtful() {
 		return g.got
 	}
-	return g.got * math.Exp(-float64(s.now-g.gotAt)/float64(ownSpan))
+	return g.got * fade(s.now-g.gotAt, ownSpan)
 }
 
 // count adds a delivery to that rate, which does not fall while a route of the gate is in doubt.
@@ -416,7 +419,7 @@
 // tally counts a message that was handed in.
 func (s *Sender) tally() {
 	b := &s.taken
-	b.level, b.at = b.level*math.Exp(-float64(s.now-b.at)/float64(takenSpan))+1, s.now
+	b.level, b.at = b.level*fade(s.now-b.at, takenSpan)+1, s.now
 }
 
 // refill adds to a gate's tokens what its pace has earned, up to one and a burst.
