--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -163,7 +163,7 @@
 	if e.Fresh {
 		p.sender, err = policy.New(e.Meta.Settings, e.Meta.Seed)
 	} else {
-		p.sender, err = restore(e)
+		p.sender, err = Restore(e)
 	}
 	if err != nil {
 		p.sender = nil
@@ -183,8 +183,9 @@
 	}
 }
 
-// restore reads a state. One that some other build wrote may be such as the module never reaches.
-func restore(e *flight.Entry) (s *policy.Sender, err error) {
+// Restore reads the state that a chunk begins with in mid-life. One that some other build wrote may be such as the module
+// never reaches; that is an error.
+func Restore(e *flight.Entry) (s *policy.Sender, err error) {
 	defer func() {
 		if x := recover(); x != nil {
 			s, err = nil, fmt.Errorf("replay: a state that the module does not know: %v", x)
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -7,11 +7,14 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"slices"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/replay"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -62,10 +65,14 @@
 
 // route is an entry of the list, as far as a place goes by it.
 type route struct {
+	dest  string
 	place string
 	most  int // messages in a call to it
 }
 
+// unknown is the place of a message that was handed in before its recording begins.
+const unknown = "?"
+
 // Read counts recordings in bins of so long. What is damaged in them is passed over.
 func Read(recordings []flight.Recording, bin time.Duration) (*Fleet, error) {
 	f := &Fleet{Bins: map[int]map[string]Count{}, Told: map[string]float64{}, Bin: bin}
@@ -105,12 +112,60 @@
 		if err != nil || !ok {
 			return err
 		}
-		if e.Kind == flight.Step {
+		switch e.Kind {
+		case flight.Begin:
+			x.begin(&e)
+		case flight.Step:
 			x.step(&e)
 		}
 	}
 }
 
+// begin takes the settings of a chunk on. A recording that begins in mid-life has told no list yet: the module's state
+// holds it. Where this build cannot read that, calls count as of no known place until a list comes.
+func (x *reading) begin(e *flight.Entry) {
+	x.meta.Settings = e.Meta.Settings
+	if e.Fresh || len(x.routes) > 0 {
+		return
+	}
+	s, err := replay.Restore(e)
+	if err != nil {
+		return
+	}
+	views, _ := s.Views()
+	for _, v := range views {
+		x.list(v.Listing)
+	}
+}
+
+func (x *reading) list(l policy.Listing) {
+	r := route{dest: strconv.Itoa(l.Destination), most: 1}
+	r.place = r.dest
+	if kinds := x.meta.Settings.Kinds; l.Kind >= 0 && l.Kind < len(kinds) {
+		r.most = max(1, kinds[l.Kind].PerCall)
+		if kinds[l.Kind].Separate {
+			r.place += "/" + l.Route
+		}
+	}
+	x.routes[l.Route], x.Told[r.place] = r, l.Weight
+}
+
+// to is where a route leads.
+func (x *reading) to(name string) route {
+	if r, ok := x.routes[name]; ok {
+		return r
+	}
+	return route{unknown, unknown, 1}
+}
+
+// message is a message that is held, or one of which nothing is known.
+func (x *reading) message(id uint32) message {
+	if m, ok := x.msgs[id]; ok {
+		return m
+	}
+	return message{place: unknown, due: math.MaxInt64}
+}
+
 func (x *reading) at(now time.Duration, place string, count func(*Count)) {
 	bin := int(x.meta.Started.Add(now).Sub(x.Start) / x.Bin)
 	if x.Bins[bin] == nil {
@@ -128,10 +183,10 @@
 	open := map[string]*call{}
 	for i := range e.Actions {
 		a := &e.Actions[i]
-		m := x.msgs[a.ID]
+		m := x.message(a.ID)
 		switch a.Kind {
 		case policy.Send:
-			to := x.routes[a.Route]
+			to := x.to(a.Route)
 			place, c := to.place, open[a.Route]
 			if c == nil || c.left >= to.most {
 				c = &call{place: place}
@@ -153,18 +208,10 @@
 	switch e.Kind {
 	case policy.ListWhole, policy.ListChanges:
 		for _, l := range e.List {
-			place, most := fmt.Sprintf("%d", l.Destination), 1
-			if kinds := x.meta.Settings.Kinds; l.Kind >= 0 && l.Kind < len(kinds) {
-				most = max(1, kinds[l.Kind].PerCall)
-				if kinds[l.Kind].Separate {
-					place += "/" + l.Route
-				}
-			}
-			x.routes[l.Route] = route{place, most}
-			x.Told[place] = l.Weight
+			x.list(l)
 		}
 	case policy.Taken:
-		m := message{place: fmt.Sprintf("%d", e.Destination), due: now + e.Left}
+		m := message{place: strconv.Itoa(e.Destination), due: now + e.Left}
 		if e.Class >= 0 && e.Class < len(x.meta.Settings.Classes) {
 			c := x.meta.Settings.Classes[e.Class]
 			m.due = now + e.Left - c.GiveUp + c.Aim
@@ -177,9 +224,9 @@
 			}
 		})
 	case policy.Finished:
-		m, c := x.msgs[e.ID], x.calls[e.ID]
+		m, c := x.message(e.ID), x.calls[e.ID]
 		if e.Outcome == policy.OK {
-			x.at(now, m.place, func(n *Count) {
+			x.at(now, x.to(e.Route).dest, func(n *Count) {
 				n.OK++
 				if now > m.due {
 					n.Late++
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -72,3 +72,37 @@
 		t.Errorf("one place up to 2 s: %v\n%s", err, out.String())
 	}
 }
+
+// A recording that begins in mid-life, a ring that was written out say, tells its places from the module's state; what it says
+// of messages that came before is told apart.
+func TestARecordingThatBeginsInMidLife(t *testing.T) {
+	set := policy.Settings{Classes: []policy.Class{{Aim: time.Second, GiveUp: 10 * time.Second}}, Kinds: []policy.Kind{{}, {Separate: true}}}
+	s, err := policy.New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(time.Second, []policy.Event{
+		{Kind: policy.ListWhole, List: []policy.Listing{{Route: "b", Destination: 2, Kind: 1, Weight: 3, InService: true}}},
+		{Kind: policy.Taken, ID: 1, Destination: 2, Left: 10 * time.Second},
+	})
+	meta := flight.Meta{Name: "n0", Settings: set, Started: time.Date(2026, 12, 1, 9, 0, 0, 0, time.UTC)}
+	rec := flight.ResumeRecorder(meta, 1<<20, s.Snapshot, time.Second)
+	step := func(now time.Duration, evs ...policy.Event) { rec.Step(now, evs, s.Step(now, evs)) }
+	step(2*time.Second, policy.Event{Kind: policy.Finished, ID: 1, Route: "b", Outcome: policy.OK, Ended: true},
+		policy.Event{Kind: policy.Taken, ID: 2, Destination: 2, Left: 10 * time.Second})
+	step(3*time.Second, policy.Event{Kind: policy.Finished, ID: 2, Route: "b", Outcome: policy.Error})
+	var data bytes.Buffer
+	if _, err := rec.WriteTo(&data); err != nil {
+		t.Fatal(err)
+	}
+	f, err := Read([]flight.Recording{{Data: data.Bytes(), Meta: meta}}, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Told["2/b"] != 3 || f.Bins[0]["2"] != (Count{Taken: 1, OK: 1}) {
+		t.Errorf("told %v, counted %+v", f.Told, f.Bins)
+	}
+	if c := f.Bins[0]["2/b"]; c.Calls == 0 || c.Bad != 1 {
+		t.Errorf("calls of the route that stands apart: %+v", c)
+	}
+}
