--- a/internal/emulate/call.go
+++ b/internal/emulate/call.go
@@ -83,20 +83,41 @@
 
 func (p *pool) put(at time.Duration) { p.idle = append(p.idle, at) }
 
-// get takes the connection that was used last; false if there is none.
-func (p *pool) get(now, keep time.Duration) bool {
+// open is how many connections have been idle since later than a time; the others are closed.
+func (p *pool) open(since time.Duration) int {
 	old := 0
-	for old < len(p.idle) && p.idle[old] <= now-keep {
+	for old < len(p.idle) && p.idle[old] <= since {
 		old++
 	}
 	p.idle = append(p.idle[:0], p.idle[old:]...)
-	if len(p.idle) == 0 {
+	return len(p.idle)
+}
+
+// get takes the connection that was used last, idle since later than a time; false if there is none.
+func (p *pool) get(since time.Duration) bool {
+	if p.open(since) == 0 {
 		return false
 	}
 	p.idle = p.idle[:len(p.idle)-1]
 	return true
 }
 
+// connections is how many a host has: those of calls that were written to it, and the idle ones of all relays.
+func (w *World) connections(h *host) int {
+	n := len(h.calls)
+	for _, r := range w.relays {
+		if p := r.pools[h]; p != nil && p.life == h.life {
+			n += p.open(w.Now() - w.keep())
+		}
+	}
+	return n
+}
+
+// keep is how long relays keep a connection idle.
+func (w *World) keep() time.Duration {
+	return time.Duration(keepShare * float64(w.plan.File.Settings.KeepAlive))
+}
+
 // launch makes a call.
 func (r *relay) launch(c *call) {
 	w := r.w
@@ -111,8 +132,7 @@
 		}
 	}
 	c.in(c.until-w.Now(), c.timeout)
-	keep := time.Duration(keepShare * float64(w.plan.File.Settings.KeepAlive))
-	if r.pool(c.host).get(w.Now(), keep) {
+	if r.pool(c.host).get(w.Now() - w.keep()) {
 		c.write()
 		return
 	}
@@ -125,7 +145,11 @@
 			c.in(connect-c.latency(), func() { r.callEnded(c, result{outcome: policy.ConnectFailed}) })
 		case h.isDown || h.stopped:
 			c.in(c.latency(), func() { r.callEnded(c, result{outcome: policy.ConnectFailed}) })
+		case w.opts.Connections > 0 && w.connections(h) >= w.opts.Connections:
+			w.NotOpened++
+			c.in(c.latency(), func() { r.callEnded(c, result{outcome: policy.ConnectFailed}) })
 		default:
+			w.Opened++
 			c.in(c.latency(), func() { // the connection is up; meanwhile a drain or a wait may have been told
 				r.asked = append(r.asked, c)
 				r.plan()
--- a/internal/emulate/many_test.go
+++ b/internal/emulate/many_test.go
@@ -141,3 +141,35 @@
 		t.Errorf("%d calls refused a run, want 50 at most; %.2f served, want 0.85", refused/seeds, after)
 	}
 }
+
+// A host that takes fewer connections than there are relays, while their idle ones are held elsewhere: relays close theirs after
+// use, and nearly all is served all the same. That some connections are refused shows that the bound binds.
+func TestManyAtAHostThatTakesFewConnections(t *testing.T) {
+	for _, relays := range []int{20, 80} {
+		full, none := 0.0, 0.0
+		for _, most := range []int{0, relays / 2} {
+			for seed := range uint64(5) {
+				w, takes := crowd(t, relays, seed, Options{Connections: most})
+				load(w, time.Second, 40*time.Second, 0.5*takes)
+				w.run(t, 55*time.Second)
+				served := 1 - float64(w.Undelivered())/float64(w.Offered)
+				if most == 0 {
+					none += served / 5
+				} else {
+					full += served / 5
+				}
+				if bound := most > 0 && relays > 20; w.NotOpened == 0 && bound || w.NotOpened > 0 && most == 0 {
+					t.Errorf("%d relays, %d connections at a host, seed %d: %d refused of %d", relays, most, seed, w.NotOpened, w.Opened+w.NotOpened)
+				}
+				for _, h := range w.hosts {
+					if n := w.connections(h); most > 0 && n > most+relays/10 { // those that come up at once see each other late
+						t.Errorf("%d relays, seed %d: %d connections at a host that takes %d", relays, seed, n, most)
+					}
+				}
+			}
+		}
+		if t.Logf("%d relays: %.3f of the messages served with half as many connections at a host, %.3f with any number", relays, full, none); full < none-0.05 {
+			t.Errorf("%d relays: %.3f of the messages served with half as many connections at a host, %.3f with any number", relays, full, none)
+		}
+	}
+}
--- a/internal/emulate/measures.go
+++ b/internal/emulate/measures.go
@@ -23,6 +23,8 @@
 	CallsOK     int
 	CallsFull   int
 	CallsFailed int
+	Opened      int // connections to hosts
+	NotOpened   int // connections that a host with a full table refused
 	Fell        int // places pushed over
 	Steps       int // of modules
 	Events      int // told to them
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -44,6 +44,8 @@
 	Latency time.Duration
 	// ZoneLatency is added between a relay and a host of another zone. Relays stand in the zones in turn.
 	ZoneLatency time.Duration
+	// Connections is how many a host takes, idle ones counted; further ones are refused at once. 0: any number.
+	Connections int
 	IdleResets  float64 // share of the calls on a kept connection that find it reset, and never run
 	Sync        Sync
 	// ListDelay is how late a relay learns of a change of the list, in place of what the scenario draws; nil: that.
@@ -293,6 +295,8 @@
 		w.stop(w.hosts[s.Target])
 	case scenario.OpSlow:
 		w.Slow(s.Target, s.X)
+	case scenario.OpLower:
+		w.places[s.Target].Lower(s.X)
 	case scenario.OpFail, scenario.OpShut, scenario.OpMute, scenario.OpDown, scenario.OpCut:
 		w.Outage(s.Target, s.Op, s.X, s.For)
 	case scenario.OpBack:
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
 	"slices"
 	"strconv"
@@ -40,7 +41,8 @@
 
 // Factor is what varies: each value of each factor with each of the others. Paths are those of a scenario's file, with entries
 // of lists by their numbers, from 1, or * for all: relays, settings.slots, traffic.1.rate, destination.*.count; those of the
-// emulator (emulator.latency, emulator.zone_latency, emulator.idle_resets, emulator.mutant); and what modules are told beside
+// emulator (emulator.latency, emulator.zone_latency, emulator.idle_resets, emulator.connections,
+// emulator.mutant); and what modules are told beside
 // the scenario (module.senders, module.cold_share, module.overload_factor, module.warm_within, module.order_pause, module.slots).
 type Factor struct {
 	Path   string `toml:"path"`
@@ -279,13 +281,19 @@
 		if o.IdleResets, err = number(v); err == nil && (o.IdleResets < 0 || o.IdleResets > 1) {
 			err = fmt.Errorf("a share of 0 to 1 is wanted")
 		}
+	case "connections":
+		x, err := number(v)
+		if o.Connections = int(x); err == nil && (x < 0 || x != math.Trunc(x)) {
+			err = fmt.Errorf("a whole number, 0 or more, is wanted")
+		}
+		return err
 	case "mutant":
 		name, _ := v.(string)
 		if o.Wrong = emulate.MutantNamed(name); o.Wrong == nil && name != "" {
 			err = fmt.Errorf("no such mutant")
 		}
 	default:
-		err = fmt.Errorf("the emulator has no such setting: latency, zone_latency, idle_resets or mutant")
+		err = fmt.Errorf("the emulator has no such setting: latency, zone_latency, idle_resets, connections or mutant")
 	}
 	return err
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -46,6 +46,8 @@
 	{"calls", "calls for each message"},
 	{"calls_full", "share of the calls that were refused"},
 	{"calls_failed", "share of the calls that failed"},
+	{"connections", "new connections for each message"},
+	{"connections_full", "share of them that a host with a full table refused"},
 	{"fell", "destinations pushed over"},
 	{"broken", "rules broken (judged runs)"},
 }
@@ -95,6 +97,7 @@
 		"refused": share(m.Refused, m.Offered), "deferred": share(m.Deferred, m.Offered), "failed": share(m.Failed, m.Offered),
 		"undelivered": share(m.Undelivered(), m.Offered), "calls": share(m.Calls, m.Offered),
 		"calls_full": share(m.CallsFull, m.Calls), "calls_failed": share(m.CallsFailed, m.Calls), "fell": float64(m.Fell),
+		"connections": share(m.Opened+m.NotOpened, m.Offered), "connections_full": share(m.NotOpened, m.Opened+m.NotOpened),
 	}
 }
 
--- a/internal/partner/partner.go
+++ b/internal/partner/partner.go
@@ -39,6 +39,7 @@
 	TellsWait float64       // share of refusals that tell how long to wait
 	LeastWait time.Duration // and they tell this much at least
 	Counts    bool          // refused calls use up the limit too
+	Debt      time.Duration // Plain, Counts: what they use up ahead, at the limit's rate, at most; 0: as much as may come at once
 
 	ColdShare    float64       // of its capacity that a place has right after an outage
 	Warm         time.Duration // all of it after this
@@ -65,6 +66,8 @@
 		return fmt.Errorf("tells_wait %v must be 0 to 1", s.TellsWait)
 	case s.ColdShare <= 0 || s.ColdShare > 1:
 		return fmt.Errorf("cold share %v must be above 0 and at most 1", s.ColdShare)
+	case s.Debt < 0 || s.Debt > 0 && (!s.Counts || s.Limit != Plain):
+		return fmt.Errorf("debt %v needs a limit by rate that refused calls use up, and must not be below 0", s.Debt)
 	case s.Warm < 0:
 		return fmt.Errorf("warm %v must not be below 0", s.Warm)
 	case s.FallMultiple > 0 && s.FallWindow <= 0:
@@ -133,6 +136,7 @@
 
 	// Trouble, set from outside.
 	slow     float64 // factor; 1: none
+	lowered  float64 // the limit, by this factor; 1: it is not
 	failing  float64 // share of calls that fail
 	shut     bool
 	shutTill time.Duration // as it tells; 0: it does not tell
@@ -156,12 +160,23 @@
 
 // New returns a place at full strength with no endpoints. seed makes its times and refusals.
 func New(spec Spec, seed uint64) *Place {
-	p := &Place{Spec: spec, slow: 1, endpoints: map[string][]time.Duration{}, draw: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))}
+	p := &Place{Spec: spec, slow: 1, lowered: 1, endpoints: map[string][]time.Duration{}, draw: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))}
 	p.tokens = p.burst()
 	return p
 }
 
-func (p *Place) burst() float64 { return max(1, p.Rate/4) }
+// limit is what the place takes now, in calls a second.
+func (p *Place) limit() float64 { return p.Rate / p.lowered }
+
+func (p *Place) burst() float64 { return max(1, p.limit()/4) }
+
+// debt is how many calls refused ones may use up ahead.
+func (p *Place) debt() float64 {
+	if p.Debt > 0 {
+		return p.limit() * p.Debt.Seconds()
+	}
+	return p.burst()
+}
 
 // Add gives the place an endpoint.
 func (p *Place) Add(endpoint string) {
@@ -179,6 +194,9 @@
 // Slow has everything take factor times as long; 1 ends it.
 func (p *Place) Slow(factor float64) { p.slow = factor }
 
+// Lower has the place take so many times less than its limit, untold; 1 ends it.
+func (p *Place) Lower(factor float64) { p.lowered = factor }
+
 // Fail has a share of the calls fail quickly; 0 ends it.
 func (p *Place) Fail(share float64) { p.failing = share }
 
@@ -261,19 +279,19 @@
 func (p *Place) limited(at time.Duration) (wait time.Duration, full bool) {
 	switch p.Limit {
 	case Plain:
-		p.tokens = min(p.burst(), p.tokens+p.Rate*(at-p.tokensAt).Seconds())
+		p.tokens = min(p.burst(), p.tokens+p.limit()*(at-p.tokensAt).Seconds())
 		p.tokensAt = at
 		if p.tokens < 1 {
 			if p.Counts {
-				p.tokens = max(p.tokens-1, -p.burst())
+				p.tokens = max(p.tokens-1, -p.debt())
 			}
-			return time.Duration((1 - p.tokens) / p.Rate * float64(time.Second)), true
+			return time.Duration((1 - p.tokens) / p.limit() * float64(time.Second)), true
 		}
 	case Counted:
 		if w := int64(at / p.Window); w != p.window {
 			p.window, p.counted = w, 0
 		}
-		if float64(p.counted) >= math.Floor(p.Rate*p.Window.Seconds()) {
+		if float64(p.counted) >= math.Floor(p.limit()*p.Window.Seconds()) {
 			return time.Duration(p.window+1)*p.Window - at, true
 		}
 	}
--- a/internal/partner/partner_test.go
+++ b/internal/partner/partner_test.go
@@ -69,6 +69,53 @@
 	}
 }
 
+// How far refused calls use a limit up ahead is bounded: by what may come at once, or by the debt that is set.
+func TestRefusedCallsUseUpNoMoreThanTheDebt(t *testing.T) {
+	for _, c := range []struct{ debt, closed time.Duration }{{0, 500 * time.Millisecond}, {3 * time.Second, 3250 * time.Millisecond}} {
+		s := spec()
+		s.Limit, s.Rate, s.Counts, s.Debt = Plain, 4, true, c.debt
+		p := place(s)
+		for range 100 {
+			p.Arrive(0, "a", 1)
+		}
+		if f := p.Arrive(c.closed+time.Millisecond, "a", 1); f.Result != Served {
+			t.Errorf("debt %v: %+v once it is paid", c.debt, f)
+		}
+		p = place(s)
+		for range 100 {
+			p.Arrive(0, "a", 1)
+		}
+		if f := p.Arrive(c.closed-time.Millisecond, "a", 1); f.Result != Refused {
+			t.Errorf("debt %v: %+v before it is paid", c.debt, f)
+		}
+	}
+}
+
+// A limit that is lowered, of either kind, takes so much less while it lasts, and all of it again after.
+func TestALimitIsLoweredForAWhile(t *testing.T) {
+	for _, limit := range []Limit{Plain, Counted} {
+		s := spec()
+		s.Limit, s.Rate, s.Window, s.Slots = limit, 40, time.Second, 100
+		p := place(s)
+		served := func(from time.Duration) (n int) {
+			for i := range 500 { // 100 a second
+				if p.Arrive(from+time.Duration(i)*10*time.Millisecond, "a", 1).Result == Served {
+					n++
+				}
+			}
+			return n
+		}
+		full := served(0)
+		p.Lower(4)
+		less := served(10 * time.Second)
+		p.Lower(1)
+		again := served(20 * time.Second)
+		if full < 200 || full > 211 || less < 50 || less > 64 || again < 200 || again > 211 {
+			t.Errorf("%s: %d served of a limit of 40 over five seconds, %d of a quarter, then %d", limit, full, less, again)
+		}
+	}
+}
+
 func TestAWindowLimitCountsEachSpan(t *testing.T) {
 	s := spec()
 	s.Limit, s.Rate, s.Window, s.TellsWait, s.Slots = Counted, 3, time.Second, 1, 100
@@ -212,6 +259,7 @@
 		func(s *Spec) { s.Pace = 0 }, func(s *Spec) { s.Slots = 0 }, func(s *Spec) { s.Spread = 4 }, func(s *Spec) { s.Queue = -1 },
 		func(s *Spec) { s.Limit = "x" }, func(s *Spec) { s.Limit = Plain }, func(s *Spec) { s.Limit, s.Rate, s.Window = Counted, 1, 1 },
 		func(s *Spec) { s.TellsWait = 2 }, func(s *Spec) { s.ColdShare = 0 }, func(s *Spec) { s.Warm = -1 }, func(s *Spec) { s.FallWindow = 0 },
+		func(s *Spec) { s.Debt = 1 }, func(s *Spec) { s.Limit, s.Rate, s.Counts, s.Debt = Plain, 1, true, -1 },
 	} {
 		s := spec()
 		if spoil(&s); s.Validate() == nil {
--- a/internal/rehearsal/steps.go
+++ b/internal/rehearsal/steps.go
@@ -25,6 +25,8 @@
 		s.world.Host(step.Target).Stop()
 	case scenario.OpSlow:
 		err = s.world.Slow(step.Target, step.X)
+	case scenario.OpLower:
+		err = s.world.Lower(step.Target, step.X)
 	case scenario.OpFail, scenario.OpShut, scenario.OpMute, scenario.OpDown, scenario.OpCut:
 		err = s.world.Outage(step.Target, step.Op, step.X, step.For)
 	case scenario.OpBack:
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -10,6 +10,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"strings"
 	"time"
 
@@ -64,6 +65,7 @@
 	OpFail   Op = "fail"  // of a place: X is the share of calls
 	OpShut   Op = "shut"  // of a place, for For
 	OpSlow   Op = "slow"  // of a place: X is the factor, 1 ends it
+	OpLower  Op = "lower" // of a place: its limit by the factor X, 1 ends it
 	OpMute   Op = "mute"
 	OpDown   Op = "down"
 	OpCut    Op = "cut"
@@ -208,7 +210,8 @@
 	t    Traffic
 	draw *rand.Rand
 	at   time.Duration
-	n    float64 // weights of the destinations, in all
+	n    float64   // weights of the destinations, in all
+	upTo []float64 // what comes to each relay and those before it, as a share; nil: all get the same
 }
 
 // Flow is the n-th traffic, counted from 0, with a plan's seed.
@@ -217,9 +220,37 @@
 	for _, d := range f.Destinations {
 		x.n += d.Weight * float64(d.Count)
 	}
+	x.upTo = f.uneven(seed)
 	return x
 }
 
+// uneven draws what comes to each relay, lognormal with the mean of an even part, summed up to it; nil for even parts. All
+// traffic of a plan has the same.
+func (f File) uneven(seed uint64) (upTo []float64) {
+	if f.Clients.Uneven == 0 {
+		return nil
+	}
+	draw, total := des.Stream(seed, "relays", 0), 0.0
+	sigma := math.Sqrt(math.Log(1 + f.Clients.Uneven*f.Clients.Uneven))
+	for range f.Relays {
+		total += math.Exp(sigma * draw.NormFloat64())
+		upTo = append(upTo, total)
+	}
+	for i := range upTo {
+		upTo[i] /= total
+	}
+	return upTo
+}
+
+// relay draws who a message is handed to.
+func (x *Flow) relay() int {
+	if x.upTo == nil {
+		return x.draw.IntN(x.file.Relays)
+	}
+	at := x.draw.Float64()
+	return min(len(x.upTo)-1, sort.SearchFloat64s(x.upTo, at))
+}
+
 // Next is what comes next: one message, or those of a burst. Their ids and keys are not drawn. It is false at the end.
 func (x *Flow) Next() (group []Arrival, ok bool) {
 	t, draw := x.t, x.draw
@@ -238,7 +269,7 @@
 		dest := x.destination()
 		for i := range size {
 			a := Arrival{
-				At: x.at + time.Duration(i)*time.Millisecond, Dest: dest, Body: t.Body, Relay: draw.IntN(x.file.Relays),
+				At: x.at + time.Duration(i)*time.Millisecond, Dest: dest, Body: t.Body, Relay: x.relay(),
 				Class:    pick(draw, x.file.Classes, t.Class, func(c Class) (string, float64) { return c.Name, c.Share }),
 				Customer: pick(draw, x.file.Customers, t.Customer, func(c Customer) (string, float64) { return c.Name, c.Share }),
 			}
@@ -311,7 +342,7 @@
 			end += t.Drain.D()
 		}
 	case DiscoveryDown, DiscoveryLate, Term, Kill, HUP:
-		struck = p.relays(t)
+		struck = p.relays(draw, t)
 	default:
 		for _, place := range p.struck(draw, t) {
 			struck = append(struck, place.Name)
@@ -333,6 +364,10 @@
 		p.step(begin, OpSlow, place).X = t.Factor
 		p.step(end, OpSlow, place).X = 1
 		return
+	case Lowered:
+		p.step(begin, OpLower, place).X = t.Factor
+		p.step(end, OpLower, place).X = 1
+		return
 	case Silent:
 		p.step(begin, OpMute, place)
 	case Death:
@@ -363,12 +398,17 @@
 }
 
 // relays has a trouble of the relays begin and end.
-func (p *planner) relays(t Trouble) (names []string) {
+func (p *planner) relays(draw *rand.Rand, t Trouble) (names []string) {
 	list := t.Relays
 	if len(list) == 0 {
 		for i := range p.File.Relays {
 			list = append(list, i+1)
 		}
+		if t.Share > 0 {
+			draw.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+			list = list[:int(math.Ceil(t.Share*float64(len(list))))]
+			slices.Sort(list)
+		}
 	}
 	for i, r := range list {
 		name := RelayName(r)
@@ -452,7 +492,9 @@
 	}
 	line("scenario %s seed %d delays %d", p.File.Name, p.Seed, p.Delays)
 	for _, x := range p.Places {
-		line("place %s dest %d seed %d %+v", x.Name, x.Dest, x.Seed, x.Spec)
+		// A debt that is not set is not written: plans drawn before there was one keep their names.
+		spec := strings.Replace(fmt.Sprintf("%+v", x.Spec), " Debt:0s", "", 1)
+		line("place %s dest %d seed %d %s", x.Name, x.Dest, x.Seed, spec)
 	}
 	for _, e := range p.Endpoints {
 		line("endpoint %+v", e)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -102,6 +102,7 @@
 	AnswerWithin Duration `toml:"answer_within"` // after which a client leaves; default 400ms
 	Again        *float64 `toml:"again"`         // share of refusals after which it comes again, once; default 0.5
 	Backoff      Duration `toml:"backoff"`       // after this, or the advice it was given if that is longer; default 800ms
+	Uneven       float64  `toml:"uneven"`        // coefficient of variation of what comes to a relay; default 0, all get the same
 }
 
 // Discovery says how late changes of the list reach relays.
@@ -147,8 +148,9 @@
 	TellsWait float64  `toml:"tells_wait"` // share of refusals that tell how long to wait
 	Wait      Duration `toml:"wait"`       // and this much at least
 	Counts    bool     `toml:"refused_count"`
-	ColdFrom  float64  `toml:"cold_from"` // default 0.2
-	Warm      Duration `toml:"warm"`      // default 12s
+	Debt      Duration `toml:"refused_debt"` // refused calls use up so much of a limit by rate ahead; default as much as may come at once
+	ColdFrom  float64  `toml:"cold_from"`    // default 0.2
+	Warm      Duration `toml:"warm"`         // default 12s
 }
 
 // Destination is one destination, or several alike.
@@ -181,17 +183,17 @@
 	For  Duration `toml:"for"`
 
 	Destinations []int   `toml:"destinations"` // struck; default: as many as share says
-	Share        float64 `toml:"share"`        // of the destinations, or of the endpoints of drain and gone
+	Share        float64 `toml:"share"`        // of the destinations, of the endpoints of drain and gone, or of the relays
 	Zone         string  `toml:"zone"`         // only what stands there
 
 	Calls       float64  `toml:"calls"`        // fail: share of calls that fail; default 1
-	Factor      float64  `toml:"factor"`       // slow: how many times as long; default 10
+	Factor      float64  `toml:"factor"`       // slow: how many times as long; lowered: how many times less; default 10
 	Drain       Duration `toml:"drain"`        // drain: from draining to gone; default 4s
 	Batch       int      `toml:"batch"`        // drain: so many at a time, evenly over for; default 1
 	Replace     bool     `toml:"replace"`      // drain, gone: each by a new endpoint
 	SameAddress float64  `toml:"same_address"` // share of the new ones that come up where one that has gone was
 	Delay       Duration `toml:"delay"`        // discovery-late: by so much more
-	Relays      []int    `toml:"relays"`       // term, kill, hup, discovery-*: which, counted from 1; default all
+	Relays      []int    `toml:"relays"`       // term, kill, hup, discovery-*: which, counted from 1; default as share says, or all
 	Stagger     Duration `toml:"stagger"`      // from one relay to the next; default 0
 }
 
@@ -388,6 +390,7 @@
 	Fail          = "fail"           // a share of the calls fails quickly
 	Shut          = "shut"           // all is refused
 	SlowDown      = "slow"           // calls take longer
+	Lowered       = "lowered"        // the limit falls, and the list does not say so
 	Silent        = "silent"         // calls are taken and never answered
 	Death         = "death"          // processes die: connections are reset and refused
 	Cut           = "cut"            // machines are cut off: connections stay open and silent, none comes up
@@ -398,7 +401,7 @@
 	HUP           = "hup"            // relays read their configuration again
 )
 
-var troubles = []string{Draining, Gone, Fail, Shut, SlowDown, Silent, Death, Cut, DiscoveryDown, DiscoveryLate, Term, Kill, HUP}
+var troubles = []string{Draining, Gone, Fail, Shut, SlowDown, Lowered, Silent, Death, Cut, DiscoveryDown, DiscoveryLate, Term, Kill, HUP}
 
 // problems collects what is wrong.
 type problems []error
@@ -431,6 +434,7 @@
 		"settings: drain_grace, fall_multiple, fall_window and order_pause must be above 0")
 	p.unless(share(*s.OverShareWorth), "settings: over_share_worth must be 0 to 1")
 	p.unless(f.Clients.AnswerWithin > 0 && f.Clients.Backoff > 0 && share(*f.Clients.Again), "clients: answer_within and backoff must be above 0, again 0 to 1")
+	p.unless(f.Clients.Uneven >= 0 && f.Clients.Uneven <= 10, "clients: uneven must be 0 to 10")
 	p.unless(f.Discovery.Least >= 0 && f.Discovery.Most >= f.Discovery.Least, "discovery: least must not be above most, nor below 0")
 	checkDurations(&p, reflect.ValueOf(*f), "")
 	f.checkNames(&p)
@@ -505,7 +509,7 @@
 func (f *File) Spec(k Kind, rate float64) partner.Spec {
 	return partner.Spec{
 		Pace: k.Pace.D(), Spread: k.Spread, Exponential: k.Law == "exponential", Slots: k.Slots, Queue: k.Queue.D(), ItemCost: k.ItemCost,
-		Limit: partner.Limit(k.Limit), Rate: rate, Window: k.Window.D(), TellsWait: k.TellsWait, LeastWait: k.Wait.D(), Counts: k.Counts,
+		Limit: partner.Limit(k.Limit), Rate: rate, Window: k.Window.D(), TellsWait: k.TellsWait, LeastWait: k.Wait.D(), Counts: k.Counts, Debt: k.Debt.D(),
 		ColdShare: k.ColdFrom, Warm: k.Warm.D(), FallMultiple: f.Settings.FallMultiple, FallWindow: f.Settings.FallWindow.D(),
 	}
 }
@@ -583,7 +587,7 @@
 		p.unless(r >= 1 && r <= f.Relays, "%s: no relay %d, there are %d", at, r, f.Relays)
 	}
 	switch t.Kind {
-	case Fail, Shut, SlowDown, Silent, Death, Cut:
+	case Fail, Shut, SlowDown, Lowered, Silent, Death, Cut:
 		p.unless(t.For > 0, "%s: needs for, how long it lasts", at)
 		p.unless(len(t.Destinations) > 0 || t.Share > 0, "%s: needs destinations or a share of them", at)
 	case Draining, Gone:
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -154,6 +154,9 @@
 		{`rate = 50`, "rate = 50\n[[class]]\nname = \"order\"\neffect = \"safe\"\naim = \"1s\"\ngive_up = \"2s\"", `two are named "order"`},
 		{`rate = 50`, "rate = 50\n[settings]\nsockets = 3", "sockets at least 64"},
 		{`rate = 50`, "rate = 50\n[clients]\nagain = 2.0", "again 0 to 1"},
+		{`rate = 50`, "rate = 50\n[clients]\nuneven = -1.0", "uneven must be 0 to 10"},
+		{`rate = 50`, "rate = 50\n[[trouble]]\nkind = \"lowered\"\nshare = 0.5", "needs for"},
+		{`slots = 2`, "slots = 2\nrefused_debt = \"2s\"", "debt 2s needs a limit by rate"},
 		{`rate = 50`, "rate = 50\n[discovery]\nleast = \"2s\"\nmost = \"1s\"", "least must not be above most"},
 	} {
 		if !strings.Contains(base, c.find) {
@@ -281,6 +284,57 @@
 	}
 }
 
+// A limit is lowered and restored; a share of the relays is struck, the same with the same seed.
+func TestLoweredLimitsAndSharesOfRelays(t *testing.T) {
+	f := parse(t, "[[trouble]]\nkind = \"lowered\"\nat = \"2s\"\nfor = \"3s\"\nfactor = 3.0\ndestinations = [2]\n[[trouble]]\nkind = \"kill\"\nat = \"4s\"\nshare = 0.7\n")
+	f.Relays = 10
+	var lowered, killed []Step
+	for _, s := range f.Draw(1).Steps {
+		switch s.Op {
+		case OpLower:
+			lowered = append(lowered, s)
+		case OpKill:
+			killed = append(killed, s)
+		}
+	}
+	if len(lowered) != 2 || lowered[0].At != 2*time.Second || lowered[0].X != 3 || lowered[1].At != 5*time.Second || lowered[1].X != 1 || lowered[0].Target != "d2" {
+		t.Errorf("lowered: %+v", lowered)
+	}
+	struck := map[string]bool{}
+	for _, s := range killed {
+		struck[s.Target] = true
+	}
+	if len(struck) != 7 {
+		t.Errorf("%d of 10 relays killed, want 7", len(struck))
+	}
+}
+
+// What comes to the relays varies as the scenario says, and comes to the same in all; even parts are drawn as ever.
+func TestUnevenRelays(t *testing.T) {
+	f := parse(t, "")
+	f.Relays = 10
+	f.Traffic[0].Rate = 2000
+	even := f.Draw(3)
+	for _, cv := range []float64{0, 0.5} {
+		f.Clients.Uneven = cv
+		p := f.Draw(3)
+		if cv == 0 && text(t, p) != text(t, even) {
+			t.Error("even parts are not drawn as without the key")
+		}
+		got := make([]float64, f.Relays)
+		for _, a := range p.Arrivals {
+			got[a.Relay]++
+		}
+		mean, squares := float64(len(p.Arrivals))/10, 0.0
+		for _, n := range got {
+			squares += (n/mean - 1) * (n/mean - 1) / 10
+		}
+		if of := math.Sqrt(squares); of < cv/2 || of > 2*cv+0.05 {
+			t.Errorf("uneven %v: a coefficient of variation of %.2f", cv, of)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(base))
 	for _, name := range Shipped() {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -201,6 +201,35 @@
 }
 
 // Slots are the relay's: a call beyond them is told so, and one given up frees its own.
+// Of a limit of a thousand a second that is lowered by a million no second call is left; restored, there is room again.
+func TestALimitIsLowered(t *testing.T) {
+	r := newRig(t, "[[kind]]\nname = \"limited\"\npace = \"1ms\"\nslots = 2\nlimit = \"rate\"\n[[destination]]\nkind = \"limited\"\nrate = 1000\n")
+	r.handIn("m1", "m2", "m3", "m4")
+	c := r.dial(r.first().Addr("r1"))
+	status := func(id string) int { return r.ask(c, callText(id)).StatusCode }
+	if got := [2]int{status("m1"), status("m2")}; got != [2]int{200, 200} {
+		t.Errorf("at its limit: %v", got)
+	}
+	if err := r.Lower("d1", 1e6); err != nil {
+		t.Fatal(err)
+	}
+	status("m3") // what may come at once
+	if got := status("m4"); got != 503 {
+		t.Errorf("lowered: %d", got)
+	}
+	if err := r.Lower("d1", 1); err != nil {
+		t.Fatal(err)
+	}
+	r.handIn("m5")
+	time.Sleep(5 * time.Millisecond) // the limit's own time
+	if got := status("m5"); got != 200 {
+		t.Errorf("restored: %d", got)
+	}
+	if err := r.Lower("none", 2); err == nil {
+		t.Error("a place that is not there is lowered")
+	}
+}
+
 func TestSlots(t *testing.T) {
 	r := newRig(t, "")
 	if err := r.Outage("d1", scenario.OpMute, 0, 0); err != nil {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -122,6 +122,11 @@
 	})
 }
 
+// Lower has a place take so many times less than its limit; 1 ends it.
+func (w *World) Lower(name string, factor float64) error {
+	return w.change(name, func(p *place) { p.Lower(factor) })
+}
+
 // Outage begins one of a place.
 func (w *World) Outage(name string, op scenario.Op, share float64, lasts time.Duration) error {
 	var hosts []*Host
