A refusal halves a pace of many, as it does that of a few

Change: cut halves, to half the part at the lowest, after further refusals to a twentieth of it; the constant goes.

--- a/policy/many.go
+++ b/policy/many.go
@@ -12,7 +12,6 @@
 	manyBurst  = 0.5              // calls beyond one that one of many may send after idling
 	calmSpan   = 20 * time.Second // without a refusal for so long, a pace whose fair one is not known grows faster
 	manyCreep  = 0.1              // growth of the pace of one of many above its fair one, where no rates are told
-	manyCut    = 0.75             // of its pace: what a refusal leaves one of many, its part at most
 	manyLeast  = 0.05             // of its part: refused again and again, its pace does not fall below
 	takenSpan  = 10 * time.Second // span over which a sender's own traffic is counted
 	takenPrior = 5                // messages that count as seen at the usual rate before any
@@ -65,10 +64,10 @@
 // cut is the pace of one of many after a refusal, and after further ones with no answer between. Guards against a limit
 // that was lowered below half: where refused calls use it up, a fleet that stays at half its parts gets none of it.
 func (s *Sender) cut(r *route, pace float64) float64 {
-	part, less := s.part(r.gate), math.Min(pace*manyCut, s.fair(r.gate))
+	part, less := s.part(r.gate), math.Min(pace/2, s.fair(r.gate))
 	least := paceSure * part
 	if r.refusals > 1 {
-		less, least = pace/2, math.Max(paceLeast, manyLeast*part)
+		least = math.Max(paceLeast, manyLeast*part)
 	}
 	return math.Min(pace, math.Max(less, least))
 }
