--- a/cmd/cherrytrestle/fleet.go
+++ b/cmd/cherrytrestle/fleet.go
@@ -1,14 +1,71 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/cli"
+	"onyxroad.dev/onyxroad/internal/fleet"
 	"onyxroad.dev/onyxroad/internal/flight"
 	"onyxroad.dev/onyxroad/internal/tally"
 )
 
 type fleetCommand struct {
+	Count  countCommand  `cmd:"" default:"withargs" help:"Count across the recordings of many relays what all of them together did (the default)."`
+	Status statusCommand `cmd:"" help:"Tell of a running fleet as its relays see it."`
+}
+
+const (
+	statusFor  = 2 * time.Second // for each relay's answer
+	statusMost = 4 << 20         // bytes of it
+)
+
+type statusCommand struct {
+	Addrs []string `arg:"" name:"address" help:"Second addresses of relays (ROUTER_MANAGEMENT)."`
+}
+
+// Run prints, for each relay that is asked, the members as it sees them, and what it refused and why. It fails if one does not answer.
+func (c *statusCommand) Run(ctx context.Context, s *cli.Streams) error {
+	client := http.Client{Timeout: statusFor}
+	var errs []error
+	for _, addr := range c.Addrs {
+		st, err := askStatus(ctx, &client, addr)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("fleet: %s: %w", addr, err))
+			continue
+		}
+		if err := st.Print(s.Out); err != nil {
+			return err
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func askStatus(ctx context.Context, client *http.Client, addr string) (st fleet.Status, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/fleet", nil)
+	if err != nil {
+		return st, err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return st, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusNotFound {
+		return st, errors.New("the relay belongs to no fleet")
+	} else if res.StatusCode != http.StatusOK {
+		return st, errors.New(res.Status)
+	}
+	err = json.NewDecoder(io.LimitReader(res.Body, statusMost)).Decode(&st)
+	return st, err
+}
+
+type countCommand struct {
 	Files []string      `arg:"" name:"file" help:"Recordings of many relays: files of a recorder's folder, or logs that hold them." type:"existingfile"`
 	From  time.Duration `help:"Count from here on, since the first process began."`
 	To    time.Duration `help:"Count up to here; 0: to the end."`
@@ -17,7 +74,7 @@
 }
 
 // Run prints a table.
-func (c *fleetCommand) Run(s *cli.Streams) error {
+func (c *countCommand) Run(s *cli.Streams) error {
 	found, err := flight.Load(c.Files...)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/cherrytrestle/fleet_test.go
@@ -0,0 +1,331 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/fleet"
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/sockfault"
+)
+
+// rig is several relays as processes, each pair of them with a link of its own in each direction.
+type rig struct {
+	t         testing.TB
+	platforms []*platform
+	relays    []*relayProcess
+	seconds   []string // second addresses
+	listens   []string
+	links     map[[2]int]*sockfault.Link // from, to
+}
+
+func freeAddr(t testing.TB) string {
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	for {
+		l, err := net.Listen("tcp", ip+":0")
+		must(t, err)
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		l.Close()
+		if err == nil {
+			u.Close()
+			return l.Addr().String()
+		}
+	}
+}
+
+func relayName(i int) string { return fmt.Sprintf("r%d", i) }
+
+// newRig prepares n relays that all deliver to one host.
+func newRig(t testing.TB, n int, h *host) *rig {
+	g := &rig{t: t, links: map[[2]int]*sockfault.Link{}}
+	for range n {
+		g.listens = append(g.listens, freeAddr(t))
+	}
+	for i := range n {
+		for j := range n {
+			if i == j {
+				continue
+			}
+			l, err := sockfault.StartLink("127.0.0.1", g.listens[j], uint64(i*n+j))
+			must(t, err)
+			t.Cleanup(func() { l.Close() })
+			g.links[[2]int{i, j}] = l
+		}
+	}
+	for i := range n {
+		r := prepareRelay(t, []member{listed("s-1", h.addr(), "a", "platform", "ready")}, func(s map[string]any) { s["fleet_size"] = n })
+		r.config["name"] = relayName(i)
+		g.seconds = append(g.seconds, withSecond(t, r))
+		g.relays, g.platforms = append(g.relays, r), append(g.platforms, newPlatform(t))
+		g.operator(i, "", nil)
+	}
+	return g
+}
+
+// operator writes a relay's operator's file. more is put before its addresses of the others; join goes before these.
+func (g *rig) operator(i int, more string, join map[string]string) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[recorder]\nenabled = true\nwrite = \"all\"\nfolder = %q\n", filepath.Join(g.relays[i].dir, "recordings"))
+	fmt.Fprintf(&b, "[fleet]\nenabled = true\nlisten = %q\n%s\n[fleet.join]\n", g.listens[i], more)
+	for j := range g.listens {
+		addr := g.listens[j]
+		if l := g.links[[2]int{i, j}]; l != nil {
+			addr = l.Addr()
+		}
+		if x := join[relayName(j)]; x != "" {
+			addr = x
+		}
+		fmt.Fprintf(&b, "%s = %q\n", relayName(j), addr)
+	}
+	path := filepath.Join(g.relays[i].dir, "operator.toml")
+	must(g.t, os.WriteFile(path, []byte(b.String()), 0o600))
+	g.relays[i].env = []string{"CHERRYTRESTLE_OPERATOR=" + path}
+}
+
+func (g *rig) start(which ...int) {
+	for _, i := range which {
+		g.relays[i].start(g.platforms[i])
+	}
+}
+
+func (g *rig) all() (which []int) {
+	for i := range g.relays {
+		which = append(which, i)
+	}
+	return which
+}
+
+// links has faults strike from each of some to each of others.
+func (g *rig) set(from, to []int, f sockfault.LinkFaults) {
+	for _, i := range from {
+		for _, j := range to {
+			if l := g.links[[2]int{i, j}]; l != nil {
+				must(g.t, l.Set(f))
+			}
+		}
+	}
+}
+
+func (g *rig) status(i int) (s fleet.Status) {
+	res, err := http.Get("http://" + g.seconds[i] + "/v1/fleet")
+	if err != nil {
+		return s
+	}
+	defer res.Body.Close()
+	json.NewDecoder(res.Body).Decode(&s)
+	return s
+}
+
+// sees is the state in which one relay sees another, and how old the youngest is that it heard of it.
+func (g *rig) sees(i, j int) (state string, age time.Duration) {
+	if s := g.status(i); s.Status != nil {
+		for _, m := range s.Members {
+			if m.Name == relayName(j) {
+				return m.State, m.Age
+			}
+		}
+	}
+	return "", -1
+}
+
+const freshly = 6 * time.Second // what a relay tells again without need it tells every 2.5 s, and gossip takes its time
+
+// hears waits until each of some holds fresh news of each of the others.
+func (g *rig) hears(by, of []int) {
+	g.t.Helper()
+	for _, i := range by {
+		for _, j := range of {
+			if i != j {
+				eventually(g.t, fmt.Sprintf("%d hears %d", i, j), func() bool {
+					state, age := g.sees(i, j)
+					return state == "alive" && age >= 0 && age < freshly
+				})
+			}
+		}
+	}
+}
+
+// traffic hands messages in at each relay until the test ends, so that there is something to tell.
+func (g *rig) traffic() {
+	done, ended := make(chan struct{}), make(chan struct{})
+	g.t.Cleanup(func() { close(done); <-ended })
+	go func() {
+		defer close(ended)
+		for n := 0; ; n++ {
+			for i, r := range g.relays {
+				select {
+				case <-done:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				if res, err := r.client.Do(r.request(fmt.Sprintf("m-%d-%d", i, n), 10*time.Second, nil)); err == nil {
+					res.Body.Close()
+				}
+			}
+		}
+	}()
+}
+
+// Three relays hear each other; two halves that are cut apart each go on with what they have, and hear each other again when the links
+// heal, also when that takes longer than gossip goes on to those taken for dead. One that hears but is not heard is seen to be gone.
+func TestRelaysHearOfEachOther(t *testing.T) {
+	h := newHost(t, nil)
+	g := newRig(t, 3, h)
+	g.start(g.all()...)
+	g.traffic()
+	g.hears(g.all(), g.all())
+
+	g.set([]int{0}, []int{1, 2}, sockfault.LinkFaults{Cut: true})
+	g.set([]int{1, 2}, []int{0}, sockfault.LinkFaults{Cut: true})
+	for _, i := range []int{1, 2} {
+		eventually(t, "the one that is cut off fades", func() bool { state, age := g.sees(i, 0); return state != "alive" && age > freshly })
+	}
+	g.hears([]int{1, 2}, []int{1, 2})
+	g.set(g.all(), g.all(), sockfault.LinkFaults{})
+	g.hears(g.all(), g.all())
+
+	// Relay 0 hears and is not heard.
+	g.set([]int{0}, []int{1, 2}, sockfault.LinkFaults{Cut: true})
+	eventually(t, "what is not heard fades", func() bool { _, age := g.sees(1, 0); return age > freshly })
+	g.set(g.all(), g.all(), sockfault.LinkFaults{})
+	g.hears(g.all(), g.all())
+
+	// Nearly a third of all datagrams lost, some doubled, mixed and late.
+	g.set(g.all(), g.all(), sockfault.LinkFaults{DatagramFaults: sockfault.DatagramFaults{Drop: 0.3, Double: 0.1, Reorder: 0.1, Jitter: 20 * time.Millisecond}})
+	time.Sleep(3 * time.Second)
+	g.hears(g.all(), g.all())
+
+	for _, i := range g.all() {
+		s := g.status(i)
+		if len(s.Refused) > 0 || s.Unread > 0 || s.Twin {
+			t.Errorf("relay %d: %+v", i, s)
+		}
+		g.relays[i].terminate()
+		must(t, replayed(g.relays[i].dir))
+	}
+}
+
+// replayed plays what a relay recorded, and fails where the module or the seam decide something else.
+func replayed(dir string) error {
+	files, err := filepath.Glob(filepath.Join(dir, "recordings", "*"))
+	if err != nil || len(files) == 0 {
+		return fmt.Errorf("no recordings: %w", err)
+	}
+	slices.Sort(files)
+	return playAll(files)
+}
+
+// A relay that is stopped in the middle of telling is neither taken for fresh by the others, nor takes for fresh what waited for it.
+func TestAStalledRelay(t *testing.T) {
+	g := newRig(t, 3, newHost(t, nil))
+	g.start(g.all()...)
+	g.traffic()
+	g.hears(g.all(), g.all())
+	must(t, g.relays[0].cmd.Process.Signal(syscall.SIGSTOP))
+	eventually(t, "a stopped relay fades", func() bool { _, age := g.sees(1, 0); return age > 8*time.Second })
+	must(t, g.relays[0].cmd.Process.Signal(syscall.SIGCONT))
+	g.hears(g.all(), g.all())
+}
+
+// A relay whose port is taken serves, says so, and joins when the port is free. What a stranger or another fleet tells is not heard.
+func TestWhoIsNotHeard(t *testing.T) {
+	h := newHost(t, nil)
+	g := newRig(t, 4, h)
+	taken, err := net.Listen("tcp", g.listens[0])
+	must(t, err)
+	defer taken.Close()
+	g.operator(2, "label = \"another\"\n", nil)
+	// Relay 3 is listed by nobody, and knows all.
+	for _, i := range []int{0, 1, 2} {
+		path := filepath.Join(g.relays[i].dir, "operator.toml")
+		data, err := os.ReadFile(path)
+		must(t, err)
+		data = data[:strings.LastIndex(string(data), "r3 =")]
+		must(t, os.WriteFile(path, data, 0o600))
+	}
+	g.start(g.all()...)
+	g.traffic()
+	eventually(t, "a taken port is told", func() bool { s := g.status(0); return !s.Up && strings.Contains(s.Why, "in use") })
+	g.relays[0].take("while-alone", 5*time.Second)
+	eventually(t, "delivered alone", func() bool { return h.count("while-alone") > 0 })
+	eventually(t, "a stranger is kept out", func() bool { return g.status(1).Status != nil && g.status(1).Strangers > 0 })
+	taken.Close()
+	g.hears([]int{0, 1}, []int{0, 1})
+	for _, i := range []int{0, 1} {
+		for _, j := range []int{2, 3} {
+			if state, age := g.sees(i, j); age >= 0 || state == "alive" {
+				t.Errorf("%d hears %d: %s, %v", i, j, state, age)
+			}
+		}
+	}
+}
+
+// A relay that is restarted over and over is heard each time with its newest life. One that comes back with an older folder, or without
+// one, or finds a name taken by another process is told apart.
+func TestLivesOfARelay(t *testing.T) {
+	g := newRig(t, 3, newHost(t, nil))
+	g.start(g.all()...)
+	g.traffic()
+	g.hears(g.all(), g.all())
+	life := func(i, j int) ledger.Life {
+		s := g.status(i)
+		if s.Status == nil {
+			return ledger.Life{}
+		}
+		if i == j {
+			return s.Life
+		}
+		for _, m := range s.Members {
+			if m.Name == relayName(j) {
+				return m.Life
+			}
+		}
+		return ledger.Life{}
+	}
+	// known waits until the others hold the life that relay 0 has, and returns it.
+	known := func(what string, after ledger.Life) (now ledger.Life) {
+		t.Helper()
+		eventually(t, what, func() bool {
+			now = life(0, 0)
+			return now.Compare(after) > 0 && life(1, 0) == now && life(2, 0) == now
+		})
+		return now
+	}
+	file := filepath.Join(g.relays[0].dir, "state", "fleet.life")
+	older, err := os.ReadFile(file)
+	must(t, err)
+	for range 5 {
+		g.relays[0].kill()
+		g.start(0)
+	}
+	last := known("the newest life is heard", ledger.Life{})
+	if last.Incarnation != 6 {
+		t.Errorf("after five restarts the life is %v", last)
+	}
+	g.relays[0].kill()
+	must(t, os.WriteFile(file, older, 0o600))
+	g.start(0)
+	last = known("with an older folder a relay goes past its later lives", last)
+	g.relays[0].kill()
+	must(t, os.Remove(file))
+	g.start(0)
+	known("and without one too", last)
+
+	// Another process under the name of relay 0, with a folder and an address of its own.
+	twin := newRig(t, 1, newHost(t, nil))
+	twin.listens = append(twin.listens, g.listens[1:]...)
+	twin.operator(0, "", map[string]string{"r1": g.listens[1], "r2": g.listens[2]})
+	twin.start(0)
+	twin.traffic()
+	eventually(t, "one of two under a name falls silent", func() bool { return g.status(0).Twin || twin.status(0).Twin })
+}
--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -4,6 +4,7 @@
 //	cherrytrestle replay FILE     plays a recording to the decision module as built here
 //	cherrytrestle explain FILE    tells what held messages up
 //	cherrytrestle recording ...   lists recordings, or takes them out of a log
+//	cherrytrestle fleet ...       counts over recordings of many relays, or asks running ones of their fleet
 //	cherrytrestle journal ...     looks into a relay's journal
 //
 // For serve the environment tells what the platform has to say, see package relay, and the operator's file the rest.
@@ -36,7 +37,7 @@
 	Serve     serve            `cmd:"" default:"withargs" help:"Run the relay (the default)."`
 	Replay    replayCommand    `cmd:"" help:"Play recordings to the decision module as built here, and tell whether it decides the same."`
 	Explain   explainCommand   `cmd:"" help:"Tell from recordings what held messages up."`
-	Fleet     fleetCommand     `cmd:"" help:"Count across the recordings of many relays what all of them together did."`
+	Fleet     fleetCommand     `cmd:"" help:"Tell of a fleet: from recordings of many relays, or as running ones see it."`
 	Recording recordingCommand `cmd:"" help:"List recordings, or take them out of a log."`
 	Journal   journalCommand   `cmd:"" help:"Look into a relay's journal, running or not."`
 }
--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -210,8 +210,15 @@
 	env    []string // beside what the platform sets
 }
 
-// newRelay writes the configuration; change may alter the settings.
+// newRelay starts a relay; change may alter the settings.
 func newRelay(t testing.TB, p *platform, known []member, change func(settings map[string]any)) *relayProcess {
+	r := prepareRelay(t, known, change)
+	r.start(p)
+	return r
+}
+
+// prepareRelay writes a relay's configuration.
+func prepareRelay(t testing.TB, known []member, change func(settings map[string]any)) *relayProcess {
 	settings := map[string]any{
 		"bounds": map[string]any{"cancel": true, "connect_timeout_ms": 1000, "keepalive_ms": 15000, "max_retry_after_ms": 3000,
 			"may_duplicate": true, "open_cap": 50, "retry_after": true, "send_cap": 8},
@@ -247,7 +254,6 @@
 			t.Logf("the relay's log:\n%s", log)
 		}
 	})
-	r.start(p)
 	return r
 }
 
--- /dev/null
+++ b/cmd/cherrytrestle/replay_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"fmt"
+
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/replay"
+)
+
+// playAll plays recordings, and fails where anything differs or none holds a step of the seam's.
+func playAll(files []string) error {
+	found, err := flight.Load(files...)
+	if err != nil {
+		return err
+	}
+	beside := 0
+	for _, rec := range found {
+		res, err := replay.Play(rec.Data, replay.Visitor{})
+		if err != nil {
+			return err
+		}
+		if res.Difference != nil {
+			return fmt.Errorf("replay: %s", res.Difference)
+		}
+		if len(res.Lost) > 0 {
+			return fmt.Errorf("replay: lost %q", res.Lost)
+		}
+		beside += res.Beside
+	}
+	if beside == 0 {
+		return fmt.Errorf("replay: no step beside the module's among %d recordings", len(found))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/codec/codec_test.go
@@ -0,0 +1,120 @@
+package codec
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+)
+
+func newCodec(t testing.TB) *Codec {
+	c, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func sample() (Message, []ledger.Page, ledger.Digest) {
+	pages := []ledger.Page{{
+		Name: "r1", Life: ledger.Life{Incarnation: 3, Boot: 9}, Number: 2, Sequence: 77, Age: 1500 * time.Millisecond,
+		Cells: []ledger.Cell{
+			{Dest: 8, Demand: 0.5, Calls: 0.25, Refusals: 1.5, Deliveries: 3, Failures: 0.125, Backlog: 12, Wait: 2 * time.Second, Cold: true},
+			{Dest: 9, Route: "s-1", Calls: 1},
+		},
+	}, {Name: "r2", Life: ledger.Life{Incarnation: 1, Boot: 1}, Sequence: 1}}
+	digest := ledger.Digest{"r1": {Life: ledger.Life{Incarnation: 3, Boot: 9}, Pages: map[int]uint64{2: 77}}, "r2": {Life: ledger.Life{Incarnation: 1}}}
+	m := Message{From: "r3", Boot: 4, Clock: 123456789, Asks: true}
+	m.SetPages(pages...)
+	m.SetDigest(digest)
+	return m, pages, digest
+}
+
+func TestThereAndBack(t *testing.T) {
+	c := newCodec(t)
+	m, pages, digest := sample()
+	data, err := c.Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := c.Decode(data)
+	if err != nil || got.From != "r3" || got.Boot != 4 || got.Clock != 123456789 || !got.Asks {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if p := got.LedgerPages(); !reflect.DeepEqual(p, pages) {
+		t.Errorf("%+v\nwant %+v", p, pages)
+	}
+	if d := got.LedgerDigest(); !reflect.DeepEqual(d, digest) {
+		t.Errorf("%+v\nwant %+v", d, digest)
+	}
+	for cut := range len(data) {
+		if _, err := c.Decode(data[:cut]); err == nil {
+			t.Errorf("cut at %d it is taken", cut)
+		}
+	}
+}
+
+// A newer program's fields are passed over, and what must not be passed over is refused as such.
+func TestNewerPrograms(t *testing.T) {
+	c := newCodec(t)
+	m, pages, _ := sample()
+	data, _ := c.Encode(m)
+	var tree map[int]any
+	if err := cbor.Unmarshal(data, &tree); err != nil {
+		t.Fatal(err)
+	}
+	tree[90] = map[string]any{"what": []int{1, 2}}
+	for _, p := range tree[4].([]any) {
+		p.(map[any]any)[uint64(91)] = "new"
+		if cells, ok := p.(map[any]any)[uint64(7)].([]any); ok {
+			for _, x := range cells {
+				x.(map[any]any)[uint64(92)] = 1.5
+			}
+		}
+	}
+	more, err := cbor.Marshal(tree)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := c.Decode(more)
+	if err != nil || !reflect.DeepEqual(got.LedgerPages(), pages) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	tree[0] = Form + 1
+	more, _ = cbor.Marshal(tree)
+	if _, err := c.Decode(more); !errors.Is(err, ErrNewer) {
+		t.Error(err)
+	}
+}
+
+// Whatever comes, it is read or refused, and what is read has ages that the ledger's bounds can judge.
+func FuzzDecode(f *testing.F) {
+	c := newCodec(f)
+	m, _, _ := sample()
+	data, _ := c.Encode(m)
+	f.Add(data)
+	f.Add([]byte{0xa1, 4, 0x81, 0xa1, 6, 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := c.Decode(data)
+		if err != nil {
+			return
+		}
+		l := ledger.New("me", ledger.Life{Incarnation: 1}, []string{"r1", "r2"})
+		for _, p := range m.LedgerPages() {
+			out, err := l.Merge(time.Hour, p)
+			if (out == ledger.Refused) != (err != nil) && out != ledger.Refused {
+				t.Errorf("%v, %v", out, err)
+			}
+		}
+		l.Pages(time.Hour, func(p ledger.Page) {
+			if p.Age < 0 || p.Age > ledger.AgeMost {
+				t.Errorf("age %v", p.Age)
+			}
+		})
+		m.LedgerDigest()
+	})
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,225 @@
+// Package fleet is what the relay's loop has of its fleet: one step beside the decision module's (package seam, pure), and the link that
+// carries what it tells (package link). The loop never waits for the link, and without one it goes on alone.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/fleet/link"
+	"onyxroad.dev/onyxroad/internal/fleet/seam"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+const (
+	lifeFile   = "fleet.life" // in the relay's folder
+	startEvery = 2 * time.Second
+	stepEvery  = 250 * time.Millisecond // the loop is asked for a step so often, even if nothing happens
+)
+
+// Config is what a Member is made of.
+type Config struct {
+	Name   string
+	Label  string
+	Listen string
+	Join   map[string]string
+	Folder string // that outlasts the process
+	Kinds  []policy.Kind
+	Log    *slog.Logger
+	Nudge  func() // asks the loop for a step; must not wait
+}
+
+// Member is a relay's place in its fleet. Step is the loop's; the others may be called from any goroutine.
+type Member struct {
+	cfg  Config
+	life ledger.Life
+	seam *seam.Seam
+
+	mu   sync.Mutex
+	link *link.Link // nil: it does not listen yet, or no more
+	why  error      // it does not
+}
+
+// New returns a Member that has heard nothing. Where its folder does not tell of an earlier life it begins with the first.
+func New(cfg Config) *Member {
+	life := ledger.Life{Incarnation: readLife(cfg) + 1, Boot: rand.Uint32()}
+	if err := writeLife(cfg, life.Incarnation); err != nil {
+		cfg.Log.Warn("fleet: the incarnation is not kept", "err", err)
+	}
+	return &Member{cfg: cfg, life: life, seam: seam.New(seam.Settings{
+		Self: cfg.Name, Life: life, Members: slices.Sorted(maps.Keys(cfg.Join)), Kinds: cfg.Kinds,
+	})}
+}
+
+// readLife is the incarnation of the life before; 0: none is known, and if there was one the others will tell.
+func readLife(cfg Config) uint64 {
+	data, err := os.ReadFile(filepath.Join(cfg.Folder, lifeFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return 0
+	}
+	n, parseErr := strconv.ParseUint(strings.TrimSpace(string(data)), 10, 62)
+	if err = errors.Join(err, parseErr); err != nil {
+		cfg.Log.Warn("fleet: the incarnation cannot be read", "err", err)
+	}
+	return n
+}
+
+func writeLife(cfg Config, incarnation uint64) error {
+	path := filepath.Join(cfg.Folder, lifeFile)
+	if err := os.WriteFile(path+".new", fmt.Appendf(nil, "%d\n", incarnation), 0o600); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	return nil
+}
+
+// Run keeps the link up until ctx ends. A port that is taken is tried again: the relay serves meanwhile.
+func (m *Member) Run(ctx context.Context) {
+	step := time.NewTicker(stepEvery)
+	defer step.Stop()
+	var next time.Time
+	for {
+		if m.up() == nil && !time.Now().Before(next) {
+			m.start()
+			next = time.Now().Add(startEvery)
+		}
+		select {
+		case <-ctx.Done():
+			if l := m.up(); l != nil {
+				m.set(nil, errors.New("fleet: ended"))
+				if err := l.Close(); err != nil {
+					m.cfg.Log.Warn("fleet: end", "err", err)
+				}
+			}
+			return
+		case <-step.C:
+			m.cfg.Nudge()
+		}
+	}
+}
+
+func (m *Member) start() {
+	l, err := link.Start(link.Config{
+		Name: m.cfg.Name, Fleet: m.cfg.Label, Listen: m.cfg.Listen, Join: m.cfg.Join, Life: m.life, Log: m.cfg.Log, News: m.cfg.Nudge,
+		Raise: func(n uint64) error { return writeLife(m.cfg, n) },
+	})
+	if m.set(l, err); err != nil {
+		m.cfg.Log.Warn("fleet: not heard by others, and hearing none; serving alone", "err", err)
+		return
+	}
+	m.cfg.Log.Info("fleet: listening", "name", m.cfg.Name, "listen", l.Addr(), "incarnation", m.life.Incarnation)
+}
+
+func (m *Member) up() *link.Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.link
+}
+
+func (m *Member) set(l *link.Link, why error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.link, m.why = l, why
+}
+
+// Step takes a step of the module, and returns what a recording must hold of it.
+func (m *Member) Step(now time.Duration, events []policy.Event, actions []policy.Action, views func() []policy.View) seam.Record {
+	var rec seam.Record
+	l := m.up()
+	if l != nil {
+		rec.Heard, rec.Life = l.Heard()
+	}
+	rec.Told = m.seam.Step(now, seam.Input{Heard: rec.Heard, Life: rec.Life, Events: events, Actions: actions, Views: views})
+	if l == nil {
+		return rec
+	}
+	if slices.ContainsFunc(events, func(e policy.Event) bool { return e.Kind == policy.ListWhole || e.Kind == policy.ListChanges }) {
+		l.SetLimits(m.seam.Limits())
+	}
+	if len(rec.Told) > 0 {
+		l.Tell(rec.Told)
+	}
+	return rec
+}
+
+// Seam is the pure part. It must only be asked, by the loop.
+func (m *Member) Seam() *seam.Seam { return m.seam }
+
+// Status is what a member tells of its fleet.
+type Status struct {
+	Up  bool   `json:"up"`
+	Why string `json:"why,omitempty"` // it is not
+	*link.Status
+}
+
+// Status tells of the fleet as this member sees it.
+func (m *Member) Status() Status {
+	m.mu.Lock()
+	l, why := m.link, m.why
+	m.mu.Unlock()
+	s := Status{Up: l != nil}
+	if l != nil {
+		st := l.Status()
+		s.Status = &st
+	} else if why != nil {
+		s.Why = why.Error()
+	}
+	return s
+}
+
+// Write writes the Status as JSON.
+func (m *Member) Write(w io.Writer) error {
+	if err := json.NewEncoder(w).Encode(m.Status()); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	return nil
+}
+
+// Print writes a Status for people.
+func (s Status) Print(w io.Writer) error {
+	if !s.Up || s.Status == nil {
+		_, err := fmt.Fprintf(w, "not linked: %s\n", s.Why)
+		return err
+	}
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(out, "%s of fleet %q, listens on %s, life %d/%08x, health %d (0 is best), %d pages queued, %d bytes sent\n",
+		s.Name, s.Fleet, s.Listen, s.Life.Incarnation, s.Life.Boot, s.Health, s.Queued, s.SentBytes)
+	if s.Twin {
+		fmt.Fprintln(out, "ANOTHER PROCESS RUNS UNDER THIS NAME: this one tells nothing")
+	}
+	fmt.Fprintln(out, "member\tstate\tlife\theard\tpages\tcells\taddress")
+	for _, m := range s.Members {
+		heard, life := "never", "-"
+		if m.Age >= 0 {
+			heard, life = m.Age.Round(10*time.Millisecond).String()+" ago", fmt.Sprint(m.Life.Incarnation)
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", m.Name, m.State, life, heard, m.Pages, m.Cells, m.Addr)
+	}
+	for _, r := range slices.Sorted(maps.Keys(s.Refused)) {
+		fmt.Fprintf(out, "refused: %s\t%d\n", r, s.Refused[r])
+	}
+	fmt.Fprintf(out, "messages heard %d, unreadable %d, of newer programs %d; rival pages %d, names with two addresses %d, strangers %d\n",
+		s.Heard, s.Unread, s.Newer, s.Rivals, s.Conflicts, s.Strangers)
+	if err := out.Flush(); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/ledger/ledger_test.go
@@ -0,0 +1,222 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var listed = []string{"a", "b", "c"}
+
+func cellOf(dest int, calls float64) Cell { return Cell{Dest: dest, Calls: calls, Demand: 2 * calls} }
+
+// drawPage draws few values of each kind, so that pages often meet.
+func drawPage(t *rapid.T) Page {
+	p := Page{
+		Name: rapid.SampledFrom(listed).Draw(t, "name"), Life: Life{rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint32Range(1, 2).Draw(t, "boot")},
+		Number: rapid.IntRange(0, 2).Draw(t, "page"), Sequence: rapid.Uint64Range(1, 4).Draw(t, "sequence"),
+		Age: time.Duration(rapid.IntRange(0, 60).Draw(t, "age")) * time.Second,
+	}
+	for i := range rapid.IntRange(0, 2).Draw(t, "cells") {
+		p.Cells = append(p.Cells, cellOf(p.Number<<pageShift+i, float64(rapid.IntRange(0, 3).Draw(t, "calls"))))
+	}
+	return p
+}
+
+func heard(l *Ledger, now time.Duration) (pages []Page) {
+	l.Pages(now, func(p Page) { pages = append(pages, p) })
+	return pages
+}
+
+// What a ledger holds does not depend on the order in which it heard, nor on how often; and it tells others what they lack until both
+// hold the same.
+func TestLaws(t *testing.T) {
+	const now = 100 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		pages := rapid.SliceOfN(rapid.Custom(drawPage), 1, 12).Draw(t, "pages")
+		order := rapid.Permutation(pages).Draw(t, "order")
+		a, b := New("me", Life{1, 1}, listed), New("me", Life{1, 1}, listed)
+		for _, p := range pages {
+			a.Merge(now, p)
+		}
+		for _, p := range order {
+			b.Merge(now, p)
+			b.Merge(now, p)
+		}
+		if x, y := heard(a, now), heard(b, now); !reflect.DeepEqual(x, y) {
+			t.Fatalf("in order %v\nmixed %v", x, y)
+		}
+		// Two that heard other halves, and tell each other.
+		c, d := New("me", Life{1, 1}, listed), New("me", Life{1, 1}, listed)
+		for i, p := range pages {
+			if i%2 == 0 {
+				c.Merge(now, p)
+			} else {
+				d.Merge(now, p)
+			}
+		}
+		toC, toD := d.Newer(now, c.Digest(now)), c.Newer(now, d.Digest(now))
+		for _, p := range toC {
+			c.Merge(now, p)
+		}
+		for _, p := range toD {
+			d.Merge(now, p)
+		}
+		if x, y := len(c.Newer(now, d.Digest(now))), len(d.Newer(now, c.Digest(now))); x+y > 0 {
+			t.Fatalf("%d and %d pages still differ", x, y)
+		}
+		// And later all of it is gone, whatever it was.
+		a.Sweep(now + AgeMost + time.Second)
+		if members, _ := a.Stats(now); len(members) > 0 {
+			t.Fatalf("kept past its age: %v", members)
+		}
+	})
+}
+
+// The greater age of one version is taken, ages grow with the hearer's time, and figures fade without a step.
+func TestAges(t *testing.T) {
+	l := New("me", Life{1, 1}, listed)
+	p := Page{Name: "a", Life: Life{1, 1}, Sequence: 1, Age: time.Second, Cells: []Cell{{Dest: 1, Calls: 8, Wait: 10 * time.Second, Cold: true}}}
+	l.Merge(20*time.Second, p)
+	p.Age = 3 * time.Second
+	if out, err := l.Merge(20*time.Second, p); out != Changed || err != nil {
+		t.Error(out, err)
+	}
+	p.Age = 0
+	if out, _ := l.Merge(21*time.Second, p); out != Known {
+		t.Error("a younger telling of a version that was heard before is taken:", out)
+	}
+	if got, ok := l.Get(24*time.Second, "a", 0); !ok || got.Age != 7*time.Second {
+		t.Error(got, ok)
+	}
+	if s := l.Others(24*time.Second, 1, ""); math.Abs(s.Calls-8*math.Exp2(-7.0/5)) > 1e-9 || s.Wait != 3*time.Second || !s.Cold {
+		t.Errorf("%+v", s)
+	}
+	was := l.Others(20*time.Second, 1, "").Calls
+	for now := 20 * time.Second; now < 90*time.Second; now += 50 * time.Millisecond {
+		x := l.Others(now, 1, "").Calls
+		if x > was || was-x > 0.01*8 {
+			t.Fatalf("a step from %g to %g at %v", was, x, now)
+		}
+		was = x
+	}
+	if was != 0 {
+		t.Error("something is left:", was)
+	}
+}
+
+// What cannot be is refused and counted, and changes nothing.
+func TestBounds(t *testing.T) {
+	good := func() Page {
+		return Page{Name: "a", Life: Life{1, 1}, Number: 1, Sequence: 1, Cells: []Cell{cellOf(4, 1), cellOf(5, 1)}}
+	}
+	l := New("me", Life{2, 5}, listed)
+	l.SetLimits(Limits{5: {"": 10}})
+	for _, c := range []struct {
+		reason Reason
+		spoil  func(*Page)
+	}{
+		{Unlisted, func(p *Page) { p.Name = "stranger" }},
+		{Absurd, func(p *Page) { p.Cells[0].Calls = -1 }},
+		{Absurd, func(p *Page) { p.Cells[0].Demand = math.NaN() }},
+		{Absurd, func(p *Page) { p.Cells[1].Refusals = math.Inf(1) }},
+		{Absurd, func(p *Page) { p.Cells[1].Calls = 10*Multiple + 1 }},
+		{Absurd, func(p *Page) { p.Cells[0].Calls = RateMost + 1 }},
+		{Absurd, func(p *Page) { p.Cells[0].Backlog = -1 }},
+		{Absurd, func(p *Page) { p.Cells[0].Wait = 2 * waitMost }},
+		{Absurd, func(p *Page) { p.Age = -1 }},
+		{TooOld, func(p *Page) { p.Age = AgeMost + 1 }},
+		{BadForm, func(p *Page) { p.Incarnation = 0 }},
+		{BadForm, func(p *Page) { p.Sequence = math.MaxUint64 }},
+		{BadForm, func(p *Page) { p.Cells[0].Dest = 9 }},
+		{BadForm, func(p *Page) { p.Cells[0], p.Cells[1] = p.Cells[1], p.Cells[0] }},
+		{BadForm, func(p *Page) { p.Cells = make([]Cell, CellsMost+1) }},
+	} {
+		p := good()
+		c.spoil(&p)
+		_, before := l.Stats(0)
+		out, err := l.Merge(0, p)
+		var told *Error
+		if _, after := l.Stats(0); out != Refused || !errors.As(err, &told) || told.Reason != c.reason || after[c.reason] != before[c.reason]+1 {
+			t.Errorf("%v: %v, %v", p, out, err)
+		}
+	}
+	if members, _ := l.Stats(0); len(members) > 0 {
+		t.Error("something was kept:", members)
+	}
+	for n := range PagesMost + 5 {
+		l.Merge(0, Page{Name: "b", Life: Life{1, 1}, Number: n, Sequence: uint64(n + 1)})
+	}
+	if members, refused := l.Stats(0); members[0].Pages != PagesMost || refused[TooMany] != 5 {
+		t.Error(members, refused)
+	}
+}
+
+// A life goes before all that came before it, and one under the own name is told apart from earlier ones.
+func TestLives(t *testing.T) {
+	l := New("me", Life{3, 7}, append(listed, "me"))
+	l.Merge(0, Page{Name: "a", Life: Life{1, 9}, Number: 0, Sequence: 50, Cells: []Cell{cellOf(1, 5)}})
+	l.Merge(0, Page{Name: "a", Life: Life{2, 1}, Number: 1, Sequence: 1, Cells: []Cell{cellOf(4, 1)}})
+	if got := heard(l, 0); len(got) != 1 || got[0].Number != 1 {
+		t.Error("the life before was not forgotten:", got)
+	}
+	if out, _ := l.Merge(0, Page{Name: "a", Life: Life{1, 9}, Number: 2, Sequence: 99}); out != Older {
+		t.Error(out)
+	}
+	for life, want := range map[Life]Outcome{{3, 7}: Own, {2, 9}: Own, {3, 6}: Own, {3, 8}: Rival, {4, 1}: Rival} {
+		if out, _ := l.Merge(0, Page{Name: "me", Life: life, Sequence: 1}); out != want {
+			t.Errorf("%v: %v, want %v", life, out, want)
+		}
+	}
+	if l.Rival() != (Life{4, 1}) {
+		t.Error(l.Rival())
+	}
+	if _, err := l.Tell(0, 0, 1, []Cell{cellOf(1, 1)}); err != nil {
+		t.Error(err)
+	}
+	l.Raise(Life{5, 7})
+	if _, ok := l.Get(0, "me", 0); ok || l.Life() != (Life{5, 7}) {
+		t.Error("what the life before told is still there")
+	}
+}
+
+// What held a message up makes it older, clocks that run apart never make it younger.
+func TestTransit(t *testing.T) {
+	for name, c := range map[string]struct {
+		drift float64 // of the sender's clock
+		hold  time.Duration
+		least time.Duration
+		most  time.Duration
+	}{
+		"held up 3 s":               {0, 3 * time.Second, 2900 * time.Millisecond, 3 * time.Second},
+		"a slow clock":              {-0.01, 0, 0, 410 * time.Millisecond},
+		"a fast clock, held up 2 s": {0.01, 2 * time.Second, 1900 * time.Millisecond, 2 * time.Second},
+	} {
+		var x Transit
+		at := time.Duration(0)
+		for ; at < 100*time.Second; at += time.Second {
+			jitter := time.Duration(at/time.Second%7) * 10 * time.Millisecond
+			if e := x.Excess("a", 1, time.Duration(float64(at)*(1+c.drift)), at+jitter+5*time.Millisecond); e > 70*time.Millisecond+410*time.Millisecond {
+				t.Errorf("%s: %v with nothing held up", name, e)
+			}
+		}
+		if e := x.Excess("a", 1, time.Duration(float64(at)*(1+c.drift)), at+5*time.Millisecond+c.hold); e < c.least || e > c.most {
+			t.Errorf("%s: %v, want %v to %v", name, e, c.least, c.most)
+		}
+		if e := x.Excess("a", 2, at, 0); e != 0 {
+			t.Error("a new life goes by the clock of the one before:", e)
+		}
+	}
+	var x Transit
+	for i := range 2 * sendersMost {
+		x.Excess(fmt.Sprint(i), 1, 0, 0)
+	}
+	if len(x.senders) > sendersMost {
+		t.Error(len(x.senders), "senders are kept")
+	}
+}
--- /dev/null
+++ b/internal/fleet/link/link.go
@@ -0,0 +1,600 @@
+// Package link carries what relays of a fleet tell each other: membership, failure detection and gossip are memberlist's (SWIM
+// with Lifeguard), on its own transport, with each member's name standing for an address of this relay's own. Nothing here decides, and
+// nobody who tells or asks ever waits for the network.
+package link
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"onyxroad.dev/onyxroad/internal/fleet/codec"
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+)
+
+const (
+	packetMost   = 1350 // bytes of a datagram; ages grow by a byte or two between queue and wire
+	gossipEvery  = 100 * time.Millisecond
+	gossipTo     = 3
+	probeEvery   = time.Second
+	probeFor     = 400 * time.Millisecond
+	syncEvery    = 10 * time.Second // digests are exchanged with one other so often, less often in large fleets
+	streamFor    = 2 * time.Second  // a peer that hangs holds a stream no longer
+	rejoinEvery  = 2 * time.Second
+	rejoinAtOnce = 2
+	repliesMost  = 8
+	batchBytes   = 16 << 10 // of pages in a message on a stream, more or less
+	pageGuess    = 200      // bytes
+
+	// An earlier life of this relay that is heard of is gone past once, or a few times where its last ones are heard of late. Who answers
+	// each new life with a greater one is another process under the same name: after raisesMost within twinSpan this one falls
+	// silent, until none was heard for twinFor.
+	raisesMost = 3
+	twinSpan   = 30 * time.Second
+	twinFor    = 60 * time.Second
+	reclaimFor = 10 * time.Second // after which the others let a name that is silent have another address
+)
+
+// Config is what a Link is made of.
+type Config struct {
+	Name   string            // of this member
+	Fleet  string            // members of another fleet are not heard; "": any
+	Listen string            // IP and port, for TCP and UDP; port 0: any that is free
+	Join   map[string]string // addresses of all members by their names, as this relay reaches them; its own is passed over
+	Life   ledger.Life
+	Log    *slog.Logger
+	// Raise keeps an incarnation beyond the process. It is called away from whoever tells or asks.
+	Raise func(incarnation uint64) error
+	// News is called when something was heard, at most once until Heard is called. It must not wait.
+	News func()
+
+	transport memberlist.NodeAwareTransport // of tests; nil: sockets
+	now       func() time.Duration          // of tests
+}
+
+// Link is one member's.
+type Link struct {
+	cfg   Config
+	codec *codec.Codec
+	list  *memberlist.Memberlist
+	queue memberlist.TransmitLimitedQueue
+	node  atomic.Int64 // members alive, for the queue
+	wire  *transport
+
+	mu      sync.Mutex
+	ledger  *ledger.Ledger
+	transit ledger.Transit
+	mail    map[place]struct{}
+	life    ledger.Life // a new one that Heard has not told yet
+	raises  int         // new lives since began
+	began   time.Duration
+	going   bool          // one is beginning
+	twin    time.Duration // until then this member tells nothing
+	counts  Counts
+	closed  bool
+
+	replies chan reply
+	raising chan struct{}
+	stop    context.CancelFunc
+	works   sync.WaitGroup
+}
+
+// Counts are of the link's whole life.
+type Counts struct {
+	Heard     uint64 `json:"heard"`     // messages
+	Unread    uint64 `json:"unread"`    // that could not be read
+	Newer     uint64 `json:"newer"`     // that need a newer program
+	Rivals    uint64 `json:"rivals"`    // pages of another process under this name
+	Conflicts uint64 `json:"conflicts"` // names that were told with two addresses
+	Strangers uint64 `json:"strangers"` // members that nobody lists
+	SentBytes uint64 `json:"sent_bytes"`
+	Streams   uint64 `json:"streams"`
+}
+
+type place struct {
+	name   string
+	number int
+}
+
+type reply struct {
+	to     string
+	digest ledger.Digest
+}
+
+// Start begins to listen, to tell and to hear. It fails where the address cannot be had.
+func Start(cfg Config) (*Link, error) {
+	c, err := codec.New()
+	if err != nil {
+		return nil, err
+	}
+	if cfg.now == nil {
+		began := time.Now()
+		cfg.now = func() time.Duration { return time.Since(began) }
+	}
+	l := &Link{
+		cfg: cfg, codec: c, ledger: ledger.New(cfg.Name, cfg.Life, names(cfg.Join)), mail: map[place]struct{}{}, twin: -1,
+		replies: make(chan reply, repliesMost), raising: make(chan struct{}, 1),
+	}
+	l.queue.NumNodes = func() int { return int(l.node.Load()) }
+	mc := memberlist.DefaultLANConfig()
+	mc.Name, mc.Label = cfg.Name, cfg.Fleet
+	mc.Logger = slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)
+	mc.UDPBufferSize, mc.GossipInterval, mc.GossipNodes = packetMost, gossipEvery, gossipTo
+	mc.ProbeInterval, mc.ProbeTimeout, mc.TCPTimeout = probeEvery, probeFor, streamFor
+	mc.PushPullInterval, mc.EnableCompression, mc.DeadNodeReclaimTime = syncEvery, false, reclaimFor
+	mc.Delegate, mc.Events, mc.Conflict, mc.Alive = (*delegate)(l), (*delegate)(l), (*delegate)(l), (*delegate)(l)
+	mc.DelegateProtocolVersion, mc.DelegateProtocolMin, mc.DelegateProtocolMax = codec.Form, 0, codec.Form
+	l.queue.RetransmitMult = mc.RetransmitMult
+	inner := cfg.transport
+	if inner == nil {
+		at, err := netip.ParseAddrPort(cfg.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("link: listen: %w", err)
+		}
+		mc.BindAddr, mc.BindPort = at.Addr().String(), int(at.Port())
+		sockets, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
+			BindAddrs: []string{mc.BindAddr}, BindPort: mc.BindPort, Logger: mc.Logger,
+		})
+		if err != nil {
+			return nil, fmt.Errorf("link: listen on %s: %w", cfg.Listen, err)
+		}
+		mc.BindPort = sockets.GetAutoBindPort()
+		mc.AdvertiseAddr, mc.AdvertisePort = mc.BindAddr, mc.BindPort // given, so that none is looked for
+		inner = sockets
+	}
+	l.wire = &transport{NodeAwareTransport: inner, addrs: cfg.Join}
+	mc.Transport = l.wire
+	if l.list, err = memberlist.Create(mc); err != nil {
+		return nil, errors.Join(fmt.Errorf("link: %w", err), inner.Shutdown())
+	}
+	l.node.Store(1)
+	ctx, stop := context.WithCancel(context.Background())
+	l.stop = stop
+	l.works.Go(func() { l.reply(ctx) })
+	l.works.Go(func() { l.rejoin(ctx) })
+	return l, nil
+}
+
+func names(join map[string]string) []string {
+	all := make([]string, 0, len(join))
+	for n := range join {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Close leaves the fleet and ends.
+func (l *Link) Close() error {
+	l.mu.Lock()
+	was := l.closed
+	l.closed = true
+	l.mu.Unlock()
+	if was {
+		return nil
+	}
+	l.stop()
+	l.list.Leave(2 * gossipEvery) // nobody need hear of it
+	err := l.list.Shutdown()
+	l.works.Wait()
+	if err != nil {
+		return fmt.Errorf("link: %w", err)
+	}
+	return nil
+}
+
+// Addr is where the link listens.
+func (l *Link) Addr() string { return l.list.LocalNode().Address() }
+
+// Tell has pages of this member told. It waits for nothing.
+func (l *Link) Tell(pages []ledger.Page) {
+	now := l.cfg.now()
+	var take []place
+	l.mu.Lock()
+	for _, p := range pages {
+		p.Age = 0
+		if l.ledger.Keep(now, p) == ledger.Changed && now >= l.twin {
+			take = append(take, place{p.Name, p.Number})
+		}
+	}
+	l.mu.Unlock()
+	l.spread(take)
+}
+
+func (l *Link) spread(places []place) {
+	for _, p := range places {
+		l.queue.QueueBroadcast(&broadcast{l, p})
+	}
+}
+
+// Heard returns what was heard since it was called last, with the ages that it has now, and the member's own life if that is new.
+func (l *Link) Heard() (pages []ledger.Page, life ledger.Life) {
+	now := l.cfg.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.mail {
+		if page, ok := l.ledger.Get(now, p.name, p.number); ok {
+			pages = append(pages, page)
+		}
+	}
+	clear(l.mail)
+	slices.SortFunc(pages, func(a, b ledger.Page) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Number, b.Number))
+	})
+	life, l.life = l.life, ledger.Life{}
+	return pages, life
+}
+
+// SetLimits takes what the list tells of destinations, by which absurd figures are known.
+func (l *Link) SetLimits(limits ledger.Limits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.SetLimits(limits)
+}
+
+// Member is what a link knows of another member.
+type Member struct {
+	ledger.MemberStats
+	Addr  string `json:"addr"`  // as this relay reaches it
+	State string `json:"state"` // alive, suspect, dead, left, or unseen
+}
+
+// Status is what a link tells of itself.
+type Status struct {
+	Name    string                   `json:"name"`
+	Fleet   string                   `json:"fleet"`
+	Listen  string                   `json:"listen"`
+	Life    ledger.Life              `json:"life"`
+	Twin    bool                     `json:"twin"` // another process has this name: nothing is told
+	Health  int                      `json:"health"`
+	Queued  int                      `json:"queued"`
+	Members []Member                 `json:"members"`
+	Refused map[ledger.Reason]uint64 `json:"refused"`
+	Counts
+}
+
+// Status tells how the link fares.
+func (l *Link) Status() Status {
+	states := map[string]string{}
+	for _, n := range l.list.Members() {
+		states[n.Name] = map[memberlist.NodeStateType]string{
+			memberlist.StateAlive: "alive", memberlist.StateSuspect: "suspect", memberlist.StateDead: "dead", memberlist.StateLeft: "left",
+		}[n.State]
+	}
+	now := l.cfg.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Status{
+		Name: l.cfg.Name, Fleet: l.cfg.Fleet, Listen: l.Addr(), Life: l.ledger.Life(), Twin: now < l.twin, Health: l.list.GetHealthScore(),
+		Queued: l.queue.NumQueued(), Counts: l.counts,
+	}
+	s.SentBytes, s.Streams = l.wire.sent.Load(), l.wire.streams.Load()
+	told, refused := l.ledger.Stats(now)
+	s.Refused = refused
+	for _, name := range names(l.cfg.Join) {
+		if name == l.cfg.Name {
+			continue
+		}
+		m := Member{MemberStats: ledger.MemberStats{Name: name, Age: -1}, Addr: l.cfg.Join[name], State: cmp.Or(states[name], "unseen")}
+		if i := slices.IndexFunc(told, func(t ledger.MemberStats) bool { return t.Name == name }); i >= 0 {
+			m.MemberStats = told[i]
+		}
+		s.Members = append(s.Members, m)
+	}
+	return s
+}
+
+// hear takes a message that came.
+func (l *Link) hear(data []byte) {
+	m, err := l.codec.Decode(data)
+	l.spread(l.take(m, err)) // unlocked: the queue asks for messages
+}
+
+// take takes a message that was read, and returns what it told that is new.
+func (l *Link) take(m codec.Message, err error) (news []place) {
+	now := l.cfg.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Heard++
+	if err != nil {
+		if errors.Is(err, codec.ErrNewer) {
+			l.counts.Newer++
+		} else {
+			l.counts.Unread++
+		}
+		return nil
+	}
+	if m.From == "" { // nothing was left to tell
+		return nil
+	}
+	// What was held up on the way, or by either side's being stopped, is older than it says.
+	held := l.transit.Excess(m.From, m.Boot, time.Duration(m.Clock)*time.Microsecond, now)
+	for _, p := range m.LedgerPages() {
+		if p.Age >= 0 {
+			p.Age += held
+		}
+		switch out, _ := l.ledger.Merge(now, p); out { // what it refuses it counts
+		case ledger.Changed:
+			news = append(news, place{p.Name, p.Number})
+		case ledger.Rival:
+			l.rival(now)
+		}
+	}
+	if m.Asks {
+		select {
+		case l.replies <- reply{m.From, m.LedgerDigest()}:
+		default: // it asks again
+		}
+	}
+	l.note(news)
+	return news
+}
+
+// note has the loop told of news. mu is held.
+func (l *Link) note(news []place) {
+	if len(news) == 0 && l.life == (ledger.Life{}) {
+		return
+	}
+	first := len(l.mail) == 0
+	for _, p := range news {
+		l.mail[p] = struct{}{}
+	}
+	if first && l.cfg.News != nil {
+		l.cfg.News()
+	}
+}
+
+// rival meets a life under the own name that is not this one or before it: the folder was an older one, or another process has
+// the name. mu is held.
+func (l *Link) rival(now time.Duration) {
+	l.counts.Rivals++
+	switch {
+	case l.going:
+		return
+	case now < l.twin || l.raises >= raisesMost && now < l.began+twinSpan:
+		l.twinned(now, twinFor)
+		return
+	case now >= l.began+twinSpan:
+		l.raises, l.began = 0, now
+	}
+	l.raises++
+	l.going = true
+	l.raising <- struct{}{} // has room: one is beginning at most
+}
+
+// twinned has this member tell nothing for a while. mu is held.
+func (l *Link) twinned(now, wait time.Duration) {
+	if now >= l.twin {
+		l.cfg.Log.Error("fleet: another process runs under this relay's name; this one falls silent", "name", l.cfg.Name)
+	}
+	l.twin = max(l.twin, now+wait)
+}
+
+// raise begins a new life, past all that were heard of, once that outlasts the process.
+func (l *Link) raise() {
+	l.mu.Lock()
+	incarnation := l.ledger.Rival().Incarnation + 1
+	l.mu.Unlock()
+	if err := l.cfg.Raise(incarnation); err != nil {
+		l.cfg.Log.Warn("fleet: the incarnation is not kept", "err", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.going = false
+	l.cfg.Log.Info("fleet: heard a later life of this relay; beginning a new one", "incarnation", incarnation)
+	l.life = ledger.Life{Incarnation: incarnation, Boot: l.cfg.Life.Boot}
+	l.ledger.Raise(l.life)
+	l.note(nil)
+}
+
+// message is what a place holds, as it is to be told now.
+func (l *Link) message(pages ...ledger.Page) []byte {
+	var m codec.Message
+	if len(pages) > 0 {
+		m = codec.Message{From: l.cfg.Name, Boot: l.cfg.Life.Boot, Clock: l.cfg.now().Microseconds()}
+		m.SetPages(pages...)
+	}
+	data, err := l.codec.Encode(m)
+	if err != nil {
+		return nil // a figure that is no number: the ledger holds none
+	}
+	return data
+}
+
+// reply answers digests with what their senders lack, one after the other.
+func (l *Link) reply(ctx context.Context) {
+	for {
+		var r reply
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.raising:
+			l.raise()
+			continue
+		case r = <-l.replies:
+		}
+		others := l.list.Members()
+		i := slices.IndexFunc(others, func(n *memberlist.Node) bool { return n.Name == r.to })
+		if i < 0 {
+			continue
+		}
+		to := others[i]
+		l.mu.Lock()
+		pages := l.ledger.Newer(l.cfg.now(), r.digest)
+		if l.cfg.now() < l.twin {
+			pages = slices.DeleteFunc(pages, func(p ledger.Page) bool { return p.Name == l.cfg.Name })
+		}
+		l.mu.Unlock()
+		for batch := range slices.Chunk(pages, batchBytes/pageGuess) {
+			if err := l.list.SendReliable(to, l.message(batch...)); err != nil || ctx.Err() != nil {
+				break // it asks again
+			}
+		}
+	}
+}
+
+// rejoin calls members that are listed and not seen, a few at a time: gossip reaches nobody who was away for long.
+func (l *Link) rejoin(ctx context.Context) {
+	all := names(l.cfg.Join)
+	for {
+		seen := map[string]bool{l.cfg.Name: true}
+		for _, n := range l.list.Members() {
+			seen[n.Name] = true
+		}
+		missing := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return seen[n] })
+		rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+		for _, n := range missing[:min(len(missing), rejoinAtOnce)] {
+			if ctx.Err() == nil {
+				l.list.Join([]string{n + "/" + l.cfg.Join[n]}) // tried again
+			}
+		}
+		l.mu.Lock()
+		l.ledger.Sweep(l.cfg.now())
+		l.mu.Unlock()
+		if most := len(all) * ledger.PagesMost; l.queue.NumQueued() > most { // a queue that was never used must not be pruned
+			l.queue.Prune(most)
+		}
+		wait := rejoinEvery/2 + rand.N(rejoinEvery)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// broadcast is a page on its way to all. Of a page only the newest is told.
+type broadcast struct {
+	l *Link
+	place
+}
+
+func (b *broadcast) Name() string { return fmt.Sprintf("%s/%d", b.place.name, b.number) }
+
+func (b *broadcast) Invalidates(o memberlist.Broadcast) bool {
+	x, ok := o.(*broadcast)
+	return ok && x.place == b.place
+}
+
+// Message is the page with its age at this moment, not at that when it was queued.
+func (b *broadcast) Message() []byte {
+	b.l.mu.Lock()
+	page, ok := b.l.ledger.Get(b.l.cfg.now(), b.place.name, b.number)
+	b.l.mu.Unlock()
+	if !ok {
+		return b.l.message()
+	}
+	return b.l.message(page)
+}
+
+func (b *broadcast) Finished() {}
+
+// delegate is the side of a Link that memberlist calls.
+type delegate Link
+
+func (d *delegate) link() *Link { return (*Link)(d) }
+
+func (d *delegate) NodeMeta(int) []byte           { return nil }
+func (d *delegate) NotifyMsg(data []byte)         { d.link().hear(data) }
+func (d *delegate) NotifyJoin(*memberlist.Node)   { d.node.Add(1) }
+func (d *delegate) NotifyLeave(*memberlist.Node)  { d.node.Add(-1) }
+func (d *delegate) NotifyUpdate(*memberlist.Node) {}
+
+func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.queue.GetBroadcasts(overhead, limit)
+}
+
+// LocalState is a digest of what this relay holds.
+func (d *delegate) LocalState(bool) []byte {
+	l := d.link()
+	now := l.cfg.now()
+	m := codec.Message{From: l.cfg.Name, Boot: l.cfg.Life.Boot, Clock: now.Microseconds(), Asks: true}
+	l.mu.Lock()
+	m.SetDigest(l.ledger.Digest(now))
+	l.mu.Unlock()
+	data, err := l.codec.Encode(m)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// MergeRemoteState takes another's digest, and has it sent what it lacks.
+func (d *delegate) MergeRemoteState(data []byte, _ bool) { d.link().hear(data) }
+
+// NotifyAlive keeps out whom the file does not list.
+func (d *delegate) NotifyAlive(n *memberlist.Node) error {
+	l := d.link()
+	if _, ok := l.cfg.Join[n.Name]; ok || n.Name == l.cfg.Name {
+		return nil
+	}
+	l.mu.Lock()
+	l.counts.Strangers++
+	l.mu.Unlock()
+	return fmt.Errorf("link: %q is not listed", n.Name)
+}
+
+func (d *delegate) NotifyConflict(_, other *memberlist.Node) {
+	l := d.link()
+	now := l.cfg.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts.Conflicts++; l.counts.Conflicts == 1 {
+		l.cfg.Log.Warn("fleet: a name is told with two addresses", "name", other.Name, "other", other.Address())
+	}
+	if other.Name == l.cfg.Name { // the others know another process by this name, or this one by an address that it had before
+		l.twinned(now, reclaimFor)
+	}
+}
+
+// transport leads a member's name to the address that this relay has for it: that may differ from one relay to the next, as
+// discovery's addresses of hosts do, so that every pair can be led through a proxy of its own.
+type transport struct {
+	memberlist.NodeAwareTransport
+	addrs         map[string]string
+	sent, streams atomic.Uint64
+}
+
+func (t *transport) lead(a memberlist.Address) memberlist.Address {
+	if addr, ok := t.addrs[a.Name]; ok {
+		a.Addr = addr
+	}
+	return a
+}
+
+func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	t.sent.Add(uint64(len(b)))
+	return t.NodeAwareTransport.WriteToAddress(b, t.lead(a))
+}
+
+func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	t.streams.Add(1)
+	conn, err := t.NodeAwareTransport.DialAddressTimeout(t.lead(a), timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &counted{conn, &t.sent}, nil
+}
+
+// counted counts what is written.
+type counted struct {
+	net.Conn
+	sent *atomic.Uint64
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/fleet/seam/seam.go
@@ -0,0 +1,508 @@
+// Package seam is the step of a fleet's member beside the decision module: it is told what the module was told and decided, and
+// what was heard of the others, and tells in return what the others should hear. It is pure, as the module is: equal calls in equal
+// order give equal results, in the relay, the emulator and a replay alike.
+package seam
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+const (
+	rateSpan = 5 * time.Second // rates are means over about so long
+
+	// A page is told at once when a wait, a backlog or coldness begins or ends, else when a rate has changed by changeShare, no more
+	// often than after tellLeast, or after tellShare for each member if that is longer: what all must hear grows with their
+	// number. What has not changed is told again after tellAgain, so that it does not fade.
+	tellLeast   = 500 * time.Millisecond
+	tellShare   = 5 * time.Millisecond
+	tellAgain   = ledger.HalfLife / 2
+	changeShare = 0.1
+	changeLeast = 0.05                   // a second, under which no change counts
+	lookEvery   = 100 * time.Millisecond // what is to be told is looked at so often
+	sweepEvery  = 5 * time.Second
+
+	// A page must fit a datagram: what a cell takes at most, beside its route's name, and what a page may.
+	cellBytes = 42
+	pageBytes = 1100
+)
+
+// Settings are what a Seam is made of.
+type Settings struct {
+	Self    string
+	Life    ledger.Life
+	Members []string // that are listed, all of the fleet
+	Kinds   []policy.Kind
+}
+
+// Tally counts one destination's traffic, or that of a route that stands apart. Its fields are exported for snapshots alone.
+type Tally struct {
+	At                                            time.Duration
+	Demand, Calls, Refusals, Deliveries, Failures float64 // levels: a rate times rateSpan
+	Backlog                                       int
+	Wait                                          time.Duration // until then
+	Cold                                          bool
+}
+
+type scope struct {
+	_     struct{} `cbor:",toarray"`
+	Dest  int
+	Route string
+}
+
+type listed struct {
+	_     struct{} `cbor:",toarray"`
+	Dest  int
+	Kind  int
+	Limit float64
+}
+
+type held struct {
+	_       struct{} `cbor:",toarray"`
+	Dest    int
+	Waiting bool
+}
+
+// toldPage is what was told of a page last.
+type toldPage struct {
+	_     struct{} `cbor:",toarray"`
+	At    time.Duration
+	Cells []ledger.Cell
+}
+
+// state is all that a Seam holds beside its ledger.
+type state struct {
+	Set      Settings
+	Life     ledger.Life
+	Sequence uint64
+	Tallies  map[scope]*Tally
+	Routes   map[string]listed
+	Held     map[uint32]held
+	Told     map[int]toldPage
+	LookAt   time.Duration
+	SweepAt  time.Duration
+	Pages    []ledger.Page // of the ledger, in snapshots
+	Now      time.Duration
+}
+
+// Seam is a member's.
+type Seam struct {
+	state
+	ledger *ledger.Ledger
+	sent   map[scope]int // of the step at hand, messages by route
+}
+
+// New returns a Seam that has heard nothing.
+func New(set Settings) *Seam {
+	s := &Seam{state: state{
+		Set: set, Life: set.Life, Tallies: map[scope]*Tally{}, Routes: map[string]listed{}, Held: map[uint32]held{}, Told: map[int]toldPage{},
+	}}
+	s.ledger = ledger.New(set.Self, set.Life, set.Members)
+	s.sent = map[scope]int{}
+	return s
+}
+
+// Input is what a step is told.
+type Input struct {
+	Heard   []ledger.Page // with their ages at the step's time
+	Life    ledger.Life   // the member's own, where it has begun a new one; else zero
+	Events  []policy.Event
+	Actions []policy.Action
+	Views   func() []policy.View // the module's routes, asked for only when something may be told
+}
+
+// Record is what a step was told of others, and told them: beside the module's own record all that a replay needs.
+type Record struct {
+	_     struct{} `cbor:",toarray"`
+	Heard []ledger.Page
+	Life  ledger.Life
+	Told  []ledger.Page
+}
+
+// Append appends a record's bytes; none for one that holds nothing.
+func (r Record) Append(b []byte) []byte {
+	if len(r.Heard) == 0 && len(r.Told) == 0 && r.Life == (ledger.Life{}) {
+		return b
+	}
+	data, err := canonical.Marshal(r)
+	if err != nil {
+		return b // a figure that is no number: the ledger takes none
+	}
+	return append(b, data...)
+}
+
+// ReadRecord reads what Append wrote.
+func ReadRecord(data []byte) (r Record, err error) {
+	if len(data) > 0 {
+		if err = cbor.Unmarshal(data, &r); err != nil {
+			return Record{}, fmt.Errorf("seam: %w", err)
+		}
+	}
+	return r, nil
+}
+
+// Step takes what has come in at now, and returns what to tell. It must be told of every step of the module, after it.
+func (s *Seam) Step(now time.Duration, in Input) (tell []ledger.Page) {
+	s.Now = now
+	if in.Life != (ledger.Life{}) && in.Life.Compare(s.Life) > 0 {
+		s.Life = in.Life
+		s.ledger.Raise(in.Life)
+		clear(s.Told) // the others forget what the life before has told
+		s.LookAt = 0
+	}
+	for _, p := range in.Heard {
+		s.ledger.Merge(now, p) // what it refuses it counts
+	}
+	for i := range in.Events {
+		s.observe(&in.Events[i])
+	}
+	for i := range in.Actions {
+		s.decided(&in.Actions[i])
+	}
+	for _, at := range slices.SortedFunc(maps.Keys(s.sent), func(a, b scope) int { return cmp.Compare(a.Route, b.Route) }) {
+		n, per := s.sent[at], 1 // in order: sums of floats depend on it
+		if k := s.Routes[at.Route].Kind; k >= 0 && k < len(s.Set.Kinds) {
+			per = max(1, s.Set.Kinds[k].PerCall)
+		}
+		s.tally(s.scopeOf(at.Route)).Calls += float64((n + per - 1) / per)
+	}
+	clear(s.sent)
+	if now >= s.SweepAt {
+		s.SweepAt = now + sweepEvery
+		s.ledger.Sweep(now)
+		maps.DeleteFunc(s.Tallies, func(_ scope, t *Tally) bool {
+			t.fade(now)
+			return t.Backlog == 0 && t.Wait <= now && t.Demand+t.Calls+t.Refusals+t.Deliveries+t.Failures < 1e-6
+		})
+	}
+	if now < s.LookAt {
+		return nil
+	}
+	s.LookAt = now + lookEvery
+	if in.Views != nil {
+		s.look(in.Views())
+	}
+	return s.tell(now)
+}
+
+// Wake is when a step is due at the latest, even if nothing happens.
+func (s *Seam) Wake() time.Duration { return s.LookAt }
+
+// Ledger is what the Seam has heard. It must only be asked.
+func (s *Seam) Ledger() *ledger.Ledger { return s.ledger }
+
+func (t *Tally) fade(now time.Duration) {
+	if now > t.At {
+		f := math.Exp(-float64(now-t.At) / float64(rateSpan))
+		t.Demand, t.Calls, t.Refusals, t.Deliveries, t.Failures = f*t.Demand, f*t.Calls, f*t.Refusals, f*t.Deliveries, f*t.Failures
+	}
+	t.At = now
+}
+
+func (s *Seam) tally(at scope) *Tally {
+	t := s.Tallies[at]
+	if t == nil {
+		t = &Tally{At: s.Now}
+		s.Tallies[at] = t
+	}
+	t.fade(s.Now)
+	return t
+}
+
+// scopeOf is what shares a limit with a route: its destination, or itself where its kind stands apart.
+func (s *Seam) scopeOf(route string) scope {
+	l := s.Routes[route]
+	if l.Kind >= 0 && l.Kind < len(s.Set.Kinds) && s.Set.Kinds[l.Kind].Separate {
+		return scope{Dest: l.Dest, Route: route}
+	}
+	return scope{Dest: l.Dest}
+}
+
+// waits books that a message waits or no longer does, at its destination: which route it will take is not known.
+func (s *Seam) waits(id uint32, h held, waiting bool) {
+	if h.Waiting == waiting {
+		return
+	}
+	t := s.tally(scope{Dest: h.Dest})
+	if waiting {
+		t.Backlog++
+	} else {
+		t.Backlog = max(0, t.Backlog-1)
+	}
+	h.Waiting = waiting
+	s.Held[id] = h
+}
+
+func (s *Seam) gone(id uint32) {
+	if h, ok := s.Held[id]; ok {
+		s.waits(id, h, false)
+		delete(s.Held, id)
+	}
+}
+
+func (s *Seam) observe(e *policy.Event) {
+	switch e.Kind {
+	case policy.Taken:
+		s.gone(e.ID)
+		if e.Resumed == nil {
+			s.tally(scope{Dest: e.Destination}).Demand++
+		}
+		s.waits(e.ID, held{Dest: e.Destination}, true)
+	case policy.Withdrawn:
+		s.gone(e.ID)
+	case policy.Finished, policy.Probed:
+		s.finished(e)
+	case policy.ListWhole, policy.ListChanges:
+		s.list(e)
+	}
+}
+
+func (s *Seam) finished(e *policy.Event) {
+	if _, ok := s.Routes[e.Route]; ok {
+		t := s.tally(s.scopeOf(e.Route))
+		switch e.Outcome {
+		case policy.OK:
+			t.Deliveries++
+		case policy.Full:
+			t.Refusals++
+		case policy.Error, policy.Timeout, policy.ConnectFailed, policy.Reset:
+			t.Failures++
+		}
+		if e.Wait > 0 {
+			t.Wait = max(t.Wait, s.Now+e.Wait)
+		}
+	}
+	if h, ok := s.Held[e.ID]; ok && e.Kind == policy.Finished {
+		if e.Ended {
+			s.gone(e.ID)
+		} else {
+			s.waits(e.ID, h, true)
+		}
+	}
+}
+
+func (s *Seam) decided(a *policy.Action) {
+	switch a.Kind {
+	case policy.Send:
+		if h, ok := s.Held[a.ID]; ok {
+			s.waits(a.ID, h, false)
+		}
+		if _, ok := s.Routes[a.Route]; ok {
+			s.sent[scope{Route: a.Route}]++
+		}
+	case policy.Refuse, policy.Fail:
+		s.gone(a.ID)
+	}
+}
+
+func (s *Seam) list(e *policy.Event) {
+	if e.Kind == policy.ListWhole {
+		clear(s.Routes)
+	}
+	for _, l := range e.List {
+		if l.Gone {
+			delete(s.Routes, l.Route)
+		} else {
+			s.Routes[l.Route] = listed{Dest: l.Destination, Kind: l.Kind, Limit: l.Weight}
+		}
+	}
+	s.ledger.SetLimits(s.Limits())
+}
+
+// Limits are what the list tells, by destination and route as in the ledger's cells.
+func (s *Seam) Limits() ledger.Limits {
+	limits := ledger.Limits{}
+	for route, l := range s.Routes {
+		at := s.scopeOf(route)
+		if l.Limit <= 0 {
+			continue
+		}
+		for _, name := range []string{at.Route, ""} { // of separate routes, backlog and demand are told for the destination
+			if limits[l.Dest] == nil {
+				limits[l.Dest] = map[string]float64{}
+			}
+			if at.Route != "" && name == "" {
+				limits[l.Dest][name] += l.Limit
+			} else {
+				limits[l.Dest][name] = max(limits[l.Dest][name], l.Limit)
+			}
+			if at.Route == "" {
+				break
+			}
+		}
+	}
+	return limits
+}
+
+// look takes from the module which routes it holds to be cold.
+func (s *Seam) look(views []policy.View) {
+	for _, t := range s.Tallies {
+		t.Cold = false
+	}
+	for _, v := range views {
+		if _, ok := s.Routes[v.Route]; ok && (v.Cold || v.Down) {
+			s.tally(s.scopeOf(v.Route)).Cold = true
+		}
+	}
+}
+
+// tell returns the pages that are due.
+func (s *Seam) tell(now time.Duration) (pages []ledger.Page) {
+	cells := map[int][]ledger.Cell{}
+	for at, t := range s.Tallies {
+		t.fade(now)
+		if c := t.cell(at, now); !c.Idle() {
+			cells[ledger.PageOf(at.Dest)] = append(cells[ledger.PageOf(at.Dest)], c)
+		}
+	}
+	numbers := slices.Collect(maps.Keys(cells))
+	for n := range s.Told {
+		if _, ok := cells[n]; !ok {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	rest := max(tellLeast, tellShare*time.Duration(len(s.Set.Members)))
+	for _, n := range numbers {
+		was, told := s.Told[n]
+		page := fit(cells[n])
+		if !due(was, page, told, now, rest) {
+			continue
+		}
+		if !told && len(s.Told) >= ledger.PagesMost {
+			continue // more destinations at once than a member may tell of: these wait until others fall idle
+		}
+		s.Sequence++
+		p, err := s.ledger.Tell(now, n, s.Sequence, page)
+		if err != nil {
+			continue // counted; a figure of this relay's own beyond the bounds is not told
+		}
+		pages = append(pages, p)
+		if s.Told[n] = (toldPage{At: now, Cells: page}); len(page) == 0 {
+			delete(s.Told, n) // an empty page fades like others, and says nothing meanwhile
+		}
+	}
+	return pages
+}
+
+func (t *Tally) cell(at scope, now time.Duration) ledger.Cell {
+	rate := func(level float64) float64 { return round(level / rateSpan.Seconds()) }
+	return ledger.Cell{
+		Dest: at.Dest, Route: at.Route, Demand: rate(t.Demand), Calls: rate(t.Calls), Refusals: rate(t.Refusals), Deliveries: rate(t.Deliveries),
+		Failures: rate(t.Failures), Backlog: t.Backlog, Wait: max(0, t.Wait-now).Round(time.Millisecond), Cold: t.Cold,
+	}
+}
+
+// round keeps what fits two bytes on the wire: eleven binary digits, and nothing under a thousandth.
+func round(x float64) float64 {
+	if x < 1e-3 {
+		return 0
+	}
+	frac, exp := math.Frexp(min(x, 65000))
+	return math.Ldexp(math.Round(frac*(1<<11))/(1<<11), exp)
+}
+
+// fit puts cells into order and leaves the least ones out where a page holds no more.
+func fit(cells []ledger.Cell) []ledger.Cell {
+	byPlace := func(a, b ledger.Cell) int { return cmp.Or(cmp.Compare(a.Dest, b.Dest), cmp.Compare(a.Route, b.Route)) }
+	slices.SortFunc(cells, func(a, b ledger.Cell) int {
+		return cmp.Or(cmp.Compare(b.Demand+b.Calls, a.Demand+a.Calls), byPlace(a, b))
+	})
+	size := 0
+	for i, c := range cells {
+		if size += cellBytes + len(c.Route); size > pageBytes || i == ledger.CellsMost {
+			cells = cells[:i]
+			break
+		}
+	}
+	slices.SortFunc(cells, byPlace)
+	return cells
+}
+
+// due tells whether a page must be told.
+func due(was toldPage, cells []ledger.Cell, told bool, now, rest time.Duration) bool {
+	switch {
+	case !told:
+		return len(cells) > 0
+	case now-was.At >= max(tellAgain, rest):
+		return true
+	case len(cells) != len(was.Cells):
+		return now-was.At >= rest
+	}
+	for i, c := range cells {
+		o := was.Cells[i]
+		if c.Dest != o.Dest || c.Route != o.Route {
+			return now-was.At >= rest
+		}
+		waits := c.Wait > 0 && (o.Wait == 0 || (c.Wait-(o.Wait-(now-was.At))).Abs() > 2*lookEvery)
+		if waits || c.Cold != o.Cold || (c.Backlog > 0) != (o.Backlog > 0) {
+			return now-was.At >= lookEvery
+		}
+		if moved(c.Demand, o.Demand) || moved(c.Calls, o.Calls) || moved(c.Refusals, o.Refusals) || moved(c.Deliveries, o.Deliveries) ||
+			moved(c.Failures, o.Failures) || moved(float64(c.Backlog), float64(o.Backlog)) {
+			return now-was.At >= rest
+		}
+	}
+	return false
+}
+
+func moved(a, b float64) bool { return math.Abs(a-b) > max(changeLeast, changeShare*max(a, b)) }
+
+var canonical = func() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
+// Snapshot appends the state, the same bytes for the same state.
+func (s *Seam) Snapshot(b []byte) []byte {
+	x := s.state
+	s.ledger.Pages(s.Now, func(p ledger.Page) { x.Pages = append(x.Pages, p) })
+	data, err := canonical.Marshal(x)
+	if err != nil {
+		return b // a rate that is no number: Step makes none
+	}
+	return append(b, data...)
+}
+
+// Restore reads what Snapshot wrote.
+func Restore(data []byte) (*Seam, error) {
+	var x state
+	if err := cbor.Unmarshal(data, &x); err != nil {
+		return nil, fmt.Errorf("seam: %w", err)
+	}
+	s := New(x.Set)
+	s.ledger.Raise(x.Life)
+	pages := x.Pages
+	x.Pages = nil
+	for _, m := range []func(){func() { fill(&x.Tallies) }, func() { fill(&x.Routes) }, func() { fill(&x.Held) }, func() { fill(&x.Told) }} {
+		m()
+	}
+	s.state = x
+	for _, p := range pages {
+		if p.Name == x.Set.Self {
+			s.ledger.Keep(x.Now, p)
+		} else {
+			s.ledger.Merge(x.Now, p)
+		}
+	}
+	s.ledger.SetLimits(s.Limits())
+	return s, nil
+}
+
+func fill[K comparable, V any](m *map[K]V) {
+	if *m == nil {
+		*m = map[K]V{}
+	}
+}
--- /dev/null
+++ b/internal/fleet/seam/seam_test.go
@@ -0,0 +1,204 @@
+package seam
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/flight"
+	"onyxroad.dev/onyxroad/internal/flight/flighttest"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+func newSeam() *Seam {
+	return New(Settings{Self: "me", Life: ledger.Life{Incarnation: 1, Boot: 2}, Members: []string{"me", "a", "b"}, Kinds: flighttest.Settings().Kinds})
+}
+
+// history is what a module lived through.
+func history(t *testing.T, seed uint64) (steps []flight.Entry) {
+	_, rec := flighttest.Drive(seed, 20*time.Second, 64<<20, nil)
+	var buf bytes.Buffer
+	if _, err := rec.WriteTo(&buf); err != nil {
+		t.Fatal(err)
+	}
+	r, err := flight.NewReader(buf.Bytes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for {
+		e, ok, err := r.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !ok {
+			return steps
+		}
+		if e.Kind == flight.Step {
+			steps = append(steps, e)
+		}
+	}
+}
+
+func input(e flight.Entry, n int) Input {
+	in := Input{Events: e.Events, Actions: e.Actions, Views: func() []policy.View { return nil }}
+	if n%97 == 0 {
+		in.Heard = []ledger.Page{{Name: "a", Life: ledger.Life{Incarnation: 1, Boot: 1}, Sequence: uint64(n + 1), Cells: []ledger.Cell{{Dest: 1, Calls: 2}}}}
+	}
+	return in
+}
+
+// A Seam that is restored in the middle goes on as the one that was not: the same pages, the same state.
+func TestRestoredGoesOnAlike(t *testing.T) {
+	for seed := range uint64(3) {
+		steps := history(t, seed)
+		a, b := newSeam(), newSeam()
+		told := 0
+		for i, e := range steps {
+			x, y := a.Step(e.Now, input(e, i)), b.Step(e.Now, input(e, i))
+			if !reflect.DeepEqual(x, y) {
+				t.Fatalf("seed %d, step %d: %v and %v", seed, i, x, y)
+			}
+			told += len(x)
+			if i%701 == 700 {
+				state := a.Snapshot(nil)
+				var err error
+				if b, err = Restore(state); err != nil {
+					t.Fatal(err)
+				}
+				if again := b.Snapshot(nil); !bytes.Equal(state, again) {
+					t.Fatalf("seed %d, step %d: restored, the state is another", seed, i)
+				}
+			}
+		}
+		if told < 20 || a.Ledger().Others(a.Now, 1, "").Members == 0 {
+			t.Errorf("seed %d: only %d pages were told", seed, told)
+		}
+	}
+	if _, err := Restore([]byte("no state")); err == nil {
+		t.Error("no state is restored")
+	}
+}
+
+// drive has a destination meet so many messages a second, each sent at once, of which every third is refused with a wait.
+func drive(s *Seam, from, to time.Duration, rate float64) (told []ledger.Page) {
+	every := time.Duration(float64(time.Second) / rate)
+	for now, id := from, uint32(from); now < to; now, id = now+every, id+1 {
+		told = append(told, s.Step(now, Input{
+			Events:  []policy.Event{{Kind: policy.Taken, ID: id, Destination: 9}},
+			Actions: []policy.Action{{Kind: policy.Send, ID: id, Route: "s-1"}},
+			Views:   func() []policy.View { return nil },
+		})...)
+		e := policy.Event{Kind: policy.Finished, ID: id, Route: "s-1", Outcome: policy.OK, Ended: true}
+		if id%3 == 0 {
+			e.Outcome, e.Ended, e.Wait = policy.Full, false, 400*time.Millisecond
+		}
+		s.Step(now+every/2, Input{Events: []policy.Event{e}})
+	}
+	return told
+}
+
+// What is told is what happened, no more often than all others can bear, and fades when nothing happens any more.
+func TestWhatIsTold(t *testing.T) {
+	s := newSeam()
+	s.Step(time.Second, Input{Events: []policy.Event{{Kind: policy.ListWhole, List: []policy.Listing{
+		{Route: "s-1", Destination: 9, Weight: 50, InService: true}, {Route: "s-2", Destination: 12, Kind: 1, Weight: 5, InService: true},
+		{Route: "s-3", Destination: 12, Kind: 1, Weight: 7, InService: true},
+	}}}})
+	if want := (ledger.Limits{9: {"": 50}, 12: {"": 12, "s-2": 5, "s-3": 7}}); !reflect.DeepEqual(s.Limits(), want) {
+		t.Errorf("%v, want %v", s.Limits(), want)
+	}
+	told := drive(s, time.Second, 41*time.Second, 30)
+	last := told[len(told)-1]
+	if last.Name != "me" || last.Number != ledger.PageOf(9) || len(last.Cells) != 1 {
+		t.Fatalf("%+v", last)
+	}
+	c := last.Cells[0]
+	for what, got := range map[string][2]float64{
+		"demand": {c.Demand, 30}, "calls": {c.Calls, 30}, "refusals": {c.Refusals, 10}, "deliveries": {c.Deliveries, 20}, "failures": {c.Failures, 0},
+	} {
+		if math.Abs(got[0]-got[1]) > 0.1*got[1] {
+			t.Errorf("%s: %g, want %g", what, got[0], got[1])
+		}
+	}
+	if c.Backlog < 100 || c.Wait <= 0 || c.Wait > 400*time.Millisecond {
+		t.Errorf("backlog %d, wait %v: each third message waits", c.Backlog, c.Wait)
+	}
+	if len(told) > 40*8 {
+		t.Errorf("%d pages in 40 s", len(told))
+	}
+	for i := 1; i < len(told); i++ {
+		if told[i].Sequence <= told[i-1].Sequence {
+			t.Fatal("sequences do not grow")
+		}
+	}
+	var ids []policy.Event
+	for id := range s.Held {
+		ids = append(ids, policy.Event{Kind: policy.Withdrawn, ID: id})
+	}
+	s.Step(41*time.Second, Input{Events: ids})
+	empty := false
+	for now := 41 * time.Second; now < 200*time.Second; now += 100 * time.Millisecond {
+		for _, p := range s.Step(now, Input{Views: func() []policy.View { return nil }}) {
+			empty = len(p.Cells) == 0
+		}
+	}
+	if !empty || len(s.Tallies) > 0 || len(s.Told) > 0 || len(s.Held) > 0 {
+		t.Errorf("empty told: %v; kept: %v %v %v", empty, s.Tallies, s.Told, s.Held)
+	}
+}
+
+// A page holds what fits a datagram, the greatest first; destinations beyond the bound wait.
+func TestBoundsOfWhatIsTold(t *testing.T) {
+	s := newSeam()
+	var list []policy.Listing
+	for i := range 40 {
+		list = append(list, policy.Listing{Route: fmt.Sprintf("a-route-of-some-length-%02d", i), Destination: 1, Kind: 1, Weight: 5, InService: true})
+	}
+	for d := range 600 {
+		list = append(list, policy.Listing{Route: fmt.Sprint("x", d), Destination: 4 + d, Weight: 5, InService: true})
+	}
+	evs := []policy.Event{{Kind: policy.ListWhole, List: list}}
+	for i, l := range list {
+		for n := range 1 + i%3 {
+			evs = append(evs, policy.Event{Kind: policy.Finished, ID: uint32(1000*n + i), Route: l.Route, Outcome: policy.OK})
+		}
+	}
+	told := s.Step(time.Second, Input{Events: evs, Views: func() []policy.View { return nil }})
+	if len(told) != ledger.PagesMost {
+		t.Errorf("%d pages", len(told))
+	}
+	if n := len(told[0].Cells); n < 10 || n > ledger.CellsMost {
+		t.Errorf("%d cells on a page", n)
+	}
+	// A new life tells all again, and the others forget the one before.
+	again := s.Step(2*time.Second, Input{Life: ledger.Life{Incarnation: 2, Boot: 2}, Views: func() []policy.View { return nil }})
+	if len(again) != ledger.PagesMost || again[0].Incarnation != 2 {
+		t.Errorf("%d pages of life %v", len(again), again[0].Life)
+	}
+}
+
+// BenchmarkStep is the cost of a step beside the module's.
+func BenchmarkStep(b *testing.B) {
+	s := newSeam()
+	var list []policy.Listing
+	for d := range 30 {
+		list = append(list, policy.Listing{Route: fmt.Sprint("s-", d), Destination: d, Weight: 50, InService: true})
+	}
+	s.Step(time.Second, Input{Events: []policy.Event{{Kind: policy.ListWhole, List: list}}})
+	ev, act := make([]policy.Event, 1), make([]policy.Action, 1)
+	none := func() []policy.View { return nil }
+	b.ReportAllocs()
+	id := uint32(0)
+	for now := time.Second; b.Loop(); now += time.Millisecond {
+		id++
+		ev[0] = policy.Event{Kind: policy.Taken, ID: id, Destination: int(id % 30)}
+		act[0] = policy.Action{Kind: policy.Send, ID: id, Route: list[id%30].Route}
+		s.Step(now, Input{Events: ev, Actions: act, Views: none})
+		ev[0] = policy.Event{Kind: policy.Finished, ID: id, Route: list[id%30].Route, Outcome: policy.OK, Ended: true}
+		s.Step(now, Input{Events: ev, Views: none})
+	}
+}
--- a/internal/flight/form.go
+++ b/internal/flight/form.go
@@ -18,8 +18,12 @@
 	"onyxroad.dev/onyxroad/policy"
 )
 
-// Format is the version of the form that this package writes, and the newest that it reads.
-const Format = 1
+// Format is the newest version of the form that this package reads. It writes the first one, which has no frames of what stands beside
+// the module, unless such are asked for.
+const (
+	Format      = 2
+	formatPlain = 1
+)
 
 // Sizes of the form, in bytes.
 const (
@@ -41,6 +45,9 @@
 	frameClear byte = 'C'
 	frameLabel byte = 'L'
 	frameNote  byte = 'N'
+	// What stands beside the module: its state, behind the module's own in each chunk, and what it was told and told in a step.
+	frameBesideState byte = 'G'
+	frameBeside      byte = 'F'
 )
 
 // The errors of reading.
--- a/internal/flight/reader.go
+++ b/internal/flight/reader.go
@@ -15,12 +15,14 @@
 
 // The kinds of entry.
 const (
-	Begin   EntryKind = iota // a chunk begins: Meta, Fresh and State tell of the module there
-	Step                     // a step: Now, Events, Actions
-	Cleared                  // an answer of policy.Sender.MayStill: Now, Route, IDs, May
-	Label                    // the trace id of a message: Message, Text
-	Note                     // a remark: Text
-	Lost                     // something could not be read, or is missing: Text tells what
+	Begin       EntryKind = iota // a chunk begins: Meta, Fresh and State tell of the module there
+	Step                         // a step: Now, Events, Actions
+	Cleared                      // an answer of policy.Sender.MayStill: Now, Route, IDs, May
+	Label                        // the trace id of a message: Message, Text
+	Note                         // a remark: Text
+	BesideState                  // the state of what stands beside the module: State
+	Beside                       // what that was told and told in the step before: State
+	Lost                         // something could not be read, or is missing: Text tells what
 )
 
 // Entry is one thing that a recording holds.
@@ -32,7 +34,7 @@
 	Chunk uint32 // Begin
 	Meta  Meta   // Begin
 	Fresh bool   // Begin: the module had been told nothing
-	State []byte // Begin, unless Fresh
+	State []byte // Begin, unless Fresh; BesideState, Beside
 
 	Now     time.Duration // the module's time: Begin, Step, Cleared
 	Events  []policy.Event
@@ -221,6 +223,12 @@
 	case frameLabel:
 		e.Kind, e.Message = Label, d.message()
 		e.Text = string(d.bytes())
+	case frameBesideState, frameBeside:
+		e.Kind = BesideState
+		if payload[0] == frameBeside {
+			e.Kind = Beside
+		}
+		e.State, d.data = d.data, nil
 	case frameNote:
 		e.Kind, e.Text = Note, string(d.bytes())
 	default:
--- a/internal/flight/recorder.go
+++ b/internal/flight/recorder.go
@@ -48,8 +48,9 @@
 	mu     sync.Mutex
 	meta   Meta
 	state  func([]byte) []byte
-	ring   int // bytes
-	least  int // bytes of a chunk
+	beside func([]byte) []byte // state of what stands beside the module; nil: nothing does
+	ring   int                 // bytes
+	least  int                 // bytes of a chunk
 	id     uint64
 	enc    encoder
 	chunks []chunk // full ones, oldest first; the open one is enc's
@@ -88,13 +89,25 @@
 		ring = DefaultRing
 	}
 	ring = max(ring, LeastRing)
-	meta.Format = Format
+	meta.Format = formatPlain
 	return &Recorder{
 		meta: meta, state: state, ring: ring, least: ring / chunkShare, id: rand.Uint64(),
 		enc: encoder{names: map[string]uint32{}}, more: make(chan struct{}, 1),
 	}
 }
 
+// Beside has something that stands beside the module recorded with it: state appends its state as Snapshot does. It is called before
+// the first step, on a recorder that nobody follows yet; each step is then StepBeside.
+func (r *Recorder) Beside(state func([]byte) []byte) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.beside, r.meta.Format = state, Format
+	r.begin(len(r.chunks) == 0 && r.now == 0)
+}
+
 // begin opens a chunk.
 func (r *Recorder) begin(fresh bool) {
 	number := r.enc.chunk
@@ -118,6 +131,11 @@
 		r.enc.buf = r.state(r.enc.buf)
 		r.enc.close()
 	}
+	if r.beside != nil {
+		r.enc.frame(frameBesideState)
+		r.enc.buf = r.beside(r.enc.buf)
+		r.enc.close()
+	}
 	r.full = max(r.least, stateShare*len(r.enc.buf))
 }
 
@@ -138,6 +156,11 @@
 
 // Step records a step: what the module was told at now, and what it decided. It is called after the module's own Step.
 func (r *Recorder) Step(now time.Duration, events []policy.Event, actions []policy.Action) {
+	r.StepBeside(now, events, actions, nil)
+}
+
+// StepBeside is Step, with what stands beside the module was told and told in the same step; empty: nothing.
+func (r *Recorder) StepBeside(now time.Duration, events []policy.Event, actions []policy.Action, beside []byte) {
 	if r == nil {
 		return
 	}
@@ -162,6 +185,11 @@
 		return
 	}
 	e.close()
+	if r.beside != nil {
+		e.frame(frameBeside)
+		e.buf = append(e.buf, beside...)
+		e.close()
+	}
 	r.roll()
 }
 
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -30,7 +30,9 @@
 	Ready func() bool
 	// Figures writes the process's figures. The same holds for it.
 	Figures func(io.Writer)
-	Log     *slog.Logger
+	// Fleet writes what this process sees of its fleet, as JSON; nil: it belongs to none. The same holds for it.
+	Fleet func(io.Writer) error
+	Log   *slog.Logger
 }
 
 // Handler answers the calls.
@@ -47,6 +49,14 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		s.Figures(w)
 	})
+	if s.Fleet != nil {
+		mux.HandleFunc("GET /v1/fleet", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			if err := s.Fleet(w); err != nil {
+				s.Log.Debug("fleet not told", "err", err) // the caller has left
+			}
+		})
+	}
 	return mux
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,7 +6,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
+	"net"
+	"net/netip"
 	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/flight"
@@ -20,8 +26,21 @@
 	Log      Log      `toml:"log"`
 	Recorder Recorder `toml:"recorder"`
 	Journal  Journal  `toml:"journal"`
+	Fleet    Fleet    `toml:"fleet"`
 }
 
+// Fleet says whether the relay and others of its fleet tell each other of themselves, and where.
+type Fleet struct {
+	Enabled bool              `toml:"enabled"`
+	Name    string            `toml:"name"`   // of this relay among them; default: the one that the platform gives it
+	Label   string            `toml:"label"`  // of the fleet: relays of another one are not heard
+	Listen  string            `toml:"listen"` // IP and port, for TCP and UDP
+	Join    map[string]string `toml:"join"`   // addresses of all by their names, as this relay reaches them; its own is passed over
+}
+
+// fleetMost bounds the relays of a fleet that tell each other of themselves.
+const fleetMost = 1024
+
 // Journal says what outlasts more than the process, and what is kept in memory.
 type Journal struct {
 	Sync       string  `toml:"sync"`             // "never", the default; "interval" or "commit": what outlasts the machine
@@ -84,7 +103,7 @@
 	setDefault(&f.Recorder.FolderMB, 64)
 	setDefault(&f.Journal.Sync, "never")
 	setDefault(&f.Journal.IntervalMS, 1000)
-	if err := f.check(); err != nil {
+	if err := f.check(stricttoml.Lines(data)); err != nil {
 		return File{}, fmt.Errorf("operator's file: %s: %w", name, err)
 	}
 	return f, nil
@@ -97,8 +116,8 @@
 	}
 }
 
-func (f *File) check() error {
-	var errs []error
+func (f *File) check(lines map[string]int) error {
+	errs := f.Fleet.check(lines)
 	bad := func(ok bool, format string, args ...any) {
 		if !ok {
 			errs = append(errs, fmt.Errorf(format, args...))
@@ -119,6 +138,35 @@
 	return errors.Join(errs...)
 }
 
+func (f Fleet) check(lines map[string]int) (errs []error) {
+	bad := func(ok bool, key, format string, args ...any) {
+		if ok {
+			return
+		}
+		at := ""
+		if line := lines["fleet."+key]; line > 0 {
+			at = fmt.Sprintf("line %d: ", line)
+		}
+		errs = append(errs, fmt.Errorf(at+"fleet."+key+" "+format, args...))
+	}
+	named := func(s string) bool { return len(s) <= 64 && !strings.ContainsAny(s, " /\"\t\r\n") }
+	bad(named(f.Name), "name", "is %q: 64 bytes at most, without blanks, slashes and quotes", f.Name)
+	bad(named(f.Label), "label", "is %q: 64 bytes at most, without blanks, slashes and quotes", f.Label)
+	if f.Listen != "" || f.Enabled {
+		at, err := netip.ParseAddrPort(f.Listen)
+		bad(err == nil && at.Port() > 0 && !at.Addr().IsUnspecified(), "listen", "is %q, not an IP address of this machine and a port, such as \"10.0.0.7:7946\"", f.Listen)
+	}
+	bad(!f.Enabled || len(f.Join) > 0, "join", "names nobody: a table of all relays' names and addresses is needed")
+	bad(len(f.Join) <= fleetMost, "join", "names %d relays, %d at most", len(f.Join), fleetMost)
+	for _, n := range slices.Sorted(maps.Keys(f.Join)) {
+		bad(n != "" && named(n), "join."+n, "names %q: 64 bytes at most, without blanks, slashes and quotes", n)
+		host, port, err := net.SplitHostPort(f.Join[n])
+		number, portErr := strconv.ParseUint(port, 10, 16)
+		bad(err == nil && host != "" && portErr == nil && number > 0, "join."+n, "is %q, not an address and a port, such as \"10.0.0.8:7946\"", f.Join[n])
+	}
+	return errs
+}
+
 // Ring is the recorder's memory, in bytes.
 func (r Recorder) Ring() int { return int(r.RingMB * (1 << 20)) }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -20,11 +21,18 @@
 		t.Error(err)
 	}
 	shipped, err := Load("../../deploy/cherrytrestle.toml")
-	if err != nil || shipped != f {
+	if err != nil || !reflect.DeepEqual(shipped, f) {
 		t.Errorf("the shipped file turns something on: %+v, %v", shipped, err)
 	}
 }
 
+func TestFleet(t *testing.T) {
+	f, err := Parse("f.toml", []byte("[fleet]\nenabled = true\nname = \"r1\"\nlisten = \"127.0.0.1:7946\"\n[fleet.join]\nr1 = \"127.0.0.1:7946\"\nr2 = \"relay-2:7946\"\n"))
+	if err != nil || !f.Fleet.Enabled || f.Fleet.Join["r2"] != "relay-2:7946" || f.Fleet.Listen != "127.0.0.1:7946" {
+		t.Errorf("%+v, %v", f.Fleet, err)
+	}
+}
+
 func TestJournalOptions(t *testing.T) {
 	f, err := Parse("f.toml", []byte("[journal]\nsync = \"interval\"\nsync_interval_ms = 250\nbodies_mb = 0.5\n"))
 	if err != nil {
@@ -50,6 +58,9 @@
 		"[journal]\nsync = \"often\"\nsync_interval_ms = 1\nbodies_mb = -1\n": {
 			`journal.sync is "often"`, "journal.sync_interval_ms is 1", "journal.bodies_mb is -1"},
 		"[recorder]\nring_mb = nan\n": {"recorder.ring_mb is NaN"},
+		"[fleet]\nenabled = true\n":   {`fleet.listen is ""`, "fleet.join names nobody"},
+		"[fleet]\nenabled = true\nname = \"a b\"\nlabel = \"x/y\"\nlisten = \"0.0.0.0:1\"\n[fleet.join]\nb = \"10.0.0.1\"\nc = \"10.0.0.1:0\"\n": {
+			`line 3: fleet.name is "a b"`, `line 4: fleet.label is "x/y"`, `line 5: fleet.listen is "0.0.0.0:1"`, `line 7: fleet.join.b is`, `line 8: fleet.join.c is`},
 	} {
 		_, err := Parse("f.toml", []byte(text))
 		for _, want := range wants {
@@ -63,7 +74,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("[recorder]\nenabled = true\nring_mb = 1\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if file, err := Parse("f", data); err == nil && file.check() != nil {
+		if file, err := Parse("f", data); err == nil && file.check(nil) != nil {
 			t.Errorf("taken, and wrong: %+v", file)
 		}
 	})
--- /dev/null
+++ b/internal/relay/fleet.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"cmp"
+
+	"onyxroad.dev/onyxroad/internal/fleet"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// joinFleet makes this relay a member of its fleet, where the operator's file says so.
+func (r *Relay) joinFleet() {
+	set := r.cfg.Operator.Fleet
+	if !set.Enabled {
+		return
+	}
+	r.fleet = fleet.New(fleet.Config{
+		Name: cmp.Or(set.Name, r.cfg.Name), Label: set.Label, Listen: set.Listen, Join: set.Join, Folder: r.cfg.StateDir,
+		Kinds: r.cfg.Settings.Kinds, Log: r.log, Nudge: r.nudge,
+	})
+	r.rec.Beside(r.fleet.Seam().Snapshot)
+}
+
+// takeUpFleet tells a member that goes on for another process what that knew: the list, and what waits.
+func (r *Relay) takeUpFleet(whole policy.Event) {
+	if r.fleet == nil {
+		return
+	}
+	evs, acts := []policy.Event{whole}, []policy.Action(nil)
+	for _, m := range r.inOrder() {
+		if m.ended {
+			continue
+		}
+		evs = append(evs, r.resumed(m))
+		if m.out > 0 {
+			acts = append(acts, policy.Action{Kind: policy.Send, ID: m.ID})
+		}
+	}
+	r.fleet.Step(r.now(), evs, acts, nil)
+	r.rec.Beside(r.fleet.Seam().Snapshot)
+}
+
+// nudge asks the loop for a step. It waits for nothing: a loop that has much to do takes its steps anyway.
+func (r *Relay) nudge() {
+	select {
+	case r.events <- nudge{}:
+	default:
+	}
+}
--- a/internal/relay/recorder.go
+++ b/internal/relay/recorder.go
@@ -90,6 +90,13 @@
 // decide has the module take a step, and records it.
 func (r *Relay) decide(now time.Duration, events []policy.Event) []policy.Action {
 	acts := r.sender.Step(now, events)
-	r.rec.Step(now, events, acts)
+	if r.fleet == nil {
+		r.rec.Step(now, events, acts)
+		return acts
+	}
+	beside := r.fleet.Step(now, events, acts, func() []policy.View { views, _ := r.sender.Views(); return views })
+	if r.rec.Recorder != nil {
+		r.rec.StepBeside(now, events, acts, beside.Append(nil))
+	}
 	return acts
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/figures"
+	"onyxroad.dev/onyxroad/internal/fleet"
 	"onyxroad.dev/onyxroad/internal/handover"
 	"onyxroad.dev/onyxroad/internal/herd"
 	"onyxroad.dev/onyxroad/internal/journal"
@@ -93,6 +94,7 @@
 	finals  *finals
 	agent   *agent
 	rec     *recording
+	fleet   *fleet.Member // nil: this relay tells others nothing and hears nothing
 	events  chan any
 	kept    atomic.Pointer[recording]   // rec, for other goroutines
 	waiting atomic.Bool                 // for the process before this one to hand over
@@ -166,6 +168,7 @@
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
 	r.hosts = newHosts(cfg, func(n int) { r.figures.Upstream.Add(int64(n)) })
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
+	r.joinFleet()
 	r.kept.Store(r.rec)
 	if cfg.Inherited != "" {
 		r.before, err = handover.Dial(r.handoverPath())
@@ -205,6 +208,10 @@
 	}
 	r.offer(work)
 	lead, stopLeading := context.WithCancel(work)
+	var linked sync.WaitGroup
+	if r.fleet != nil {
+		linked.Go(func() { r.fleet.Run(lead) })
+	}
 	r.stopLeading = stopLeading
 	defer stopLeading()
 	recorded := make(chan struct{})
@@ -235,6 +242,7 @@
 	r.calls.Wait() // their outcomes reach the log
 	stop()
 	<-r.over
+	linked.Wait()
 	r.hosts.close()
 	if r.successor != nil {
 		r.successor.Close()
--- a/internal/relay/retune.go
+++ b/internal/relay/retune.go
@@ -130,6 +130,9 @@
 		Figures: r.writeFigures,
 		Log:     r.log,
 	}
+	if r.fleet != nil {
+		s.Fleet = r.fleet.Write
+	}
 	go s.Serve(r.second, l)
 	return nil
 }
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -163,6 +163,7 @@
 			}
 		}
 	}
+	r.takeUpFleet(whole)
 	r.log.Info("taken over", "messages", len(r.msgs), "held", r.held, "out", len(r.remote), "state", known)
 	r.carryOut(r.decide(r.now(), evs), nil)
 }
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/fleet/seam"
 	"onyxroad.dev/onyxroad/internal/flight"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -63,6 +65,7 @@
 	Actions    int
 	Cleared    int
 	States     int // compared byte by byte at the begins of chunks
+	Beside     int // steps of the fleet's seam that were played, too
 	From, To   time.Duration
 	Lost       []string // what could not be read, or not be played
 	Difference *Difference
@@ -78,6 +81,10 @@
 	sender *policy.Sender // nil: waits for a chunk to begin with
 	set    policy.Settings
 	skip   bool // within a chunk that cannot be played
+
+	seam    *seam.Seam      // nil: the recording holds none, or waits for one
+	last    *flight.Entry   // step of the module, which the seam's is beside
+	decided []policy.Action // in it
 }
 
 // Play plays a recording, up to the first action that differs. The error tells that nothing could be played.
@@ -112,6 +119,12 @@
 		if p.sender != nil {
 			p.step(e)
 		}
+	case flight.BesideState:
+		p.besideState(e)
+	case flight.Beside:
+		if p.sender != nil && p.seam != nil && p.last != nil {
+			p.besideStep(e)
+		}
 	case flight.Cleared:
 		if p.sender != nil {
 			p.res.Cleared++
@@ -121,7 +134,7 @@
 		}
 	case flight.Lost:
 		p.lose(fmt.Sprintf("offset %d: %s", e.At, e.Text))
-		p.sender = nil
+		p.sender, p.seam, p.last = nil, nil, nil
 	}
 	if (e.Kind == flight.Label || e.Kind == flight.Note || e.Kind == flight.Lost) && p.visit.Other != nil {
 		p.visit.Other(e)
@@ -213,6 +226,7 @@
 		p.visit.Before(p.sender, e)
 	}
 	acts, err := step(p.sender, e)
+	p.last, p.decided = e, acts
 	if err != nil {
 		p.differ(e, "the module gave up", "", err.Error())
 		return
@@ -226,6 +240,40 @@
 	}
 }
 
+// besideState goes on with the seam's state that a chunk begins with, or compares it with the one that was reached.
+func (p *player) besideState(e *flight.Entry) {
+	if p.seam != nil {
+		if reached := p.seam.Snapshot(nil); !bytes.Equal(reached, e.State) {
+			p.differ(e, "the seam's state", fmt.Sprintf("%d bytes", len(e.State)), fmt.Sprintf("%d bytes, from byte %d on", len(reached), parting(reached, e.State)))
+		}
+		return
+	}
+	s, err := seam.Restore(e.State)
+	if err != nil {
+		p.lose(fmt.Sprintf("offset %d: %v", e.At, err))
+		return
+	}
+	p.seam = s
+}
+
+// besideStep plays the seam's step beside the module's last one.
+func (p *player) besideStep(e *flight.Entry) {
+	rec, err := seam.ReadRecord(e.State)
+	if err != nil {
+		p.lose(fmt.Sprintf("offset %d: %v", e.At, err))
+		p.seam = nil
+		return
+	}
+	p.res.Beside++
+	told := p.seam.Step(p.last.Now, seam.Input{
+		Heard: rec.Heard, Life: rec.Life, Events: p.last.Events, Actions: p.decided, Views: func() []policy.View { views, _ := p.sender.Views(); return views },
+	})
+	p.last = nil
+	if !slices.EqualFunc(told, rec.Told, func(a, b ledger.Page) bool { return reflect.DeepEqual(a, b) }) {
+		p.differ(e, "what the seam tells", fmt.Sprint(rec.Told), fmt.Sprint(told))
+	}
+}
+
 // step guards against a module that panics, on what another one was told.
 func step(s *policy.Sender, e *flight.Entry) (acts []policy.Action, err error) {
 	defer func() {
