Fleet link: pages go round once; tests of the link within one process

Seen: three idle links told each other the same page ten times a second for ever. Cause: of one version heard twice the greater age counts as changed (ledger.join), each hop adds up to a millisecond, and what changed is told on; confirmed by a queue that never emptied and messages counted over six seconds. Now only a way longer by 250 ms is news. Retransmits go by the listed members, not by those seen alive: counted from events they could be none, and a page then took one way only.

Tests in one process over memberlist's own network: all hear, latecomers too, the queue empties, digests alone repair, what is held up is older, twins. A bimodal figure was the test network's own: its packets wait for their reader, and two that answer each other stood still.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -27,6 +27,7 @@
 	HalfLife = 5 * time.Second
 	// AgeMost is the age at which it is dropped: less than a thousandth is left of it then.
 	AgeMost = 10 * HalfLife
+	ageNews = 250 * time.Millisecond // so much older than it was held to be, a page is told on once more
 
 	// Multiple bounds a rate by what the list tells of a destination, RateMost one of which it tells nothing. A relay tells
 	// its own part: more than so many times what the destination takes from all is no relay's traffic but a mistake.
@@ -104,7 +105,7 @@
 // The outcomes.
 const (
 	Changed Outcome = iota // it is new, or its version was younger before
-	Known
+	Known                  // or hardly older than it was held to be
 	Older
 	Own     // of the ledger's own member, of this life or one before it
 	Rival   // of the own member's name, and of a life that is not before this one
@@ -247,10 +248,15 @@
 		if c >= 0 && e.told >= old.told {
 			return Known
 		}
+		// A way that is a little longer is no news: told on, it would come back a little older still, for ever.
+		news := c < 0 || old.told-e.told >= ageNews
 		e.told = min(e.told, old.told)
 		if c > 0 {
 			e.cells = old.cells
 		}
+		if m.pages[p.Number] = e; !news {
+			return Known
+		}
 	}
 	m.pages[p.Number] = e
 	return Changed
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -87,14 +87,18 @@
 	if out, err := l.Merge(20*time.Second, p); out != Changed || err != nil {
 		t.Error(out, err)
 	}
+	p.Age = 3*time.Second + 2*time.Millisecond
+	if out, _ := l.Merge(20*time.Second, p); out != Known {
+		t.Error("what is hardly older is news, which goes round for ever:", out)
+	}
 	p.Age = 0
 	if out, _ := l.Merge(21*time.Second, p); out != Known {
 		t.Error("a younger telling of a version that was heard before is taken:", out)
 	}
-	if got, ok := l.Get(24*time.Second, "a", 0); !ok || got.Age != 7*time.Second {
+	if got, ok := l.Get(24*time.Second, "a", 0); !ok || got.Age != 7*time.Second+2*time.Millisecond {
 		t.Error(got, ok)
 	}
-	if s := l.Others(24*time.Second, 1, ""); math.Abs(s.Calls-8*math.Exp2(-7.0/5)) > 1e-9 || s.Wait != 3*time.Second || !s.Cold {
+	if s := l.Others(24*time.Second, 1, ""); math.Abs(s.Calls-8*math.Exp2(-7.002/5)) > 1e-9 || s.Wait != 2998*time.Millisecond || !s.Cold {
 		t.Errorf("%+v", s)
 	}
 	was := l.Others(20*time.Second, 1, "").Calls
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -27,6 +27,7 @@
 	packetMost   = 1350 // bytes of a datagram; ages grow by a byte or two between queue and wire
 	gossipEvery  = 100 * time.Millisecond
 	gossipTo     = 3
+	retransmits  = 3 // times the logarithm of the fleet's size: each page is sent on by each so often
 	probeEvery   = time.Second
 	probeFor     = 400 * time.Millisecond
 	syncEvery    = 10 * time.Second // digests are exchanged with one other so often, less often in large fleets
@@ -61,6 +62,7 @@
 
 	transport memberlist.NodeAwareTransport // of tests; nil: sockets
 	now       func() time.Duration          // of tests
+	syncEvery time.Duration                 // of tests; 0: the usual
 }
 
 // Link is one member's.
@@ -69,7 +71,6 @@
 	codec *codec.Codec
 	list  *memberlist.Memberlist
 	queue memberlist.TransmitLimitedQueue
-	node  atomic.Int64 // members alive, for the queue
 	wire  *transport
 
 	mu      sync.Mutex
@@ -126,16 +127,16 @@
 		cfg: cfg, codec: c, ledger: ledger.New(cfg.Name, cfg.Life, names(cfg.Join)), mail: map[place]struct{}{}, twin: -1,
 		replies: make(chan reply, repliesMost), raising: make(chan struct{}, 1),
 	}
-	l.queue.NumNodes = func() int { return int(l.node.Load()) }
+	l.queue.NumNodes = func() int { return len(cfg.Join) } // who listens, not who is seen: one that sees nobody yet tells all the same
 	mc := memberlist.DefaultLANConfig()
 	mc.Name, mc.Label = cfg.Name, cfg.Fleet
 	mc.Logger = slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)
 	mc.UDPBufferSize, mc.GossipInterval, mc.GossipNodes = packetMost, gossipEvery, gossipTo
 	mc.ProbeInterval, mc.ProbeTimeout, mc.TCPTimeout = probeEvery, probeFor, streamFor
-	mc.PushPullInterval, mc.EnableCompression, mc.DeadNodeReclaimTime = syncEvery, false, reclaimFor
-	mc.Delegate, mc.Events, mc.Conflict, mc.Alive = (*delegate)(l), (*delegate)(l), (*delegate)(l), (*delegate)(l)
+	mc.PushPullInterval, mc.EnableCompression, mc.DeadNodeReclaimTime = cmp.Or(cfg.syncEvery, syncEvery), false, reclaimFor
+	mc.Delegate, mc.Conflict, mc.Alive = (*delegate)(l), (*delegate)(l), (*delegate)(l)
 	mc.DelegateProtocolVersion, mc.DelegateProtocolMin, mc.DelegateProtocolMax = codec.Form, 0, codec.Form
-	l.queue.RetransmitMult = mc.RetransmitMult
+	l.queue.RetransmitMult = retransmits
 	inner := cfg.transport
 	if inner == nil {
 		at, err := netip.ParseAddrPort(cfg.Listen)
@@ -158,7 +159,6 @@
 	if l.list, err = memberlist.Create(mc); err != nil {
 		return nil, errors.Join(fmt.Errorf("link: %w", err), inner.Shutdown())
 	}
-	l.node.Store(1)
 	ctx, stop := context.WithCancel(context.Background())
 	l.stop = stop
 	l.works.Go(func() { l.reply(ctx) })
@@ -505,11 +505,8 @@
 
 func (d *delegate) link() *Link { return (*Link)(d) }
 
-func (d *delegate) NodeMeta(int) []byte           { return nil }
-func (d *delegate) NotifyMsg(data []byte)         { d.link().hear(data) }
-func (d *delegate) NotifyJoin(*memberlist.Node)   { d.node.Add(1) }
-func (d *delegate) NotifyLeave(*memberlist.Node)  { d.node.Add(-1) }
-func (d *delegate) NotifyUpdate(*memberlist.Node) {}
+func (d *delegate) NodeMeta(int) []byte   { return nil }
+func (d *delegate) NotifyMsg(data []byte) { d.link().hear(data) }
 
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
 	return d.queue.GetBroadcasts(overhead, limit)
--- /dev/null
+++ b/internal/fleet/link/link_test.go
@@ -0,0 +1,347 @@
+package link
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+)
+
+// network joins links within one process, with nothing between them but what a test puts there.
+type network struct {
+	memberlist.MockNetwork
+	seed  uint64
+	loss  atomic.Uint64 // of datagrams, in millionths
+	fault func(from, to string) (lost bool)
+}
+
+type tap struct {
+	*memberlist.MockTransport
+	net  *network
+	from string
+	mu   sync.Mutex
+	draw *rand.Rand
+}
+
+func (n *network) transport(name string) *tap {
+	n.seed++
+	return &tap{MockTransport: n.NewTransport(name), net: n, from: name, draw: rand.New(rand.NewPCG(n.seed, 3))}
+}
+
+func (p *tap) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	p.mu.Lock()
+	lost := p.draw.Uint64N(1e6) < p.net.loss.Load()
+	p.mu.Unlock()
+	if lost || p.net.fault != nil && p.net.fault(p.from, a.Name) {
+		return time.Now(), nil
+	}
+	// The network of memberlist's own hands a packet over to who reads: two that answer each other at once would wait for ever.
+	b = slices.Clone(b)
+	go p.MockTransport.WriteToAddress(b, a)
+	return time.Now(), nil
+}
+
+func (p *tap) DialAddressTimeout(a memberlist.Address, d time.Duration) (net.Conn, error) {
+	if p.net.fault != nil && p.net.fault(p.from, a.Name) {
+		return nil, errors.New("cut")
+	}
+	return p.MockTransport.DialAddressTimeout(a, d)
+}
+
+func linkName(i int) string { return fmt.Sprintf("r%03d", i) }
+
+// mesh starts links that all know each other.
+func mesh(t testing.TB, net *network, n int, edit func(i int, c *Config)) (links []*Link) {
+	taps, join := make([]*tap, n), map[string]string{}
+	for i := range n {
+		taps[i] = net.transport(linkName(i))
+		ip, port, err := taps[i].FinalAdvertiseAddr("", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		join[linkName(i)] = fmt.Sprintf("%s:%d", ip, port)
+	}
+	for i := range n {
+		c := Config{
+			Name: linkName(i), Join: join, Life: ledger.Life{Incarnation: 1, Boot: uint32(i + 1)}, Log: slog.New(slog.DiscardHandler),
+			Raise: func(uint64) error { return nil }, transport: taps[i],
+		}
+		if edit != nil {
+			edit(i, &c)
+		}
+		l, err := Start(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		links = append(links, l)
+	}
+	t.Cleanup(func() {
+		var ends sync.WaitGroup
+		for _, l := range links {
+			ends.Go(func() { l.Close() })
+		}
+		ends.Wait()
+	})
+	return links
+}
+
+func pageOf(l *Link, number int, seq uint64, calls float64) ledger.Page {
+	return ledger.Page{Name: l.cfg.Name, Life: l.ledger.Life(), Number: number, Sequence: seq, Cells: []ledger.Cell{
+		{Dest: number << 2, Demand: calls, Calls: calls, Deliveries: calls},
+	}}
+}
+
+// holds tells whether a link holds a page in at least this sequence.
+func (l *Link) holds(name string, number int, seq uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.ledger.Get(l.cfg.now(), name, number)
+	return ok && p.Sequence >= seq
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(40 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// Everyone hears of everyone, also who comes late, and a page that every datagram of was lost comes with the next exchange of digests.
+func TestAllHear(t *testing.T) {
+	net := &network{}
+	var late atomic.Bool
+	net.fault = func(from, to string) bool { return late.Load() != true && (from == linkName(4) || to == linkName(4)) }
+	links := mesh(t, net, 5, func(_ int, c *Config) { c.syncEvery = 300 * time.Millisecond })
+	for _, l := range links {
+		l.Tell([]ledger.Page{pageOf(l, 0, 1, 2)})
+	}
+	all := func(of []*Link, seq uint64) func() bool {
+		return func() bool {
+			for _, a := range of {
+				for _, b := range of {
+					if !a.holds(b.cfg.Name, 0, seq) {
+						return false
+					}
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "four hear each other", all(links[:4], 1))
+	if links[0].holds(linkName(4), 0, 1) {
+		t.Fatal("the one that is cut off is heard")
+	}
+	late.Store(true)
+	eventually(t, "all five hear each other", all(links, 1))
+	for i, l := range links {
+		heard, _ := l.Heard()
+		if len(heard) != 4 || !slices.IsSortedFunc(heard, func(a, b ledger.Page) int { return slices.Compare([]byte(a.Name), []byte(b.Name)) }) {
+			t.Errorf("%d: %v", i, heard)
+		}
+		if again, _ := l.Heard(); len(again) > 0 {
+			t.Errorf("%d: told twice: %v", i, again)
+		}
+	}
+	// Nothing new is to be told: all falls silent, but for who looks after whom.
+	for _, l := range links {
+		eventually(t, "the queue empties", func() bool { return l.Status().Queued == 0 })
+	}
+	net.loss.Store(1e6)
+	links[0].Tell([]ledger.Page{pageOf(links[0], 0, 2, 3)})
+	eventually(t, "by digests alone", func() bool {
+		return slices.IndexFunc(links[1:], func(l *Link) bool { return l.holds(linkName(0), 0, 2) }) >= 0
+	})
+}
+
+// What waited on its way, or for a process that was stopped, is as old as it is: the hearer's own clock tells.
+func TestHeldUpIsOlder(t *testing.T) {
+	at := time.Duration(0)
+	sender := &Link{cfg: Config{Name: "a", Life: ledger.Life{Incarnation: 1, Boot: 1}, now: func() time.Duration { return at }}}
+	hearer := mesh(t, &network{}, 2, func(i int, c *Config) {
+		c.Join = map[string]string{"a": "127.0.0.1:1"}
+		if i == 0 {
+			c.now = func() time.Duration { return at + time.Hour }
+		}
+	})[0]
+	sender.codec = hearer.codec
+	page := func(seq uint64) ledger.Page {
+		return ledger.Page{Name: "a", Life: sender.cfg.Life, Sequence: seq, Cells: []ledger.Cell{{Dest: 1, Calls: 1}}}
+	}
+	hearer.hear(sender.message(page(1)))
+	at += time.Second
+	data := sender.message(page(2))
+	at += 10 * time.Second // whoever held it
+	hearer.hear(data)
+	got, _ := hearer.Heard()
+	if len(got) != 1 || got[0].Sequence != 2 || got[0].Age < 9900*time.Millisecond {
+		t.Errorf("%+v", got)
+	}
+	hearer.hear([]byte("nothing that can be read"))
+	if s := hearer.Status(); s.Unread != 1 {
+		t.Error(s.Unread)
+	}
+}
+
+// Another process under the own name is outbid a few times; then this one falls silent, and tells again when none was heard for long.
+func TestTwins(t *testing.T) {
+	at := time.Duration(0)
+	var mu sync.Mutex
+	now := func() time.Duration { mu.Lock(); defer mu.Unlock(); return at }
+	var kept atomic.Uint64
+	links := mesh(t, &network{}, 2, func(i int, c *Config) {
+		if i == 0 {
+			c.now, c.Raise = now, func(n uint64) error { kept.Store(n); return errors.New("disk full") }
+		}
+	})
+	l := links[0]
+	twin := &Link{cfg: Config{Name: l.cfg.Name, Life: ledger.Life{Incarnation: 1, Boot: 999}, now: now}, codec: l.codec}
+	for i := range raisesMost {
+		life := ledger.Life{Incarnation: uint64(10 * (i + 1)), Boot: 999}
+		p := ledger.Page{Name: l.cfg.Name, Life: life, Sequence: 1}
+		l.hear(twin.message(p, ledger.Page{Name: l.cfg.Name, Life: life, Number: 1, Sequence: 2}))
+		eventually(t, "a new life", func() bool {
+			_, mine := l.Heard()
+			return mine.Incarnation == life.Incarnation+1 || kept.Load() == life.Incarnation+1 && l.Status().Life.Incarnation == life.Incarnation+1
+		})
+		if l.Status().Twin {
+			t.Fatal("silent after", i, "lives of another")
+		}
+	}
+	l.hear(twin.message(ledger.Page{Name: l.cfg.Name, Life: ledger.Life{Incarnation: 99, Boot: 999}, Sequence: 1}))
+	if s := l.Status(); !s.Twin {
+		t.Fatalf("%+v", s)
+	}
+	l.Tell([]ledger.Page{pageOf(l, 0, 1, 1)})
+	if l.Status().Queued != 0 {
+		t.Error("it goes on telling")
+	}
+	mu.Lock()
+	at += twinFor + time.Second
+	mu.Unlock()
+	l.Tell([]ledger.Page{pageOf(l, 0, 2, 1)})
+	if s := l.Status(); s.Twin || s.Queued == 0 {
+		t.Errorf("still silent: %+v", s)
+	}
+}
+
+func TestStartFails(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for _, listen := range []string{taken.Addr().String(), "nowhere", "127.0.0.1"} {
+		if l, err := Start(Config{Name: "a", Listen: listen, Log: slog.New(slog.DiscardHandler)}); err == nil {
+			l.Close()
+			t.Errorf("%q is taken", listen)
+		}
+	}
+}
+
+var large = flag.Bool("large", false, "measure fleets of 3 to 300 links in one process, for some minutes")
+
+// TestSpread measures, with -large, how soon all hear of a change, and what a member pays: links of one process, in real time.
+func TestSpread(t *testing.T) {
+	sizes := []int{3}
+	if *large {
+		sizes = []int{3, 20, 100, 300}
+	}
+	for _, loss := range []uint64{0, 300000} {
+		for _, n := range sizes {
+			t.Run(fmt.Sprintf("%d links, loss %.1f", n, float64(loss)/1e6), func(t *testing.T) { spread(t, n, loss) })
+		}
+	}
+}
+
+func spread(t *testing.T, n int, loss uint64) {
+	net := &network{}
+	links := mesh(t, net, n, nil)
+	eventually(t, "all are members", func() bool {
+		return !slices.ContainsFunc(links, func(l *Link) bool { return l.list.NumMembers() < n })
+	})
+	for _, l := range links {
+		l.Tell([]ledger.Page{pageOf(l, 0, 1, 1)})
+	}
+	eventually(t, "all are heard", func() bool {
+		for _, l := range links {
+			for _, m := range links {
+				if !l.holds(m.cfg.Name, 0, 1) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	net.loss.Store(loss)
+	bytes := func() (sum uint64) {
+		for _, l := range links {
+			sum += l.wire.sent.Load()
+		}
+		return sum
+	}
+	cpu := func() time.Duration {
+		var u syscall.Rusage
+		syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	// Each member tells a page of its own each 2.5 s, as one does that has nothing new; changes of one are timed meanwhile.
+	stop := make(chan struct{})
+	var background sync.WaitGroup
+	for i, l := range links[1:] {
+		background.Go(func() {
+			timer := time.NewTimer(time.Duration(i) * 2500 * time.Millisecond / time.Duration(n))
+			for seq := uint64(2); ; seq++ {
+				select {
+				case <-stop:
+					return
+				case <-timer.C:
+				}
+				l.Tell([]ledger.Page{pageOf(l, 0, seq, float64(seq%7))})
+				timer.Reset(2500 * time.Millisecond)
+			}
+		})
+	}
+	began, sentBefore, cpuBefore := time.Now(), bytes(), cpu()
+	var half, most, all []time.Duration
+	for round := range uint64(4) {
+		at := time.Now()
+		links[0].Tell([]ledger.Page{pageOf(links[0], 0, 2+round, 5)})
+		var times []time.Duration
+		known := make([]bool, n)
+		eventually(t, "all know of the change", func() bool {
+			for i, l := range links {
+				if !known[i] && l.holds(links[0].cfg.Name, 0, 2+round) {
+					known[i] = true
+					times = append(times, time.Since(at))
+				}
+			}
+			return len(times) == n
+		})
+		half, most, all = append(half, times[n/2]), append(most, times[(n*99+99)/100-1]), append(all, times[n-1])
+		time.Sleep(300 * time.Millisecond)
+	}
+	took := time.Since(began)
+	sent, used := bytes()-sentBefore, cpu()-cpuBefore
+	close(stop)
+	background.Wait()
+	mid := func(d []time.Duration) time.Duration { slices.Sort(d); return d[len(d)/2].Round(time.Millisecond) }
+	var heap runtime.MemStats
+	runtime.ReadMemStats(&heap)
+	t.Logf("n %d, loss %.0f%%: half %v, 99%% %v, all %v; %.0f bytes a second and %.2f ms of processor time a second a member",
+		n, float64(loss)/1e4, mid(half), mid(most), mid(all), float64(sent)/took.Seconds()/float64(n), used.Seconds()*1e3/took.Seconds()/float64(n))
+}
