Fleet: hard cases on processes, the short rig, status and pages; limits reach a link that comes up late

Seen: a member that told 90,000 calls a second of a destination that takes 500 was believed. Checked: the ledger refuses such a page when it knows the limit (unit test); the link's ledger knew none. Cause: fleet.Member.Step hands limits over with a list, and at a start the list is told before the link listens (lines of Step). Now a link that Step has not met gets them. The test tells such figures to real processes. Seen: members of a program with a higher delegate version were kept out whole. Cause: memberlist compares these numbers; they stay 0, the codec tells what it cannot read message by message (test with a member of a program that does not exist yet).

--- a/cmd/cherrytrestle/bench_test.go
+++ b/cmd/cherrytrestle/bench_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -61,3 +65,44 @@
 	}
 	return string(id)
 }
+
+// BenchmarkAccept tells how long a client waits for its 202, and a message for its delivery, at the 99th percentile: alone, in a fleet of
+// three, and in one of which a member hangs. All three take turns in one run, message by message.
+func BenchmarkAccept(b *testing.B) {
+	const messages = 3000
+	h := newHost(b, nil)
+	alone, rigs := newRig(b, 1, h), []*rig{newRig(b, 3, h), newRig(b, 3, h)}
+	must(b, os.Remove(filepath.Join(alone.relays[0].dir, "operator.toml")))
+	alone.relays[0].env = nil
+	alone.start(0)
+	for _, g := range rigs {
+		g.start(g.all()...)
+	}
+	g := rigs[1]
+	eventually(b, "the fleet is one", func() bool { state, _ := g.sees(0, 2); return state == "alive" })
+	must(b, g.relays[2].cmd.Process.Signal(syscall.SIGSTOP))
+	defer g.relays[2].cmd.Process.Signal(syscall.SIGCONT)
+	subjects := []*relayProcess{alone.relays[0], rigs[0].relays[0], g.relays[0]}
+	accepts, finals := make([][]time.Duration, 3), make([][]time.Duration, 3)
+	for i := range messages {
+		for k, r := range subjects {
+			id := traceID(3*i + k)
+			began := time.Now()
+			r.take(id, 9*time.Second)
+			accepts[k] = append(accepts[k], time.Since(began))
+			for h.count(id) == 0 {
+				time.Sleep(50 * time.Microsecond)
+			}
+			finals[k] = append(finals[k], time.Since(began))
+		}
+	}
+	p99 := func(d []time.Duration) float64 {
+		slices.Sort(d)
+		return float64(d[len(d)*99/100].Microseconds())
+	}
+	for k, name := range []string{"alone", "fleet", "hung"} {
+		b.ReportMetric(p99(accepts[k]), "us-accept-"+name)
+		b.ReportMetric(p99(finals[k]), "us-final-"+name)
+	}
+	b.ReportMetric(0, "ns/op")
+}
--- a/cmd/cherrytrestle/fleet_test.go
+++ b/cmd/cherrytrestle/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 
 	"onyxroad.dev/onyxroad/internal/fleet"
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/fleet/link"
 	"onyxroad.dev/onyxroad/internal/sockfault"
 )
 
@@ -237,6 +239,51 @@
 	g.hears(g.all(), g.all())
 }
 
+// All relays restarted at once hear each other again; one that hangs holds none of them up; one that tells absurd figures is not believed,
+// and one that needs a newer program is counted.
+func TestAllRestartedAndOneThatLies(t *testing.T) {
+	h := newHost(t, nil)
+	g := newRig(t, 4, h)
+	three := []int{0, 1, 2}
+	g.start(three...)
+	g.traffic()
+	g.hears(three, three)
+	for _, i := range three {
+		g.relays[i].kill()
+	}
+	g.start(three...)
+	g.hears(three, three)
+
+	// Relay 3 is no process of the program, but a link of this test's that tells what it likes.
+	join := map[string]string{}
+	for i, addr := range g.listens {
+		join[relayName(i)] = addr
+	}
+	life := ledger.Life{Incarnation: 1, Boot: 1}
+	liar, err := link.Start(link.Config{
+		Name: relayName(3), Listen: g.listens[3], Join: join, Life: life, Log: slog.New(slog.DiscardHandler), Raise: func(uint64) error { return nil },
+	})
+	must(t, err)
+	defer liar.Close()
+	page := func(seq uint64, calls float64) []ledger.Page {
+		return []ledger.Page{{Name: relayName(3), Life: life, Number: ledger.PageOf(7), Sequence: seq, Cells: []ledger.Cell{{Dest: 7, Calls: calls}}}}
+	}
+	liar.Tell(page(1, 3))
+	eventually(t, "an honest page is taken", func() bool { _, age := g.sees(0, 3); return age >= 0 })
+	for seq := uint64(2); ; seq++ {
+		liar.Tell(page(seq, 90_000)) // of a destination that takes 500
+		time.Sleep(50 * time.Millisecond)
+		if s := g.status(0); s.Status != nil && s.Refused[ledger.Absurd] > 0 {
+			break
+		}
+		if seq > 200 {
+			t.Fatal("absurd figures are not refused")
+		}
+	}
+	g.relays[0].take("after-lies", 5*time.Second)
+	eventually(t, "delivered all the same", func() bool { return h.count("after-lies") > 0 })
+}
+
 // A relay whose port is taken serves, says so, and joins when the port is free. What a stranger or another fleet tells is not heard.
 func TestWhoIsNotHeard(t *testing.T) {
 	h := newHost(t, nil)
@@ -304,13 +351,13 @@
 	file := filepath.Join(g.relays[0].dir, "state", "fleet.life")
 	older, err := os.ReadFile(file)
 	must(t, err)
-	for range 5 {
+	for range 50 {
 		g.relays[0].kill()
 		g.start(0)
 	}
 	last := known("the newest life is heard", ledger.Life{})
-	if last.Incarnation != 6 {
-		t.Errorf("after five restarts the life is %v", last)
+	if last.Incarnation != 51 {
+		t.Errorf("after fifty restarts the life is %v", last)
 	}
 	g.relays[0].kill()
 	must(t, os.WriteFile(file, older, 0o600))
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -22,7 +22,7 @@
 	gossipEvery   = 100 * time.Millisecond
 	gossipTo      = 3
 	gossipPages   = 12 // that fit a datagram, more or less
-	gossipTimes   = 3  // times the logarithm of the fleet's size
+	gossipTimes   = 3  // times the logarithm of the fleet's size, as of ten at least
 	digestsEvery  = 10 * time.Second
 	linkLatency   = 500 * time.Microsecond
 	inboxMost     = 256 // datagrams that wait for a process that is stopped
@@ -209,8 +209,8 @@
 
 // put queues a page to be told to others.
 func (m *fleetMember) put(p fleetPlace) {
-	times := gossipTimes
-	for n := len(m.net.w.relays); n >= 10; n /= 10 {
+	times := 2 * gossipTimes
+	for n := len(m.net.w.relays); n >= 100; n /= 10 {
 		times += gossipTimes
 	}
 	m.queue = slices.DeleteFunc(m.queue, func(o outgoing) bool { return o.fleetPlace == p })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,6 +50,7 @@
 	cfg  Config
 	life ledger.Life
 	seam *seam.Seam
+	last *link.Link // that Step has met; the loop's
 
 	mu   sync.Mutex
 	link *link.Link // nil: it does not listen yet, or no more
@@ -151,7 +152,9 @@
 	if l == nil {
 		return rec
 	}
-	if slices.ContainsFunc(events, func(e policy.Event) bool { return e.Kind == policy.ListWhole || e.Kind == policy.ListChanges }) {
+	listed := func(e policy.Event) bool { return e.Kind == policy.ListWhole || e.Kind == policy.ListChanges }
+	if l != m.last || slices.ContainsFunc(events, listed) { // a link comes up after the list was told
+		m.last = l
 		l.SetLimits(m.seam.Limits())
 	}
 	if len(rec.Told) > 0 {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"reflect"
+	"runtime"
 	"testing"
 	"time"
 
@@ -189,6 +190,39 @@
 	}
 }
 
+// 300 members that each tell of 30 destinations fit 4 MB.
+func TestMemory(t *testing.T) {
+	var names []string
+	for i := range 300 {
+		names = append(names, fmt.Sprintf("relay-%03d", i))
+	}
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	l := New("me", Life{1, 1}, names)
+	for _, n := range names {
+		for page := range PageOf(29) + 1 {
+			p := Page{Name: n, Life: Life{1, 1}, Number: page, Sequence: uint64(page + 1)}
+			for d := page << pageShift; d < min(30, (page+1)<<pageShift); d++ {
+				p.Cells = append(p.Cells, Cell{Dest: d, Demand: 1, Calls: 1, Deliveries: 1})
+			}
+			if _, err := l.Merge(0, p); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	used := heap() - before
+	t.Logf("%.2f MB", float64(used)/1e6)
+	if members, _ := l.Stats(0); len(members) != 300 || used > 4e6 {
+		t.Errorf("%d members, %d bytes", len(members), used)
+	}
+	runtime.KeepAlive(l)
+}
+
 // What held a message up makes it older, clocks that run apart never make it younger.
 func TestTransit(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -27,7 +27,8 @@
 	packetMost   = 1350 // bytes of a datagram; ages grow by a byte or two between queue and wire
 	gossipEvery  = 100 * time.Millisecond
 	gossipTo     = 3
-	retransmits  = 3 // times the logarithm of the fleet's size: each page is sent on by each so often
+	retransmits  = 3  // times the logarithm of the fleet's size, rounded up: each page is sent on by each so often
+	nodesLeast   = 10 // that the fleet's size is taken for
 	probeEvery   = time.Second
 	probeFor     = 400 * time.Millisecond
 	syncEvery    = 10 * time.Second // digests are exchanged with one other so often, less often in large fleets
@@ -127,7 +128,8 @@
 		cfg: cfg, codec: c, ledger: ledger.New(cfg.Name, cfg.Life, names(cfg.Join)), mail: map[place]struct{}{}, twin: -1,
 		replies: make(chan reply, repliesMost), raising: make(chan struct{}, 1),
 	}
-	l.queue.NumNodes = func() int { return len(cfg.Join) } // who listens, not who is seen: one that sees nobody yet tells all the same
+	// Who listens, not who is seen: one that sees nobody yet tells all the same. A small fleet's datagrams get lost like a large one's.
+	l.queue.NumNodes = func() int { return max(nodesLeast, len(cfg.Join)) }
 	mc := memberlist.DefaultLANConfig()
 	mc.Name, mc.Label = cfg.Name, cfg.Fleet
 	mc.Logger = slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)
@@ -135,7 +137,7 @@
 	mc.ProbeInterval, mc.ProbeTimeout, mc.TCPTimeout = probeEvery, probeFor, streamFor
 	mc.PushPullInterval, mc.EnableCompression, mc.DeadNodeReclaimTime = cmp.Or(cfg.syncEvery, syncEvery), false, reclaimFor
 	mc.Delegate, mc.Conflict, mc.Alive = (*delegate)(l), (*delegate)(l), (*delegate)(l)
-	mc.DelegateProtocolVersion, mc.DelegateProtocolMin, mc.DelegateProtocolMax = codec.Form, 0, codec.Form
+	// memberlist's own number of the delegate's form stays 0 for good: it keeps out whole members that are newer. The codec does better.
 	l.queue.RetransmitMult = retransmits
 	inner := cfg.transport
 	if inner == nil {
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
@@ -239,6 +240,53 @@
 	}
 }
 
+// newer is a member of a program that does not exist yet: its messages have more than this one's, and some need it.
+type newer struct {
+	name  string
+	clock int64
+	n     int
+}
+
+func (d *newer) message(needs int) []byte {
+	d.n++
+	page := map[any]any{1: d.name, 2: 1, 3: 7, 4: 0, 5: d.n, 7: []any{map[any]any{1: 0, 4: 2.5, 77: "new"}}, 78: []int{1}}
+	data, err := cbor.Marshal(map[any]any{0: needs, 1: d.name, 2: 7, 3: d.n * 1000, 4: []any{page}, 79: map[string]int{"new": 1}})
+	if err != nil {
+		panic(err) // all of it can be encoded
+	}
+	return data
+}
+
+func (d *newer) NodeMeta(int) []byte             { return []byte("new") }
+func (d *newer) NotifyMsg([]byte)                {}
+func (d *newer) LocalState(bool) []byte          { return d.message(2) }
+func (d *newer) MergeRemoteState([]byte, bool)   {}
+func (d *newer) GetBroadcasts(_, _ int) [][]byte { return [][]byte{d.message(0), d.message(2)} }
+
+// Half of the fleet runs a program that is not written yet: what this one understands of it is taken, the rest counted, and the others are
+// heard as before.
+func TestNewerMembers(t *testing.T) {
+	net := &network{}
+	newcomer := net.transport("r900")
+	ip, port, _ := newcomer.FinalAdvertiseAddr("", 0)
+	links := mesh(t, net, 2, func(_ int, c *Config) { c.Join["r900"] = fmt.Sprintf("%s:%d", ip, port) })
+	mc := memberlist.DefaultLANConfig()
+	mc.Name, mc.Transport, mc.GossipInterval = "r900", newcomer, gossipEvery
+	mc.Delegate, mc.Logger = &newer{name: "r900"}, slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)
+	list, err := memberlist.Create(mc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer list.Shutdown()
+	for _, l := range links {
+		l.Tell([]ledger.Page{pageOf(l, 0, 1, 1)})
+	}
+	for i, l := range links {
+		eventually(t, "the newer one is heard", func() bool { return l.holds("r900", 0, 1) && l.Status().Newer > 0 })
+		eventually(t, "so is the other", func() bool { return l.holds(linkName(1-i), 0, 1) })
+	}
+}
+
 func TestStartFails(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
