Fleet: how long a message was under way is bounded by asking, not guessed from the least seen

Seen: all orders of events of a tiny fleet (new, explore.SearchFleet) found after 3,094 moves that the first message of a restarted member, held up for 2 s, is taken for fresh. Cause: ledger.Transit took the least delay seen for none, and of a new process it has seen one message alone; a link that delays all for longer than its 20 to 40 s of memory was forgotten in the same way. Change: who hears a sender whose clock it does not know asks for it, and puts its pages aside until it answers. A clock that was read between question and answer bounds the time under way of all later messages from above, less 1 % of the time since; asked again after 10 s. So no age that is held is ever less than the true one (property test over drifts, held questions, answers and messages), and of one version heard twice the lesser age is now the better one.

--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -27,6 +27,8 @@
 	linkLatency   = 500 * time.Microsecond
 	inboxMost     = 256 // datagrams that wait for a process that is stopped
 	seamEvery     = 250 * time.Millisecond
+	askClockEvery = 250 * time.Millisecond
+	asideMost     = 8
 	beliefsEvery  = 500 * time.Millisecond
 	beliefsOf     = 20   // relays at most, whose beliefs are recorded
 	clocksApart   = 0.01 // two relays' clocks at most
@@ -90,6 +92,8 @@
 	mail    map[fleetPlace]bool
 	raised  ledger.Life   // a new one that the seam has not been told of
 	inbox   []fleetPacket // while the process is stopped
+	asked   map[string]time.Duration
+	aside   map[string][]fleetPacket // of members whose clocks are not known yet
 	seen    map[fleetPlace]version
 	heardAs map[fleetPlace]time.Duration // of AgesStand
 	arrived uint64                       // of LastWins
@@ -106,6 +110,14 @@
 	boot  uint32
 	clock time.Duration
 	pages []ledger.Page
+
+	ping bool
+	pong *fleetPong
+}
+
+type fleetPong struct {
+	boot  uint32
+	clock time.Duration
 }
 
 // newFleet returns what is between relays that tell each other of themselves; nil if they do not.
@@ -128,7 +140,7 @@
 func (n *fleetNet) join(r *relay) *fleetMember {
 	m := &fleetMember{
 		r: r, net: n, life: r.life, began: n.w.Now(), offset: time.Duration(n.draw.Int64N(int64(time.Hour))), mail: map[fleetPlace]bool{},
-		seen: map[fleetPlace]version{}, heardAs: map[fleetPlace]time.Duration{}, meant: map[fleetPlace]version{},
+		asked: map[string]time.Duration{}, aside: map[string][]fleetPacket{}, seen: map[fleetPlace]version{}, heardAs: map[fleetPlace]time.Duration{}, meant: map[fleetPlace]version{},
 	}
 	r.incarnation++
 	life := ledger.Life{Incarnation: r.incarnation, Boot: n.draw.Uint32()}
@@ -289,12 +301,16 @@
 
 // send is a datagram on its way, or what a stream carries.
 func (m *fleetMember) send(to *relay, pages []ledger.Page) {
-	if len(pages) == 0 {
-		return
+	if len(pages) > 0 {
+		m.post(to, fleetPacket{pages: pages})
 	}
+}
+
+// post is a datagram on its way, stamped as it leaves.
+func (m *fleetMember) post(to *relay, p fleetPacket) {
 	n := m.net
 	n.Packets++
-	for _, p := range pages {
+	for _, p := range p.pages {
 		n.Bytes += 40 + 30*len(p.Cells)
 	}
 	late := linkLatency
@@ -310,7 +326,7 @@
 	case scenario.OpLinkRate:
 		late += time.Duration(datagramBytes / f.X * float64(time.Second))
 	}
-	p := fleetPacket{m.r.name, m.seam.Life.Boot, m.clock(), pages}
+	p.from, p.boot, p.clock = m.r.name, m.ledger.Life().Boot, m.clock()
 	n.w.After(late, func() {
 		switch o := to.fleet; {
 		case o == nil || !to.up:
@@ -325,9 +341,33 @@
 // hear takes a datagram that came.
 func (m *fleetMember) hear(p fleetPacket) {
 	wrong, at := m.r.wrong.fleet(), m.clock()
-	held := m.transit.Excess(p.from, p.boot, p.clock, at)
+	sender := m.net.w.relay(p.from)
+	if p.ping {
+		m.post(sender, fleetPacket{pong: &fleetPong{p.boot, p.clock}})
+		return
+	}
+	if p.pong != nil {
+		if p.pong.boot == m.ledger.Life().Boot {
+			m.transit.Calibrate(p.from, p.boot, p.clock, p.pong.clock, at)
+			aside := m.aside[p.from]
+			delete(m.aside, p.from)
+			for _, p := range aside {
+				m.hear(p)
+			}
+		}
+		return
+	}
+	held, known, stale := m.transit.Of(p.from, p.boot, p.clock, at)
+	if last, before := m.asked[p.from]; stale && (!before || at-last >= askClockEvery) {
+		m.asked[p.from] = at
+		m.post(sender, fleetPacket{ping: true})
+	}
 	if wrong.NoTransit {
 		held = 0
+	} else if !known {
+		aside := append(m.aside[p.from], p)
+		m.aside[p.from] = aside[max(0, len(aside)-asideMost):]
+		return
 	}
 	for _, page := range p.pages {
 		place := fleetPlace{page.Name, page.Number}
--- /dev/null
+++ b/internal/explore/fleet.go
@@ -0,0 +1,411 @@
+package explore
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/emulate"
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+)
+
+// FleetWorld is a tiny fleet: members that tell one page each, and a network that delivers in any order, or not, or twice, or late, to
+// processes that are stopped and restarted.
+type FleetWorld struct {
+	Members  int // three
+	Tells    int // of each member
+	Retells  int // in all: what a member heard of the others it tells them once more, as an answer to a digest does
+	Losses   int // datagrams
+	Doubles  int
+	Restarts int           // in all; half of them find no folder
+	Stops    int           // in all: what waited for a process is read when it goes on
+	Passes   int           // times that Pass goes by
+	Pass     time.Duration // at once
+	Depth    int           // moves on a path at most
+}
+
+// TinyFleet is the world that comes with it.
+var TinyFleet = FleetWorld{Members: 3, Tells: 2, Retells: 1, Losses: 1, Doubles: 1, Restarts: 1, Stops: 1, Passes: 1, Pass: 2 * time.Second, Depth: 6}
+
+// FleetMove is one thing that happens.
+type FleetMove struct {
+	Kind   string // tell, retell (what it heard of others), deliver, lose, double, restart, forget (restart without the folder), stop, pass
+	Member int    // counted from 0
+	Packet int    // of those on their way, in order
+}
+
+func (m FleetMove) String() string {
+	switch m.Kind {
+	case "pass":
+		return m.Kind
+	case "deliver", "lose", "double":
+		return fmt.Sprintf("%s %d", m.Kind, m.Packet)
+	}
+	return fmt.Sprintf("%s %d", m.Kind, m.Member)
+}
+
+// FleetFound is what a search found.
+type FleetFound struct {
+	States, Paths int
+	Whole         bool // no path was cut off by the depth
+	Break         string
+	Path          []FleetMove
+}
+
+type tinyPacket struct {
+	from, to int
+	boot     uint32
+	clock    time.Duration
+	page     ledger.Page
+}
+
+// tinyVersion is what a page truly is.
+type tinyVersion struct {
+	ledger.Life
+	sequence uint64
+}
+
+type tinyMember struct {
+	ledger   *ledger.Ledger
+	transit  ledger.Transit
+	folder   uint64 // incarnation
+	boots    uint32
+	sequence uint64
+	tells    int
+	stopped  bool
+	inbox    []tinyPacket
+	seen     map[string]tinyVersion
+	arrived  uint64
+	meant    map[string]tinyVersion
+	heardAs  map[string]time.Duration
+}
+
+// tiny is a fleet at one point of a path.
+type tiny struct {
+	w       *FleetWorld
+	wrong   emulate.FleetWrong
+	now     time.Duration
+	members []*tinyMember
+	flying  []tinyPacket
+	told    map[string]map[tinyVersion]time.Duration
+	left    FleetWorld // what may still happen
+	broken  string
+}
+
+func memberName(i int) string { return fmt.Sprintf("m%d", i) }
+
+func newTiny(w *FleetWorld, wrong emulate.FleetWrong) *tiny {
+	t := &tiny{w: w, wrong: wrong, now: time.Second, left: *w, told: map[string]map[tinyVersion]time.Duration{}}
+	for i := range w.Members {
+		t.members = append(t.members, &tinyMember{})
+		t.told[memberName(i)] = map[tinyVersion]time.Duration{}
+		t.boot(i)
+	}
+	for i := range t.members {
+		t.askAll(i)
+	}
+	return t
+}
+
+// clock is a member's own, far from the others'.
+func (t *tiny) clock(i int) time.Duration { return t.now + time.Duration(i)*time.Hour }
+
+func (t *tiny) boot(i int) {
+	m := t.members[i]
+	m.folder++
+	m.boots++
+	var all []string
+	for j := range t.members {
+		all = append(all, memberName(j))
+	}
+	for j := len(t.members); j < t.w.Members; j++ {
+		all = append(all, memberName(j))
+	}
+	life := ledger.Life{Incarnation: m.folder, Boot: m.boots + uint32(100*i)}
+	*m = tinyMember{
+		ledger: ledger.New(memberName(i), life, all), folder: m.folder, boots: m.boots, tells: m.tells, seen: map[string]tinyVersion{},
+		meant: map[string]tinyVersion{}, heardAs: map[string]time.Duration{},
+	}
+	m.ledger.SetLimits(ledger.Limits{0: {"": 10}})
+}
+
+// askAll has a member and all others know of each other's clocks. What is asked of one that is stopped is answered when it goes on.
+func (t *tiny) askAll(i int) {
+	for j, o := range t.members {
+		t.members[i].transit.Calibrate(memberName(j), o.boots, t.clock(j), t.now, t.now)
+		o.transit.Calibrate(memberName(i), t.members[i].boots, t.clock(i), t.now, t.now)
+	}
+}
+
+// moves are those that may be made.
+func (t *tiny) moves() (all []FleetMove) {
+	for i, m := range t.members {
+		if m.tells < t.w.Tells && !m.stopped {
+			all = append(all, FleetMove{Kind: "tell", Member: i})
+		}
+		if t.left.Retells > 0 && !m.stopped {
+			all = append(all, FleetMove{Kind: "retell", Member: i})
+		}
+		if t.left.Restarts > 0 {
+			all = append(all, FleetMove{Kind: "restart", Member: i}, FleetMove{Kind: "forget", Member: i})
+		}
+		if t.left.Stops > 0 || m.stopped {
+			all = append(all, FleetMove{Kind: "stop", Member: i})
+		}
+	}
+	for k := range t.flying {
+		all = append(all, FleetMove{Kind: "deliver", Packet: k})
+		if t.left.Losses > 0 {
+			all = append(all, FleetMove{Kind: "lose", Packet: k})
+		}
+		if t.left.Doubles > 0 {
+			all = append(all, FleetMove{Kind: "double", Packet: k})
+		}
+	}
+	if t.left.Passes > 0 {
+		all = append(all, FleetMove{Kind: "pass"})
+	}
+	return all
+}
+
+// play makes a move.
+func (t *tiny) play(v FleetMove) {
+	m := t.members[v.Member]
+	switch v.Kind {
+	case "tell":
+		m.tells++
+		m.sequence++
+		t.tell(v.Member)
+	case "retell":
+		t.left.Retells--
+		for j := range t.members {
+			if j != v.Member {
+				t.send(v.Member, 3-v.Member-j, memberName(j)) // to the third: a FleetWorld has three members
+			}
+		}
+	case "restart", "forget":
+		t.left.Restarts--
+		if v.Kind == "forget" {
+			m.folder = 0
+		}
+		t.boot(v.Member)
+		t.askAll(v.Member)
+	case "stop":
+		if m.stopped = !m.stopped; m.stopped {
+			t.left.Stops--
+			break
+		}
+		for _, p := range m.inbox {
+			t.hear(p)
+		}
+		m.inbox = nil
+	case "pass":
+		t.left.Passes--
+		t.now += t.w.Pass
+	case "deliver", "lose", "double":
+		p := t.flying[v.Packet]
+		if v.Kind == "double" {
+			t.left.Doubles--
+		} else {
+			t.flying = append(append([]tinyPacket(nil), t.flying[:v.Packet]...), t.flying[v.Packet+1:]...)
+		}
+		switch {
+		case v.Kind == "lose":
+			t.left.Losses--
+		case t.members[p.to].stopped:
+			t.members[p.to].inbox = append(t.members[p.to].inbox, p)
+		default:
+			t.hear(p)
+		}
+	}
+	t.check()
+}
+
+// tell has a member tell its page anew, to one other: who hears it tells it on.
+func (t *tiny) tell(i int) {
+	m := t.members[i]
+	life := m.ledger.Life()
+	p, err := m.ledger.Tell(t.now, 0, m.sequence, []ledger.Cell{{Dest: 0, Calls: float64(m.sequence)}})
+	if err != nil {
+		t.broken = fmt.Sprintf("%s cannot tell: %v", memberName(i), err)
+		return
+	}
+	t.told[p.Name][tinyVersion{life, p.Sequence}] = t.now
+	t.send(i, (i+1)%len(t.members), p.Name)
+}
+
+func (t *tiny) send(from, to int, name string) {
+	m := t.members[from]
+	p, ok := m.ledger.Get(t.now, name, 0)
+	if !ok {
+		return
+	}
+	if v, other := m.meant[name]; other {
+		p.Sequence, p.Life = v.sequence, v.Life
+	}
+	if age, heard := m.heardAs[name]; heard && t.wrong.AgesStand {
+		p.Age = age
+	}
+	t.flying = append(t.flying, tinyPacket{from, to, m.boots, t.clock(from), p})
+}
+
+func (t *tiny) hear(p tinyPacket) {
+	m := t.members[p.to]
+	held, known, _ := m.transit.Of(memberName(p.from), p.boot, p.clock, t.now)
+	if !known {
+		return // put aside until it is; here never
+	}
+	if t.wrong.NoTransit {
+		held = 0
+	}
+	page := p.page
+	page.Age += held
+	meant := tinyVersion{page.Life, page.Sequence}
+	if t.wrong.LastWins {
+		m.arrived++
+		page.Sequence = m.arrived
+	}
+	out, _ := m.ledger.Merge(t.now, page)
+	switch out {
+	case ledger.Rival:
+		m.folder = m.ledger.Rival().Incarnation + 1
+		m.ledger.Raise(ledger.Life{Incarnation: m.folder, Boot: m.ledger.Life().Boot})
+	case ledger.Changed:
+		m.heardAs[page.Name] = page.Age
+		if t.wrong.LastWins {
+			m.meant[page.Name] = meant
+		}
+		if next := (p.to + 1) % len(t.members); memberName(next) != page.Name {
+			t.send(p.to, next, page.Name)
+		}
+	}
+}
+
+// check holds what members hold against what is true.
+func (t *tiny) check() {
+	for i, m := range t.members {
+		m.ledger.Pages(t.now, func(p ledger.Page) {
+			if p.Name == memberName(i) {
+				return
+			}
+			v := tinyVersion{p.Life, p.Sequence}
+			if meant, other := m.meant[p.Name]; other {
+				v = meant
+			}
+			at, ok := t.told[p.Name][v]
+			switch was, seen := m.seen[p.Name]; {
+			case !ok:
+				t.broken = fmt.Sprintf("%s holds version %d of %s, which it never told", memberName(i), v.sequence, p.Name)
+			case seen && (v.Life.Compare(was.Life) < 0 || v.Life == was.Life && v.sequence < was.sequence):
+				t.broken = fmt.Sprintf("%s goes back from version %d to %d of %s", memberName(i), was.sequence, v.sequence, p.Name)
+			case p.Age < t.now-at:
+				t.broken = fmt.Sprintf("%s holds what %s told %v ago to be %v old", memberName(i), p.Name, t.now-at, p.Age)
+			}
+			m.seen[p.Name] = v
+		})
+	}
+}
+
+// settle lets all exchange digests, again and again: all then hold the same of each member, and of one that goes on telling its newest.
+func (t *tiny) settle() {
+	for i, m := range t.members {
+		m.stopped, m.inbox = false, nil
+		m.sequence++
+		if m.ledger.Life(); t.broken == "" {
+			t.tell(i)
+		}
+	}
+	t.flying = nil
+	for range 3 { // once around, once for who learns of a later life of its own, once more for what that tells
+		for i := range t.members {
+			for j, o := range t.members {
+				if i == j {
+					continue
+				}
+				for _, p := range t.members[i].ledger.Newer(t.now, o.ledger.Digest(t.now)) {
+					was := o.ledger.Life()
+					if v, other := t.members[i].meant[p.Name]; other {
+						p.Sequence, p.Life = v.sequence, v.Life
+					}
+					t.hear(tinyPacket{i, j, t.members[i].boots, t.clock(i), p})
+					if o.ledger.Life() != was {
+						t.tell(j)
+					}
+				}
+			}
+		}
+	}
+	t.check()
+	for i, m := range t.members {
+		for _, o := range t.members {
+			p, ok := o.ledger.Get(t.now, memberName(i), 0)
+			if t.broken == "" && !t.wrong.LastWins && (!ok || p.Life != m.ledger.Life() || p.Sequence != m.sequence) {
+				t.broken = fmt.Sprintf("after all was exchanged, version %d of %s in life %v is held as %d in %v", m.sequence, memberName(i), m.ledger.Life(), p.Sequence, p.Life)
+			}
+		}
+	}
+}
+
+// key names a state: two paths that lead to it have the same ones behind it.
+func (t *tiny) key() string {
+	var b strings.Builder
+	fmt.Fprint(&b, t.now, t.left)
+	for _, m := range t.members {
+		fmt.Fprint(&b, "|", m.ledger.Life(), m.folder, m.boots, m.sequence, m.tells, m.stopped, m.inbox, m.arrived)
+		m.ledger.Pages(t.now, func(p ledger.Page) { fmt.Fprint(&b, p, m.seen[p.Name], m.meant[p.Name], m.heardAs[p.Name]) })
+	}
+	fmt.Fprint(&b, t.flying)
+	return b.String()
+}
+
+// SearchFleet plays all orders of events of a tiny fleet, up to its depth, and stops at the first break: it has the fewest moves.
+func SearchFleet(ctx context.Context, w FleetWorld, wrong emulate.FleetWrong) (f FleetFound, err error) {
+	at := func(path []FleetMove) *tiny {
+		t := newTiny(&w, wrong)
+		for _, m := range path {
+			t.play(m)
+		}
+		return t
+	}
+	seen := map[string]struct{}{}
+	frontier := [][]FleetMove{nil}
+	f.Whole = true
+	for depth := 0; len(frontier) > 0; depth++ {
+		var next [][]FleetMove
+		for _, path := range frontier {
+			if ctx.Err() != nil {
+				return f, ctx.Err()
+			}
+			moves := at(path).moves()
+			if depth == w.Depth {
+				f.Whole = f.Whole && len(moves) == 0
+				continue
+			}
+			for _, m := range moves {
+				longer := append(append([]FleetMove(nil), path...), m)
+				t := at(longer)
+				f.Paths++
+				if t.broken == "" {
+					end := at(longer)
+					if end.settle(); end.broken != "" {
+						t.broken = end.broken
+					}
+				}
+				if t.broken != "" {
+					f.Break, f.Path, f.Whole = t.broken, longer, false
+					return f, nil
+				}
+				if k := t.key(); !has(seen, k) {
+					seen[k] = struct{}{}
+					next = append(next, longer)
+				}
+			}
+		}
+		frontier = next
+	}
+	f.States = len(seen)
+	return f, nil
+}
+
+func has(m map[string]struct{}, k string) bool { _, ok := m[k]; return ok }
--- a/internal/fleet/codec/codec.go
+++ b/internal/fleet/codec/codec.go
@@ -37,6 +37,14 @@
 	Pages  []page        `cbor:"4,keyasint,omitempty"`
 	Digest []memberPages `cbor:"5,keyasint,omitempty"`
 	Asks   bool          `cbor:"6,keyasint,omitempty"` // to be sent what Digest lacks, which may be empty
+	Ping   bool          `cbor:"7,keyasint,omitempty"` // asks for an answer at once
+	Pong   *Pong         `cbor:"8,keyasint,omitempty"` // is one
+}
+
+// Pong answers a Ping: with whose it was, and when that was sent by its own clock.
+type Pong struct {
+	Boot  uint32 `cbor:"1,keyasint"`
+	Clock int64  `cbor:"2,keyasint"` // microseconds
 }
 
 type page struct {
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -2,8 +2,8 @@
 // I/O, no random numbers. All times are the hearer's own monotonic time; what travels are ages.
 //
 // A ledger is a join-semilattice. Of each member it keeps the life that is greatest (incarnation, then boot), and of that life,
-// for each page, the greatest sequence; of one version heard twice the greater age. Merging is therefore commutative,
-// associative and idempotent, whatever is lost, doubled or late on the way (property tests). What is heard fades with its age,
+// for each page, the greatest sequence; of one version heard twice the lesser age, since each that is heard is a bound from above
+// (Transit). Merging is therefore commutative, associative and idempotent, whatever is lost, doubled or late on the way (property tests). What is heard fades with its age,
 // without a step, and is dropped when next to nothing is left of it.
 package ledger
 
@@ -27,7 +27,7 @@
 	HalfLife = 5 * time.Second
 	// AgeMost is the age at which it is dropped: less than a thousandth is left of it then.
 	AgeMost = 10 * HalfLife
-	ageNews = 250 * time.Millisecond // so much older than it was held to be, a page is told on once more
+	ageNews = 250 * time.Millisecond // so much younger than it was held to be, a page is told on once more
 
 	// Multiple bounds a rate by what the list tells of a destination, RateMost one of which it tells nothing. A relay tells
 	// its own part: more than so many times what the destination takes from all is no relay's traffic but a mistake.
@@ -104,8 +104,8 @@
 
 // The outcomes.
 const (
-	Changed Outcome = iota // it is new, or its version was younger before
-	Known                  // or hardly older than it was held to be
+	Changed Outcome = iota // it is new, or much younger than its version was held to be
+	Known                  // or hardly younger than it was held to be
 	Older
 	Own     // of the ledger's own member, of this life or one before it
 	Rival   // of the own member's name, and of a life that is not before this one
@@ -134,7 +134,7 @@
 
 type entry struct {
 	sequence uint64
-	told     time.Duration // the hearer's time at which it was told, at the latest
+	told     time.Duration // the hearer's time at which it was told, or before it was
 	cells    []Cell
 }
 
@@ -242,15 +242,15 @@
 	case e.sequence < old.sequence:
 		return Older
 	default:
-		// One version heard on two ways: what was under way longer has the greater age, and that is nearer to the truth. Two
-		// contents under one version are no relay's doing; all keep the same one.
+		// One version heard on two ways: neither age is less than the true one, so that the lesser is nearer to it. Two contents
+		// under one version are no relay's doing; all keep the same one.
 		c := slices.CompareFunc(e.cells, old.cells, Cell.compare)
-		if c >= 0 && e.told >= old.told {
+		if c >= 0 && e.told <= old.told {
 			return Known
 		}
-		// A way that is a little longer is no news: told on, it would come back a little older still, for ever.
-		news := c < 0 || old.told-e.told >= ageNews
-		e.told = min(e.told, old.told)
+		// A little younger is no news: told on, it would go round once more for nothing.
+		news := c < 0 || e.told-old.told >= ageNews
+		e.told = max(e.told, old.told)
 		if c > 0 {
 			e.cells = old.cells
 		}
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -79,27 +79,27 @@
 	})
 }
 
-// The greater age of one version is taken, ages grow with the hearer's time, and figures fade without a step.
+// The lesser age of one version is taken, ages grow with the hearer's time, and figures fade without a step.
 func TestAges(t *testing.T) {
 	l := New("me", Life{1, 1}, listed)
-	p := Page{Name: "a", Life: Life{1, 1}, Sequence: 1, Age: time.Second, Cells: []Cell{{Dest: 1, Calls: 8, Wait: 10 * time.Second, Cold: true}}}
+	p := Page{Name: "a", Life: Life{1, 1}, Sequence: 1, Age: 5 * time.Second, Cells: []Cell{{Dest: 1, Calls: 8, Wait: 10 * time.Second, Cold: true}}}
 	l.Merge(20*time.Second, p)
 	p.Age = 3 * time.Second
 	if out, err := l.Merge(20*time.Second, p); out != Changed || err != nil {
 		t.Error(out, err)
 	}
-	p.Age = 3*time.Second + 2*time.Millisecond
+	p.Age = 3*time.Second - 2*time.Millisecond
 	if out, _ := l.Merge(20*time.Second, p); out != Known {
-		t.Error("what is hardly older is news, which goes round for ever:", out)
+		t.Error("what is hardly younger is news, which goes round once more:", out)
 	}
-	p.Age = 0
-	if out, _ := l.Merge(21*time.Second, p); out != Known {
-		t.Error("a younger telling of a version that was heard before is taken:", out)
+	p.Age = 4 * time.Second
+	if out, _ := l.Merge(20*time.Second, p); out != Known {
+		t.Error("an older telling of a version that was heard before is taken:", out)
 	}
-	if got, ok := l.Get(24*time.Second, "a", 0); !ok || got.Age != 7*time.Second+2*time.Millisecond {
+	if got, ok := l.Get(24*time.Second, "a", 0); !ok || got.Age != 7*time.Second-2*time.Millisecond {
 		t.Error(got, ok)
 	}
-	if s := l.Others(24*time.Second, 1, ""); math.Abs(s.Calls-8*math.Exp2(-7.002/5)) > 1e-9 || s.Wait != 2998*time.Millisecond || !s.Cold {
+	if s := l.Others(24*time.Second, 1, ""); math.Abs(s.Calls-8*math.Exp2(-6.998/5)) > 1e-9 || s.Wait != 3002*time.Millisecond || !s.Cold {
 		t.Errorf("%+v", s)
 	}
 	was := l.Others(20*time.Second, 1, "").Calls
@@ -223,36 +223,44 @@
 	runtime.KeepAlive(l)
 }
 
-// What held a message up makes it older, clocks that run apart never make it younger.
+// However long a message, a question or an answer was held up, and whichever clock runs faster, a message's time under way is never taken to be
+// less than it was, and hardly to be more.
 func TestTransit(t *testing.T) {
-	for name, c := range map[string]struct {
-		drift float64 // of the sender's clock
-		hold  time.Duration
-		least time.Duration
-		most  time.Duration
-	}{
-		"held up 3 s":               {0, 3 * time.Second, 2900 * time.Millisecond, 3 * time.Second},
-		"a slow clock":              {-0.01, 0, 0, 410 * time.Millisecond},
-		"a fast clock, held up 2 s": {0.01, 2 * time.Second, 1900 * time.Millisecond, 2 * time.Second},
-	} {
+	rapid.Check(t, func(t *rapid.T) {
+		drift := rapid.Float64Range(-Drift, Drift).Draw(t, "drift")
+		offset := time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "offset"))
+		other := func(now time.Duration) time.Duration { return offset + now + time.Duration(drift*float64(now)) }
+		some := func(name string, most time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, name))
+		}
 		var x Transit
-		at := time.Duration(0)
-		for ; at < 100*time.Second; at += time.Second {
-			jitter := time.Duration(at/time.Second%7) * 10 * time.Millisecond
-			if e := x.Excess("a", 1, time.Duration(float64(at)*(1+c.drift)), at+jitter+5*time.Millisecond); e > 70*time.Millisecond+410*time.Millisecond {
-				t.Errorf("%s: %v with nothing held up", name, e)
-			}
+		if _, known, stale := x.Of("a", 1, 0, 0); known || !stale {
+			t.Fatal("known before it was asked")
 		}
-		if e := x.Excess("a", 1, time.Duration(float64(at)*(1+c.drift)), at+5*time.Millisecond+c.hold); e < c.least || e > c.most {
-			t.Errorf("%s: %v, want %v to %v", name, e, c.least, c.most)
+		now, worst := time.Duration(0), time.Duration(0)
+		asked := time.Duration(0)
+		for range rapid.IntRange(1, 4).Draw(t, "questions") {
+			asked = now
+			there := now + some("there", 3*time.Second)
+			now = there + some("back", 3*time.Second)
+			x.Calibrate("a", 1, other(there), asked, now)
+			worst = now - asked
+			now += some("pause", 30*time.Second)
 		}
-		if e := x.Excess("a", 2, at, 0); e != 0 {
-			t.Error("a new life goes by the clock of the one before:", e)
+		sent := now
+		held := some("held", 20*time.Second)
+		now += held
+		d, known, _ := x.Of("a", 1, other(sent), now)
+		if most := held + worst + time.Duration(2*Drift*float64(now-asked)); !known || d < held-time.Microsecond || d > most+time.Microsecond {
+			t.Fatalf("%v, was %v, %v at most", d, held, most)
 		}
-	}
+		if _, known, _ := x.Of("a", 2, other(sent), now); known {
+			t.Fatal("a new life goes by the clock of the one before")
+		}
+	})
 	var x Transit
 	for i := range 2 * sendersMost {
-		x.Excess(fmt.Sprint(i), 1, 0, 0)
+		x.Calibrate(fmt.Sprint(i), 1, 0, 0, 0)
 	}
 	if len(x.senders) > sendersMost {
 		t.Error(len(x.senders), "senders are kept")
--- a/internal/fleet/ledger/transit.go
+++ b/internal/fleet/ledger/transit.go
@@ -3,17 +3,20 @@
 import "time"
 
 const (
-	transitSpan = 20 * time.Second // the least transit is that of the last one or two of these
-	sendersMost = 4096
+	// Drift bounds how far two relays' monotonic clocks run apart, as a share of the time that passes.
+	Drift = 0.01
+	// CalibrateEvery is the age at which what is known of a sender's clock should be had anew: by then it makes ages too great by 0.2 s.
+	CalibrateEvery = 10 * time.Second
+	sendersMost    = 4096
 )
 
-// Transit tells how long a message was under way beyond the least that its sender's messages took lately. Senders stamp their
-// messages with their own monotonic time; the difference to the hearer's has an unknown offset, whose least value is a message that
-// was hardly held up. It finds what the network, queues and sockets held back, and also what either side lost while it was
-// stopped: all of that makes what was told older than it says. Clocks that run apart by a share d are taken for d*2*transitSpan of age
-// at most, never the other way. What is left out is the least transit itself.
+// Transit tells how long a message was under way at most. Senders stamp their messages with their own monotonic time. How that stands to the
+// hearer's is found by asking: the hearer sends its time, the other answers with that and its own. The other's time was read between
+// the two, so that no message that it stamps later can have been under way for longer than the bound that follows from it. That
+// finds whatever held a message up: the network, queues, sockets, and either side's being stopped. It is never too small while clocks
+// run apart by no more than Drift, and too great by the round trip that was asked with and by Drift of the time since.
 type Transit struct {
-	senders map[sender]*window
+	senders map[sender]calibration
 }
 
 type sender struct {
@@ -21,28 +24,36 @@
 	boot uint32
 }
 
-type window struct {
-	least, before time.Duration // offsets of this span and the one before
-	began         time.Duration
+// calibration: at the hearer's time at or later, the difference of the two clocks was least or more. No later is known for it.
+type calibration struct {
+	least, at time.Duration
 }
 
-// Excess takes a message that was stamped sent and is heard now.
-func (t *Transit) Excess(name string, boot uint32, sent, now time.Duration) time.Duration {
-	if t.senders == nil {
-		t.senders = map[sender]*window{}
+func (c calibration) bound(now time.Duration) time.Duration {
+	return c.least - time.Duration(Drift*float64(now-c.at))
+}
+
+// Calibrate takes an answer: the other's time was clock, and it was asked at the hearer's time asked and heard now.
+func (t *Transit) Calibrate(name string, boot uint32, clock, asked, now time.Duration) {
+	if asked > now {
+		return // no answer to what this process has asked
+	}
+	if t.senders == nil || len(t.senders) >= sendersMost { // restarts without end; whoever still tells is asked again
+		t.senders = map[sender]calibration{}
 	}
-	key, offset := sender{name, boot}, now-sent
-	w := t.senders[key]
-	if w == nil {
-		if len(t.senders) >= sendersMost { // restarts without end; whoever still tells is taken up again
-			clear(t.senders)
-		}
-		t.senders[key] = &window{offset, offset, now}
-		return 0
+	key, c := sender{name, boot}, calibration{asked - clock, asked}
+	if was, ok := t.senders[key]; ok && was.bound(asked) > c.least {
+		c.least = was.bound(asked) // an answer that was long in coming tells less than an earlier one
 	}
-	if now-w.began > transitSpan {
-		w.before, w.least, w.began = w.least, offset, now
+	t.senders[key] = c
+}
+
+// Of returns how long a message that was stamped sent has been under way now, at most; known is false if its sender was not
+// asked yet. stale tells that it should be asked again.
+func (t *Transit) Of(name string, boot uint32, sent, now time.Duration) (d time.Duration, known, stale bool) {
+	c, ok := t.senders[sender{name, boot}]
+	if !ok {
+		return 0, false, true
 	}
-	w.least = min(w.least, offset)
-	return max(0, offset-min(w.least, w.before))
+	return max(0, now-sent-c.bound(now)), true, now-c.at > CalibrateEvery
 }
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -36,8 +36,11 @@
 	rejoinEvery  = 2 * time.Second
 	rejoinAtOnce = 2
 	repliesMost  = 8
-	batchBytes   = 16 << 10 // of pages in a message on a stream, more or less
-	pageGuess    = 200      // bytes
+	notesMost    = 256
+	askEvery     = 250 * time.Millisecond // another for its clock, until it answers
+	asideMost    = 8                      // messages of one whose clock is not known yet
+	batchBytes   = 16 << 10               // of pages in a message on a stream, more or less
+	pageGuess    = 200                    // bytes
 
 	// An earlier life of this relay that is heard of is gone past once, or a few times where its last ones are heard of late. Who answers
 	// each new life with a greater one is another process under the same name: after raisesMost within twinSpan this one falls
@@ -77,6 +80,8 @@
 	mu      sync.Mutex
 	ledger  *ledger.Ledger
 	transit ledger.Transit
+	asked   map[string]time.Duration   // whose clock was asked for, and when last
+	aside   map[string][]codec.Message // of senders whose clocks are not known yet, the newest
 	mail    map[place]struct{}
 	life    ledger.Life // a new one that Heard has not told yet
 	raises  int         // new lives since began
@@ -87,6 +92,7 @@
 	closed  bool
 
 	replies chan reply
+	notes   chan note
 	raising chan struct{}
 	stop    context.CancelFunc
 	works   sync.WaitGroup
@@ -109,6 +115,12 @@
 	number int
 }
 
+// note is a question for another's clock, or the answer.
+type note struct {
+	to   string
+	pong *codec.Pong // nil: a question
+}
+
 type reply struct {
 	to     string
 	digest ledger.Digest
@@ -126,6 +138,7 @@
 	}
 	l := &Link{
 		cfg: cfg, codec: c, ledger: ledger.New(cfg.Name, cfg.Life, names(cfg.Join)), mail: map[place]struct{}{}, twin: -1,
+		asked: map[string]time.Duration{}, aside: map[string][]codec.Message{}, notes: make(chan note, notesMost),
 		replies: make(chan reply, repliesMost), raising: make(chan struct{}, 1),
 	}
 	// Who listens, not who is seen: one that sees nobody yet tells all the same. A small fleet's datagrams get lost like a large one's.
@@ -165,6 +178,7 @@
 	l.stop = stop
 	l.works.Go(func() { l.reply(ctx) })
 	l.works.Go(func() { l.rejoin(ctx) })
+	l.works.Go(func() { l.sendNotes(ctx) })
 	return l, nil
 }
 
@@ -320,8 +334,48 @@
 	if m.From == "" { // nothing was left to tell
 		return nil
 	}
-	// What was held up on the way, or by either side's being stopped, is older than it says.
-	held := l.transit.Excess(m.From, m.Boot, time.Duration(m.Clock)*time.Microsecond, now)
+	if _, listed := l.cfg.Join[m.From]; !listed || m.From == l.cfg.Name {
+		l.counts.Strangers++
+		return nil
+	}
+	if m.Ping {
+		l.send(note{m.From, &codec.Pong{Boot: m.Boot, Clock: m.Clock}})
+	}
+	waiting := []codec.Message{m}
+	if m.Pong != nil && m.Pong.Boot == l.cfg.Life.Boot {
+		l.transit.Calibrate(m.From, m.Boot, micros(m.Clock), micros(m.Pong.Clock), now)
+		waiting = append(l.aside[m.From], m)
+		delete(l.aside, m.From)
+	}
+	for _, m := range waiting {
+		news = append(news, l.pages(now, m)...)
+	}
+	if m.Asks {
+		select {
+		case l.replies <- reply{m.From, m.LedgerDigest()}:
+		default: // it asks again
+		}
+	}
+	l.tellLoop(news)
+	return news
+}
+
+// pages takes those of a message, as old as they are: what was held up on the way, or by either side's being stopped, is older than it says.
+// While the sender's clock is not known nobody can tell: they are put aside until it is. mu is held.
+func (l *Link) pages(now time.Duration, m codec.Message) (news []place) {
+	if len(m.Pages) == 0 {
+		return nil
+	}
+	held, known, stale := l.transit.Of(m.From, m.Boot, micros(m.Clock), now)
+	if at, before := l.asked[m.From]; stale && (!before || now-at >= askEvery) {
+		l.asked[m.From] = now
+		l.send(note{to: m.From})
+	}
+	if !known {
+		aside := append(l.aside[m.From], m)
+		l.aside[m.From] = aside[max(0, len(aside)-asideMost):]
+		return nil
+	}
 	for _, p := range m.LedgerPages() {
 		if p.Age >= 0 {
 			p.Age += held
@@ -333,18 +387,41 @@
 			l.rival(now)
 		}
 	}
-	if m.Asks {
+	return news
+}
+
+func micros(x int64) time.Duration { return time.Duration(x) * time.Microsecond }
+
+// send has a note sent; where too many wait it is left out, and asked for again.
+func (l *Link) send(n note) {
+	select {
+	case l.notes <- n:
+	default:
+	}
+}
+
+// sendNotes sends questions for clocks and their answers, stamped as they leave.
+func (l *Link) sendNotes(ctx context.Context) {
+	for {
 		select {
-		case l.replies <- reply{m.From, m.LedgerDigest()}:
-		default: // it asks again
+		case <-ctx.Done():
+			return
+		case n := <-l.notes:
+			m := codec.Message{
+				From: l.cfg.Name, Boot: l.cfg.Life.Boot, Clock: l.cfg.now().Microseconds(), Ping: n.pong == nil, Pong: n.pong,
+			}
+			data, err := l.codec.Encode(m)
+			if err != nil {
+				continue // all of it can be encoded
+			}
+			// By name: the transport knows the address, also of one that is not seen as a member at the moment.
+			l.list.SendToAddress(memberlist.Address{Addr: l.cfg.Join[n.to], Name: n.to}, data) // asked again
 		}
 	}
-	l.note(news)
-	return news
 }
 
-// note has the loop told of news. mu is held.
-func (l *Link) note(news []place) {
+// tellLoop has the loop told of news. mu is held.
+func (l *Link) tellLoop(news []place) {
 	if len(news) == 0 && l.life == (ledger.Life{}) {
 		return
 	}
@@ -397,7 +474,7 @@
 	l.cfg.Log.Info("fleet: heard a later life of this relay; beginning a new one", "incarnation", incarnation)
 	l.life = ledger.Life{Incarnation: incarnation, Boot: l.cfg.Life.Boot}
 	l.ledger.Raise(l.life)
-	l.note(nil)
+	l.tellLoop(nil)
 }
 
 // message is what a place holds, as it is to be told now.
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 
+	"onyxroad.dev/onyxroad/internal/fleet/codec"
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
 )
 
@@ -59,7 +60,22 @@
 	if p.net.fault != nil && p.net.fault(p.from, a.Name) {
 		return nil, errors.New("cut")
 	}
-	return p.MockTransport.DialAddressTimeout(a, d)
+	// Nor does it give up on one that has ended.
+	type dialed struct {
+		net.Conn
+		err error
+	}
+	got := make(chan dialed, 1)
+	go func() {
+		c, err := p.MockTransport.DialAddressTimeout(a, d)
+		got <- dialed{c, err}
+	}()
+	select {
+	case x := <-got:
+		return x.Conn, x.err
+	case <-time.After(d):
+		return nil, errors.New("nobody answers")
+	}
 }
 
 func linkName(i int) string { return fmt.Sprintf("r%03d", i) }
@@ -180,10 +196,20 @@
 		}
 	})[0]
 	sender.codec = hearer.codec
+	hearer.hear(sender.message(ledger.Page{Name: "a", Life: sender.cfg.Life, Sequence: 1}))
+	if got, _ := hearer.Heard(); len(got) > 0 {
+		t.Fatal("heard of one whose clock is not known, who may have told it at any time:", got)
+	}
+	pong, _ := sender.codec.Encode(codec.Message{
+		From: "a", Boot: 1, Clock: at.Microseconds(), Pong: &codec.Pong{Boot: hearer.cfg.Life.Boot, Clock: (at + time.Hour).Microseconds()},
+	})
+	hearer.hear(pong)
+	if got, _ := hearer.Heard(); len(got) != 1 {
+		t.Fatal("what was put aside is lost:", got)
+	}
 	page := func(seq uint64) ledger.Page {
 		return ledger.Page{Name: "a", Life: sender.cfg.Life, Sequence: seq, Cells: []ledger.Cell{{Dest: 1, Calls: 1}}}
 	}
-	hearer.hear(sender.message(page(1)))
 	at += time.Second
 	data := sender.message(page(2))
 	at += 10 * time.Second // whoever held it
@@ -210,11 +236,15 @@
 		}
 	})
 	l := links[0]
-	twin := &Link{cfg: Config{Name: l.cfg.Name, Life: ledger.Life{Incarnation: 1, Boot: 999}, now: now}, codec: l.codec}
+	// What the other process tells comes over a third one.
+	over := &Link{cfg: Config{Name: linkName(1), Life: ledger.Life{Incarnation: 1, Boot: 999}, now: now}, codec: l.codec}
+	l.mu.Lock()
+	l.transit.Calibrate(linkName(1), 999, 0, 0, 0)
+	l.mu.Unlock()
 	for i := range raisesMost {
 		life := ledger.Life{Incarnation: uint64(10 * (i + 1)), Boot: 999}
 		p := ledger.Page{Name: l.cfg.Name, Life: life, Sequence: 1}
-		l.hear(twin.message(p, ledger.Page{Name: l.cfg.Name, Life: life, Number: 1, Sequence: 2}))
+		l.hear(over.message(p, ledger.Page{Name: l.cfg.Name, Life: life, Number: 1, Sequence: 2}))
 		eventually(t, "a new life", func() bool {
 			_, mine := l.Heard()
 			return mine.Incarnation == life.Incarnation+1 || kept.Load() == life.Incarnation+1 && l.Status().Life.Incarnation == life.Incarnation+1
@@ -223,7 +253,7 @@
 			t.Fatal("silent after", i, "lives of another")
 		}
 	}
-	l.hear(twin.message(ledger.Page{Name: l.cfg.Name, Life: ledger.Life{Incarnation: 99, Boot: 999}, Sequence: 1}))
+	l.hear(over.message(ledger.Page{Name: l.cfg.Name, Life: ledger.Life{Incarnation: 99, Boot: 999}, Sequence: 1}))
 	if s := l.Status(); !s.Twin {
 		t.Fatalf("%+v", s)
 	}
@@ -242,12 +272,16 @@
 
 // newer is a member of a program that does not exist yet: its messages have more than this one's, and some need it.
 type newer struct {
-	name  string
-	clock int64
-	n     int
+	name string
+
+	mu      sync.Mutex
+	n       int
+	answers [][]byte
 }
 
 func (d *newer) message(needs int) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.n++
 	page := map[any]any{1: d.name, 2: 1, 3: 7, 4: 0, 5: d.n, 7: []any{map[any]any{1: 0, 4: 2.5, 77: "new"}}, 78: []int{1}}
 	data, err := cbor.Marshal(map[any]any{0: needs, 1: d.name, 2: 7, 3: d.n * 1000, 4: []any{page}, 79: map[string]int{"new": 1}})
@@ -257,11 +291,30 @@
 	return data
 }
 
-func (d *newer) NodeMeta(int) []byte             { return []byte("new") }
-func (d *newer) NotifyMsg([]byte)                {}
-func (d *newer) LocalState(bool) []byte          { return d.message(2) }
-func (d *newer) MergeRemoteState([]byte, bool)   {}
-func (d *newer) GetBroadcasts(_, _ int) [][]byte { return [][]byte{d.message(0), d.message(2)} }
+func (d *newer) NodeMeta(int) []byte { return []byte("new") }
+func (d *newer) NotifyMsg(data []byte) {
+	var m codec.Message
+	if cbor.Unmarshal(data, &m) != nil || !m.Ping {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	answer, err := cbor.Marshal(map[any]any{1: d.name, 2: 7, 3: d.n * 1000, 8: map[any]any{1: m.Boot, 2: m.Clock}, 80: "new"})
+	if err == nil {
+		d.answers = append(d.answers, answer)
+	}
+}
+func (d *newer) LocalState(bool) []byte        { return d.message(2) }
+func (d *newer) MergeRemoteState([]byte, bool) {}
+
+func (d *newer) GetBroadcasts(_, _ int) [][]byte {
+	told := [][]byte{d.message(0), d.message(2)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	told = append(told, d.answers...)
+	d.answers = nil
+	return told
+}
 
 // Half of the fleet runs a program that is not written yet: what this one understands of it is taken, the rest counted, and the others are
 // heard as before.
@@ -269,7 +322,11 @@
 	net := &network{}
 	newcomer := net.transport("r900")
 	ip, port, _ := newcomer.FinalAdvertiseAddr("", 0)
-	links := mesh(t, net, 2, func(_ int, c *Config) { c.Join["r900"] = fmt.Sprintf("%s:%d", ip, port) })
+	links := mesh(t, net, 2, func(i int, c *Config) {
+		if i == 0 { // the table is one, and read from then on
+			c.Join["r900"] = fmt.Sprintf("%s:%d", ip, port)
+		}
+	})
 	mc := memberlist.DefaultLANConfig()
 	mc.Name, mc.Transport, mc.GossipInterval = "r900", newcomer, gossipEvery
 	mc.Delegate, mc.Logger = &newer{name: "r900"}, slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)
