--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -59,10 +59,12 @@
 	draw    *rand.Rand
 	links   map[string]scenario.Step // faults, by name; none: sound
 	told    map[version]time.Duration
+	pageOf  map[version]int
 	drift   []float64
 	absurd  int // a relay that tells absurd figures, counted from 0; below 0: none
 	Wrong   []string
 	wrongs  map[string]bool
+	known   func(by *relay, v version) // told of each version that one takes; nil: nobody is
 	Packets int
 	Bytes   int // of pages, as a datagram would hold them, more or less
 }
@@ -126,7 +128,7 @@
 		return nil
 	}
 	n := &fleetNet{
-		w: w, draw: des.Stream(w.plan.Seed, "fleet", 0), links: map[string]scenario.Step{}, told: map[version]time.Duration{}, absurd: w.opts.Absurd - 1,
+		w: w, draw: des.Stream(w.plan.Seed, "fleet", 0), links: map[string]scenario.Step{}, told: map[version]time.Duration{}, pageOf: map[version]int{}, absurd: w.opts.Absurd - 1,
 		wrongs: map[string]bool{},
 	}
 	for range w.plan.File.Relays {
@@ -194,7 +196,8 @@
 		m.ledger.SetLimits(m.seam.Limits())
 	}
 	for _, p := range told {
-		m.net.told[version{p.Name, p.Life, p.Sequence}] = m.net.w.Now()
+		v := version{p.Name, p.Life, p.Sequence}
+		m.net.told[v], m.net.pageOf[v] = m.net.w.Now(), p.Number
 		if m.net.absurd == m.r.n {
 			p.Cells = slices.Clone(p.Cells)
 			for i := range p.Cells {
@@ -384,6 +387,9 @@
 			m.ledger.Raise(m.raised)
 			m.r.plan()
 		}
+		if out == ledger.Changed && m.net.known != nil {
+			m.net.known(m.r, meant)
+		}
 		if out == ledger.Changed {
 			m.heardAs[place] = page.Age
 			if wrong.LastWins {
@@ -441,7 +447,12 @@
 			n.w.see(record.Event{Kind: record.Belief, Relay: r.name, Name: o.name, State: "listed", For: age, Status: int(lives[o.name])})
 		}
 	}
-	maps.DeleteFunc(n.told, func(_ version, at time.Duration) bool { return now-at > versionsKeep })
+	maps.DeleteFunc(n.told, func(v version, at time.Duration) bool {
+		if now-at > versionsKeep {
+			delete(n.pageOf, v)
+		}
+		return now-at > versionsKeep
+	})
 }
 
 // check holds one page that a relay has against the truth: no figure is beyond the bounds, no page is younger than it is, and
--- a/internal/emulate/fleet_test.go
+++ b/internal/emulate/fleet_test.go
@@ -1,9 +1,11 @@
 package emulate
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"onyxroad.dev/onyxroad/internal/judge"
 	"onyxroad.dev/onyxroad/internal/scenario"
@@ -91,3 +93,105 @@
 		t.Error("off, there is a fleet")
 	}
 }
+
+var large = flag.Bool("large", false, "measure fleets of 100 and 300 relays in virtual time, too")
+
+// TestFleetSpread tells how soon all know of what one tells, in virtual time. A fleet of any size knows within a few seconds.
+func TestFleetSpread(t *testing.T) {
+	sizes := []int{3, 20}
+	if *large {
+		sizes = append(sizes, 100, 300)
+	}
+	for _, n := range sizes {
+		for _, loss := range []float64{0, 0.3} {
+			half, most, all, bytes := spread(t, n, loss)
+			t.Logf("%3d relays, %.0f %% lost: known to half after %v, to 99 %% after %v, to all after %v; %d bytes a second a member", n, 100*loss, half, most, all, bytes)
+			if all == 0 || all > 5*time.Second {
+				t.Errorf("%d relays, %.0f %% lost: all know after %v", n, 100*loss, all)
+			}
+		}
+	}
+}
+
+func spread(t *testing.T, n int, loss float64) (half, most, all time.Duration, bytes int) {
+	t.Helper()
+	const length, from = 24 * time.Second, 8 * time.Second
+	f, err := scenario.LoadFor("fleet-links", scenario.EmulatorBounds)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Relays, f.Length, f.Troubles = n, scenario.Duration(length), nil
+	f.Traffic = f.Traffic[:1]
+	f.Traffic[0].To, f.Traffic[0].Rate = f.Length, float64(n)
+	w, err := New(f.Draw(1), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range w.relays {
+		for _, b := range w.relays {
+			if loss > 0 {
+				w.fleet.links[scenario.LinkName(a.name, b.name)] = scenario.Step{Op: scenario.OpLinkLose, X: loss}
+			}
+		}
+	}
+	// Of each change that relay 1 tells after a while: when each other one holds that or a later one.
+	type change struct {
+		sequence uint64
+		at       time.Duration
+		number   int
+	}
+	var changes []change
+	when := map[version]map[int]time.Duration{}
+	w.fleet.known = func(by *relay, v version) {
+		at, ok := w.fleet.told[v]
+		if !ok || v.name != "r1" || at < from || at > length-8*time.Second {
+			return
+		}
+		if when[v] == nil {
+			when[v] = map[int]time.Duration{}
+			changes = append(changes, change{v.sequence, at, w.fleet.pageOf[v]})
+		}
+		if _, before := when[v][by.n]; !before {
+			when[v][by.n] = w.Now()
+		}
+	}
+	before := 0
+	w.At(from, func() { before = w.fleet.Bytes })
+	w.At(length-time.Millisecond, func() { bytes = (w.fleet.Bytes - before) / n / int((length-from)/time.Second) })
+	if err := w.Play(); err != nil {
+		t.Fatal(err)
+	}
+	var whole [][]time.Duration
+	for _, c := range changes {
+		first := map[int]time.Duration{}
+		for v, by := range when {
+			if v.sequence < c.sequence || w.fleet.pageOf[v] != c.number {
+				continue
+			}
+			for r, at := range by {
+				if was, ok := first[r]; !ok || at < was {
+					first[r] = at
+				}
+			}
+		}
+		var d []time.Duration
+		for _, at := range first {
+			d = append(d, at-c.at)
+		}
+		if slices.Sort(d); len(d) == n-1 {
+			whole = append(whole, d)
+		}
+	}
+	if len(whole) == 0 {
+		return 0, 0, 0, bytes
+	}
+	at := func(share float64) time.Duration {
+		var d []time.Duration
+		for _, x := range whole {
+			d = append(d, x[min(n-2, int(share*float64(n-1)))])
+		}
+		slices.Sort(d)
+		return d[len(d)/2].Round(time.Millisecond)
+	}
+	return at(0.5), at(0.99), at(1), bytes
+}
--- a/internal/explore/fleet.go
+++ b/internal/explore/fleet.go
@@ -8,15 +8,18 @@
 
 	"onyxroad.dev/onyxroad/internal/emulate"
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/fleet/seam"
+	"onyxroad.dev/onyxroad/policy"
 )
 
 // FleetWorld is a tiny fleet: members that tell one page each, and a network that delivers in any order, or not, or twice, or late, to
 // processes that are stopped and restarted.
 type FleetWorld struct {
-	Members  int // three
-	Tells    int // of each member
-	Retells  int // in all: what a member heard of the others it tells them once more, as an answer to a digest does
-	Losses   int // datagrams
+	Members  int  // three
+	Twin     bool // a fourth process runs under the name of the first
+	Tells    int  // of each member
+	Retells  int  // in all: what a member heard of the others it tells them once more, as an answer to a digest does
+	Losses   int  // datagrams
 	Doubles  int
 	Restarts int           // in all; half of them find no folder
 	Stops    int           // in all: what waited for a process is read when it goes on
@@ -67,6 +70,9 @@
 }
 
 type tinyMember struct {
+	name     string
+	seam     *seam.Seam
+	raised   ledger.Life // that the seam has not been told of
 	ledger   *ledger.Ledger
 	transit  ledger.Transit
 	folder   uint64 // incarnation
@@ -93,13 +99,21 @@
 	broken  string
 }
 
+// tellAfter is what passes before each telling: a seam tells no page more often.
+const tellAfter = 600 * time.Millisecond
+
 func memberName(i int) string { return fmt.Sprintf("m%d", i) }
 
 func newTiny(w *FleetWorld, wrong emulate.FleetWrong) *tiny {
 	t := &tiny{w: w, wrong: wrong, now: time.Second, left: *w, told: map[string]map[tinyVersion]time.Duration{}}
 	for i := range w.Members {
-		t.members = append(t.members, &tinyMember{})
+		t.members = append(t.members, &tinyMember{name: memberName(i)})
 		t.told[memberName(i)] = map[tinyVersion]time.Duration{}
+	}
+	if w.Twin {
+		t.members = append(t.members, &tinyMember{name: memberName(0)})
+	}
+	for i := range t.members {
 		t.boot(i)
 	}
 	for i := range t.members {
@@ -116,25 +130,27 @@
 	m.folder++
 	m.boots++
 	var all []string
-	for j := range t.members {
-		all = append(all, memberName(j))
-	}
-	for j := len(t.members); j < t.w.Members; j++ {
+	for j := range t.w.Members {
 		all = append(all, memberName(j))
 	}
 	life := ledger.Life{Incarnation: m.folder, Boot: m.boots + uint32(100*i)}
 	*m = tinyMember{
-		ledger: ledger.New(memberName(i), life, all), folder: m.folder, boots: m.boots, tells: m.tells, seen: map[string]tinyVersion{},
+		name: m.name, ledger: ledger.New(m.name, life, all), folder: m.folder, boots: m.boots, tells: m.tells, seen: map[string]tinyVersion{},
 		meant: map[string]tinyVersion{}, heardAs: map[string]time.Duration{},
+		seam: seam.New(seam.Settings{Self: m.name, Life: life, Members: all, Kinds: []policy.Kind{{PerCall: 1}}}),
 	}
+	m.seam.Step(t.now, seam.Input{Events: []policy.Event{{Kind: policy.ListWhole, List: []policy.Listing{{Route: "r", Weight: 10, InService: true}}}}})
 	m.ledger.SetLimits(ledger.Limits{0: {"": 10}})
 }
 
+// process names a process, of which two may have one member's name.
+func process(i int) string { return fmt.Sprintf("p%d", i) }
+
 // askAll has a member and all others know of each other's clocks. What is asked of one that is stopped is answered when it goes on.
 func (t *tiny) askAll(i int) {
 	for j, o := range t.members {
-		t.members[i].transit.Calibrate(memberName(j), o.boots, t.clock(j), t.now, t.now)
-		o.transit.Calibrate(memberName(i), t.members[i].boots, t.clock(i), t.now, t.now)
+		t.members[i].transit.Calibrate(process(j), o.boots, t.clock(j), t.now, t.now)
+		o.transit.Calibrate(process(i), t.members[i].boots, t.clock(i), t.now, t.now)
 	}
 }
 
@@ -175,13 +191,17 @@
 	switch v.Kind {
 	case "tell":
 		m.tells++
-		m.sequence++
 		t.tell(v.Member)
 	case "retell":
 		t.left.Retells--
-		for j := range t.members {
-			if j != v.Member {
-				t.send(v.Member, 3-v.Member-j, memberName(j)) // to the third: a FleetWorld has three members
+		n := len(t.members)
+		for j := range t.w.Members {
+			to := (v.Member + 1) % n
+			if t.members[to].name == memberName(j) {
+				to = (v.Member + 2) % n
+			}
+			if m.name != memberName(j) {
+				t.send(v.Member, to, memberName(j)) // of each other to one that is not that one
 			}
 		}
 	case "restart", "forget":
@@ -222,16 +242,23 @@
 	t.check()
 }
 
-// tell has a member tell its page anew, to one other: who hears it tells it on.
+// tell has a message come to a member, and its seam tell of it, to one other: who hears it tells it on.
 func (t *tiny) tell(i int) {
 	m := t.members[i]
-	life := m.ledger.Life()
-	p, err := m.ledger.Tell(t.now, 0, m.sequence, []ledger.Cell{{Dest: 0, Calls: float64(m.sequence)}})
-	if err != nil {
-		t.broken = fmt.Sprintf("%s cannot tell: %v", memberName(i), err)
+	t.now += tellAfter
+	id := uint32(t.now / time.Millisecond)
+	told := m.seam.Step(t.now, seam.Input{
+		Life: m.raised, Events: []policy.Event{{Kind: policy.Taken, ID: id}, {Kind: policy.Finished, ID: id, Route: "r", Ended: true}},
+		Views: func() []policy.View { return nil },
+	})
+	m.raised = ledger.Life{}
+	if len(told) != 1 || m.ledger.Keep(t.now, told[0]) != ledger.Changed {
+		t.broken = fmt.Sprintf("%s does not tell: %v", m.name, told)
 		return
 	}
-	t.told[p.Name][tinyVersion{life, p.Sequence}] = t.now
+	p := told[0]
+	m.sequence = p.Sequence
+	t.told[p.Name][tinyVersion{p.Life, p.Sequence}] = t.now
 	t.send(i, (i+1)%len(t.members), p.Name)
 }
 
@@ -252,7 +279,7 @@
 
 func (t *tiny) hear(p tinyPacket) {
 	m := t.members[p.to]
-	held, known, _ := m.transit.Of(memberName(p.from), p.boot, p.clock, t.now)
+	held, known, _ := m.transit.Of(process(p.from), p.boot, p.clock, t.now)
 	if !known {
 		return // put aside until it is; here never
 	}
@@ -270,13 +297,14 @@
 	switch out {
 	case ledger.Rival:
 		m.folder = m.ledger.Rival().Incarnation + 1
-		m.ledger.Raise(ledger.Life{Incarnation: m.folder, Boot: m.ledger.Life().Boot})
+		m.raised = ledger.Life{Incarnation: m.folder, Boot: m.ledger.Life().Boot}
+		m.ledger.Raise(m.raised)
 	case ledger.Changed:
 		m.heardAs[page.Name] = page.Age
 		if t.wrong.LastWins {
 			m.meant[page.Name] = meant
 		}
-		if next := (p.to + 1) % len(t.members); memberName(next) != page.Name {
+		if next := (p.to + 1) % len(t.members); t.members[next].name != page.Name {
 			t.send(p.to, next, page.Name)
 		}
 	}
@@ -284,9 +312,9 @@
 
 // check holds what members hold against what is true.
 func (t *tiny) check() {
-	for i, m := range t.members {
+	for _, m := range t.members {
 		m.ledger.Pages(t.now, func(p ledger.Page) {
-			if p.Name == memberName(i) {
+			if p.Name == m.name {
 				return
 			}
 			v := tinyVersion{p.Life, p.Sequence}
@@ -296,11 +324,11 @@
 			at, ok := t.told[p.Name][v]
 			switch was, seen := m.seen[p.Name]; {
 			case !ok:
-				t.broken = fmt.Sprintf("%s holds version %d of %s, which it never told", memberName(i), v.sequence, p.Name)
+				t.broken = fmt.Sprintf("%s holds version %d of %s, which it never told", m.name, v.sequence, p.Name)
 			case seen && (v.Life.Compare(was.Life) < 0 || v.Life == was.Life && v.sequence < was.sequence):
-				t.broken = fmt.Sprintf("%s goes back from version %d to %d of %s", memberName(i), was.sequence, v.sequence, p.Name)
+				t.broken = fmt.Sprintf("%s goes back from version %d to %d of %s", m.name, was.sequence, v.sequence, p.Name)
 			case p.Age < t.now-at:
-				t.broken = fmt.Sprintf("%s holds what %s told %v ago to be %v old", memberName(i), p.Name, t.now-at, p.Age)
+				t.broken = fmt.Sprintf("%s holds what %s told %v ago to be %v old", m.name, p.Name, t.now-at, p.Age)
 			}
 			m.seen[p.Name] = v
 		})
@@ -309,10 +337,12 @@
 
 // settle lets all exchange digests, again and again: all then hold the same of each member, and of one that goes on telling its newest.
 func (t *tiny) settle() {
+	if t.w.Twin {
+		return // of two processes under one name there is no newest telling
+	}
 	for i, m := range t.members {
 		m.stopped, m.inbox = false, nil
-		m.sequence++
-		if m.ledger.Life(); t.broken == "" {
+		if t.broken == "" {
 			t.tell(i)
 		}
 	}
@@ -337,11 +367,11 @@
 		}
 	}
 	t.check()
-	for i, m := range t.members {
+	for _, m := range t.members {
 		for _, o := range t.members {
-			p, ok := o.ledger.Get(t.now, memberName(i), 0)
+			p, ok := o.ledger.Get(t.now, m.name, 0)
 			if t.broken == "" && !t.wrong.LastWins && (!ok || p.Life != m.ledger.Life() || p.Sequence != m.sequence) {
-				t.broken = fmt.Sprintf("after all was exchanged, version %d of %s in life %v is held as %d in %v", m.sequence, memberName(i), m.ledger.Life(), p.Sequence, p.Life)
+				t.broken = fmt.Sprintf("after all was exchanged, version %d of %s in life %v is held as %d in %v", m.sequence, m.name, m.ledger.Life(), p.Sequence, p.Life)
 			}
 		}
 	}
@@ -352,7 +382,8 @@
 	var b strings.Builder
 	fmt.Fprint(&b, t.now, t.left)
 	for _, m := range t.members {
-		fmt.Fprint(&b, "|", m.ledger.Life(), m.folder, m.boots, m.sequence, m.tells, m.stopped, m.inbox, m.arrived)
+		fmt.Fprint(&b, "|", m.ledger.Life(), m.folder, m.boots, m.sequence, m.tells, m.stopped, m.inbox, m.arrived, m.raised)
+		b.Write(m.seam.Snapshot(nil))
 		m.ledger.Pages(t.now, func(p ledger.Page) { fmt.Fprint(&b, p, m.seen[p.Name], m.meant[p.Name], m.heardAs[p.Name]) })
 	}
 	fmt.Fprint(&b, t.flying)
--- a/internal/explore/fleet_test.go
+++ b/internal/explore/fleet_test.go
@@ -17,6 +17,11 @@
 		t.Errorf("%d states, %v: %s, by %v", f.States, err, f.Break, f.Path)
 	}
 	t.Logf("%d states, %d moves", f.States, f.Paths)
+	twin := w
+	twin.Twin, twin.Depth = true, 3
+	if f, err := SearchFleet(context.Background(), twin, emulate.FleetWrong{}); err != nil || f.Break != "" || f.States < 300 {
+		t.Errorf("two processes under one name: %d states, %v: %s, by %v", f.States, err, f.Break, f.Path)
+	}
 	w.Depth, w.Restarts, w.Stops, w.Losses, w.Doubles = 5, 0, 0, 0, 0
 	for name, wrong := range map[string]emulate.FleetWrong{
 		"a merge that takes the older": {LastWins: true}, "ages that do not grow": {AgesStand: true}, "a stall not noticed": {NoTransit: true},
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -431,8 +431,11 @@
 	var list []int
 	n := p.File.Relays
 	for i := range n {
-		list = append(list, i+1)
+		if t.Zone == "" || p.File.Zones[i%len(p.File.Zones)] == t.Zone { // relays stand in the zones in turn
+			list = append(list, i+1)
+		}
 	}
+	n = len(list)
 	count := n
 	switch {
 	case t.Share > 0:
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -37,7 +37,7 @@
 
 // What one machine can play with processes and sockets, and what it can in virtual time.
 var (
-	KitBounds      = Bounds{Relays: 16, Endpoints: 500, Arrivals: 2_000_000}
+	KitBounds      = Bounds{Relays: 20, Endpoints: 500, Arrivals: 2_000_000}
 	EmulatorBounds = Bounds{Relays: 2000, Endpoints: 200_000, Arrivals: 100_000_000, Clocks: true}
 )
 
