--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -125,7 +125,7 @@
 		{`length = "20s"`, `length = "20"`, "test:3"},
 		{`length = "20s"`, `length = 20`, `length: give a duration such as "1.5s"`},
 		{`length = "20s"`, `length = "-1s"`, "length must be above 0"},
-		{`relays = 2`, `relays = 17`, "relays must be 1 to 16"},
+		{`relays = 2`, `relays = 21`, "relays must be 1 to 20"},
 		{`relays = 2`, `relays = `, "test:4"},
 		{`name = "base"`, ``, "no name"},
 		{`effect = "keyed"`, `effect = "keyd"`, `not "keyd"`},
