Fleet link: messages to one peer end in time, also where it hangs

Seen: the link's tests under -race stood still twice at their end. Cause: memberlist sets no deadline on streams of messages to one (SendReliable in Link.reply), a peer that no longer reads holds the write, and Close waits for it. A stream is now bounded when it is dialled.

--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -660,6 +660,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// Where memberlist sets a bound of its own, that goes on; for messages to one it sets none, and a peer that hangs would hold them for ever.
+	if err := conn.SetDeadline(time.Now().Add(2 * streamFor)); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
 	return &counted{conn, &t.sent}, nil
 }
 
