--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -187,12 +187,13 @@
 
 // What waited on its way, or for a process that was stopped, is as old as it is: the hearer's own clock tells.
 func TestHeldUpIsOlder(t *testing.T) {
-	at := time.Duration(0)
-	sender := &Link{cfg: Config{Name: "a", Life: ledger.Life{Incarnation: 1, Boot: 1}, now: func() time.Duration { return at }}}
+	var clock atomic.Int64
+	now := func() time.Duration { return time.Duration(clock.Load()) }
+	sender := &Link{cfg: Config{Name: "a", Life: ledger.Life{Incarnation: 1, Boot: 1}, now: now}}
 	hearer := mesh(t, &network{}, 2, func(i int, c *Config) {
 		c.Join = map[string]string{"a": "127.0.0.1:1"}
 		if i == 0 {
-			c.now = func() time.Duration { return at + time.Hour }
+			c.now = func() time.Duration { return now() + time.Hour }
 		}
 	})[0]
 	sender.codec = hearer.codec
@@ -201,7 +202,7 @@
 		t.Fatal("heard of one whose clock is not known, who may have told it at any time:", got)
 	}
 	pong, _ := sender.codec.Encode(codec.Message{
-		From: "a", Boot: 1, Clock: at.Microseconds(), Pong: &codec.Pong{Boot: hearer.cfg.Life.Boot, Clock: (at + time.Hour).Microseconds()},
+		From: "a", Boot: 1, Clock: now().Microseconds(), Pong: &codec.Pong{Boot: hearer.cfg.Life.Boot, Clock: (now() + time.Hour).Microseconds()},
 	})
 	hearer.hear(pong)
 	if got, _ := hearer.Heard(); len(got) != 1 {
@@ -210,9 +211,9 @@
 	page := func(seq uint64) ledger.Page {
 		return ledger.Page{Name: "a", Life: sender.cfg.Life, Sequence: seq, Cells: []ledger.Cell{{Dest: 1, Calls: 1}}}
 	}
-	at += time.Second
+	clock.Add(int64(time.Second))
 	data := sender.message(page(2))
-	at += 10 * time.Second // whoever held it
+	clock.Add(int64(10 * time.Second)) // whoever held it
 	hearer.hear(data)
 	got, _ := hearer.Heard()
 	if len(got) != 1 || got[0].Sequence != 2 || got[0].Age < 9900*time.Millisecond {
