A message that has ended no longer leaves with others whose connection comes up late

At fault: internal/relay/relay.go, mayStill and the answer to clearance (they asked the module about route and windows, for which a message that is forgotten is none to guard against), and internal/relay/hosts.go, do, which wrote all attempts or none. Change: the loop tells which attempts may still leave: not one whose message has ended, that was cut off, or whose time in the call is up; the others leave without it. What did not leave never ran. The emulator's model does the same.

--- a/internal/emulate/call.go
+++ b/internal/emulate/call.go
@@ -17,7 +17,7 @@
 	num   uint64
 	sent  time.Duration
 	until time.Duration // dropped then
-	atts  []attempt
+	atts  []*attempt
 
 	fresh   bool          // on a new connection
 	shut    bool          // on one that the host takes and breaks off
@@ -124,7 +124,7 @@
 	w := r.w
 	r.calling[c] = struct{}{}
 	for i := range c.atts {
-		if a := &c.atts[i]; a.until < c.until {
+		if a := c.atts[i]; a.until < c.until {
 			c.in(a.until-w.Now(), func() {
 				if !a.over {
 					r.attemptEnded(c, a, result{outcome: policy.Timeout, took: w.Now() - c.sent})
@@ -372,7 +372,7 @@
 	c.over = true
 	delete(r.calling, c)
 	for i := range c.atts {
-		r.attemptEnded(c, &c.atts[i], results[min(i, len(results)-1)])
+		r.attemptEnded(c, c.atts[i], results[min(i, len(results)-1)])
 	}
 	r.plan()
 }
--- a/internal/emulate/relay.go
+++ b/internal/emulate/relay.go
@@ -296,7 +296,8 @@
 	r.later = evs[:0]
 	r.carryOut(acts, ins)
 	for _, c := range asked {
-		if r.module.MayStill(c.host.ID, c.ids(), r.now()) && !r.noSends {
+		r.clear(c)
+		if len(c.atts) > 0 && r.module.MayStill(c.host.ID, c.ids(), r.now()) && !r.noSends {
 			c.write()
 		} else {
 			r.pool(c.host).put(w.Now())
@@ -307,6 +308,20 @@
 	r.idle()
 }
 
+// clear takes out of a call that was held up what has ended meanwhile, or whose time in it is up.
+func (r *relay) clear(c *call) {
+	c.atts = slices.DeleteFunc(c.atts, func(a *attempt) bool {
+		if !a.over && !a.m.ended && r.w.Now() < a.until {
+			return false
+		}
+		if !a.over {
+			r.attemptEnded(c, a, result{outcome: policy.Moot})
+			r.plan()
+		}
+		return true
+	})
+}
+
 // accept puts new messages in the journal. Those beyond the room have their answers.
 func (r *relay) accept(ins []*handIn) (taken []*handIn) {
 	for _, in := range ins {
@@ -383,7 +398,7 @@
 	}
 	for _, c := range calls {
 		for i := range c.atts {
-			a := &c.atts[i]
+			a := c.atts[i]
 			m, n := a.m, a.n
 			m.mayRun = append(m.mayRun, ran{n, c.host.zone, r.clocks.stamp(w.Now()), r.clocks.axis.Epoch})
 			if r.undoes {
@@ -431,7 +446,7 @@
 		calls = append(calls, c)
 	}
 	until := a.At + r.epoch
-	c.atts = append(c.atts, attempt{m: m, n: m.sends, until: until})
+	c.atts = append(c.atts, &attempt{m: m, n: m.sends, until: until})
 	m.sends++
 	m.out++
 	if len(c.atts) == 1 || (until > c.until) == *w.plan.File.Settings.MayDuplicate {
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -78,9 +78,9 @@
 	return &hosts{pool: newPool(cfg), reports: cfg.Reports, written: written}
 }
 
-// do makes a call and tells the end of each of its attempts, in their order. clear is asked once more before
-// the request is written where a new connection had to come up first.
-func (h *hosts) do(ctx context.Context, c *call, clear func() bool) []result {
+// do makes a call and tells the end of each of its attempts, in their order. clear is asked before the request is written where a new
+// connection had to come up first: for the attempts that may leave even then.
+func (h *hosts) do(ctx context.Context, c *call, clear func(*call) []*attempt) []result {
 	ctx, cancel := context.WithDeadline(ctx, c.until)
 	defer cancel()
 	conn, fresh, err := h.get(ctx, peer{c.route, c.addr})
@@ -90,17 +90,25 @@
 	case err != nil:
 		return alike(c, result{outcome: policy.ConnectFailed})
 	}
-	// While the connection came up, a drain or a wait may have been told.
-	if fresh && !clear() {
+	// While the connection came up, a drain or a wait may have been told, and messages may have ended.
+	leaving := *c
+	if fresh {
+		leaving.attempts = clear(c)
+	}
+	results := alike(c, result{outcome: policy.Moot})
+	if len(leaving.attempts) == 0 {
 		conn.keep()
-		return alike(c, result{outcome: policy.Moot})
+		return results
 	}
-	req, err := newRequest(c)
+	req, err := newRequest(&leaving)
 	if err != nil {
 		conn.keep()
-		return alike(c, result{outcome: policy.Moot})
+		return results
 	}
-	return h.exchange(ctx, req, c, conn)
+	for i, res := range h.exchange(ctx, req, &leaving, conn) {
+		results[slices.Index(c.attempts, leaving.attempts[i])] = res
+	}
+	return results
 }
 
 // exchange writes the request, reads its answer, and keeps or drops the connection.
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -45,7 +45,7 @@
 	return c
 }
 
-func yes() bool { return true }
+func yes(c *call) []*attempt { return c.attempts }
 
 // eventually waits for a condition.
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -83,9 +83,11 @@
 					if err != nil {
 						return
 					}
-					if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					body, err := io.ReadAll(req.Body)
+					if err != nil {
 						return
 					}
+					req.Body = io.NopCloser(bytes.NewReader(body))
 					if !serve(int(requests.Add(1)), conn, req) {
 						return
 					}
@@ -237,14 +239,14 @@
 		return true
 	})
 	h := testHosts(t, testConfig())
-	if r := h.do(t.Context(), newCall(addr, "a"), func() bool { return false }); r[0].outcome != policy.Moot {
+	if r := h.do(t.Context(), newCall(addr, "a"), func(*call) []*attempt { return nil }); r[0].outcome != policy.Moot {
 		t.Errorf("outcome %v", r[0].outcome)
 	}
 	if n := requests.Load(); n != 0 {
 		t.Errorf("the host saw %d requests", n)
 	}
 	// The connection is kept, and needs no second look.
-	r := h.do(t.Context(), newCall(addr, "b"), func() bool { t.Error("asked again"); return false })
+	r := h.do(t.Context(), newCall(addr, "b"), func(*call) []*attempt { t.Error("asked again"); return nil })
 	if r[0].outcome != policy.OK {
 		t.Errorf("outcome on the kept connection %v", r[0].outcome)
 	}
@@ -575,7 +577,7 @@
 	other := newCall(addr, "b")
 	other.route = "s-2"
 	asked := false
-	h.do(t.Context(), other, func() bool { asked = true; return true })
+	h.do(t.Context(), other, func(c *call) []*attempt { asked = true; return c.attempts })
 	if !asked || h.open != 2 {
 		t.Errorf("another host got the connection: %d open", h.open)
 	}
@@ -622,10 +624,10 @@
 	h := testHosts(t, testConfig())
 	c := newCall(addr, "a")
 	var up time.Time
-	r := h.do(t.Context(), c, func() bool {
+	r := h.do(t.Context(), c, func(c *call) []*attempt {
 		time.Sleep(50 * time.Millisecond) // as a slow dial would take
 		up = time.Now()
-		return true
+		return c.attempts
 	})
 	if took := r[0].took; took <= 0 || took > time.Since(up) {
 		t.Errorf("took %v", took)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,9 +61,8 @@
 	}
 	cutOff    struct{ a *attempt }
 	clearance struct {
-		route string
-		ids   []uint32
-		reply chan bool
+		c     *call
+		reply chan []*attempt // those that may still leave
 	}
 	confirmed struct{ ids []uint32 } // their notices were taken
 	stopping  struct{}               // no more messages come
@@ -488,10 +487,7 @@
 	}
 	r.keepStanding()
 	for _, c := range asked {
-		at := r.now()
-		may := r.sender.MayStill(c.route, c.ids, at)
-		r.rec.Cleared(at, c.route, c.ids, may)
-		c.reply <- may && !r.noSends
+		c.reply <- r.clear(c.c)
 	}
 	for _, g := range fetches {
 		r.gauge()
@@ -909,26 +905,42 @@
 	r.calls.Add(1)
 	go func() {
 		defer r.calls.Done()
-		results := r.hosts.do(r.callCtx, c, func() bool { return r.mayStill(c) })
+		results := r.hosts.do(r.callCtx, c, r.cleared)
 		r.post(&callEnd{c, results})
 	}()
 }
 
-// mayStill asks the loop whether a call that was held up may leave.
-func (r *Relay) mayStill(c *call) bool {
-	ids := make([]uint32, 0, len(c.attempts))
+// clear tells which attempts of a call that was held up may still leave, if the module lets it leave at all. A message that has had its final
+// answer meanwhile, or whose time in this call is up, has no part in it any more: the others' connection may come up long after that.
+func (r *Relay) clear(c *call) (left []*attempt) {
+	var ids []uint32
 	for _, a := range c.attempts {
-		ids = append(ids, a.m.ID)
+		if !a.over && !a.m.ended && time.Now().Before(a.until) {
+			left, ids = append(left, a), append(ids, a.m.ID)
+		}
 	}
-	reply := make(chan bool, 1)
-	if !r.post(clearance{c.route, ids, reply}) {
-		return false
+	if len(left) == 0 || r.noSends {
+		return nil
+	}
+	at := r.now()
+	may := r.sender.MayStill(c.route, ids, at)
+	if r.rec.Cleared(at, c.route, ids, may); !may {
+		return nil
+	}
+	return left
+}
+
+// cleared asks the loop which attempts of a call that was held up may still leave.
+func (r *Relay) cleared(c *call) []*attempt {
+	reply := make(chan []*attempt, 1)
+	if !r.post(clearance{c, reply}) {
+		return nil
 	}
 	select {
-	case ok := <-reply:
-		return ok
+	case left := <-reply:
+		return left
 	case <-r.over:
-		return false
+		return nil
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -553,43 +553,81 @@
 	}
 }
 
-// A repeat that was decided inside its window waits for a connection that comes up only after it, as from a machine
-// that is back. It must not leave then: no host drops it any more.
-func TestARepeatHeldUpPastItsWindowDoesNotLeave(t *testing.T) {
-	r := newTestRelay(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	came := make(chan struct{}, 16)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := c.Read(make([]byte, 1)); err == nil {
-					came <- struct{}{}
-				}
-			}()
-		}
-	}()
-	window := r.cfg.Settings.Classes[0].Window
-	ends := time.Now().Add(300 * time.Millisecond)
-	dialled := make(chan struct{}, 16)
+// heldUp has connections to hosts come up only once up is closed. dialled tells of each that is asked for, came of each request.
+func heldUp(t *testing.T, r *Relay, up <-chan struct{}) (dialled <-chan struct{}, came <-chan string) {
+	t.Helper()
+	asked, requests := make(chan struct{}, 16), make(chan string, 16)
+	addr, _ := rawHost(t, func(_ int, conn net.Conn, req *http.Request) bool {
+		body, _ := io.ReadAll(req.Body)
+		requests <- req.URL.Path + " " + req.Header.Get("X-Trace-Id") + string(body)
+		fmt.Fprint(conn, okAnswer)
+		return true
+	})
 	r.hosts.dial = func(ctx context.Context, network, _ string) (net.Conn, error) {
-		dialled <- struct{}{}
+		asked <- struct{}{}
 		select {
-		case <-time.After(time.Until(ends)):
+		case <-up:
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 		var d net.Dialer
-		return d.DialContext(ctx, network, l.Addr().String())
+		return d.DialContext(ctx, network, addr)
 	}
+	return asked, requests
+}
+
+// run has the relay's loop run until the test ends.
+func run(t *testing.T, r *Relay) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); <-r.over })
+	go r.loop(ctx)
+}
+
+// The connection of a call with several messages comes up late: one of them has had its final answer meanwhile, since its time was up. It must
+// not leave with the others.
+func TestAMessageThatEndedMeanwhileDoesNotLeaveWithOthers(t *testing.T) {
+	r := newTestRelay(t)
+	up := make(chan struct{})
+	dialled, came := heldUp(t, r, up)
+	r.cfg.Known.Entries = []json.RawMessage{
+		json.RawMessage(`{"id":"s-9","addr":"127.0.0.1:1","zone":"a","kind":"platform","cell":9,"state":"ready","weight":50}`),
+	}
+	r.found = &journal.Recovery{Store: &store.Recovery{}}
+	for i, left := range []time.Duration{10 * time.Second, 500 * time.Millisecond, 10 * time.Second} {
+		m := &journal.Message{ID: uint32(i + 1), Trace: fmt.Sprint("m", i), Key: "k", Dest: 9, Deadline: time.Now().Add(left)}
+		if err := r.journal.Accept(m); err != nil {
+			t.Fatal(err)
+		}
+		r.found.Messages = append(r.found.Messages, m)
+	}
+	r.resume()
+	run(t, r)
+	<-dialled
+	eventually(t, "the one whose time is up has its final answer", func() bool {
+		r.finals.mu.Lock()
+		defer r.finals.mu.Unlock()
+		return len(r.finals.queue) == 1 && r.finals.queue[0].ID == "m1"
+	})
+	close(up)
+	select {
+	case got := <-came:
+		if !strings.Contains(got, `"m0"`) || !strings.Contains(got, `"m2"`) || strings.Contains(got, `"m1"`) {
+			t.Error("the host was sent", got)
+		}
+	case <-time.After(patience):
+		t.Error("the others do not leave")
+	}
+}
+
+// A repeat that was decided inside its window waits for a connection that comes up only after it, as from a machine
+// that is back. It must not leave then: no host drops it any more.
+func TestARepeatHeldUpPastItsWindowDoesNotLeave(t *testing.T) {
+	r := newTestRelay(t)
+	window := r.cfg.Settings.Classes[0].Window
+	ends := time.Now().Add(300 * time.Millisecond)
+	up := make(chan struct{})
+	time.AfterFunc(time.Until(ends), func() { close(up) })
+	dialled, came := heldUp(t, r, up)
 	m := &journal.Message{
 		ID: 1, Trace: "m", Key: "k", Dest: 7, Deadline: time.Now().Add(10 * time.Second), Attempts: 1,
 		MayRun: []journal.Attempt{{Host: "s-1", At: ends.Add(-window)}},
@@ -599,9 +637,7 @@
 	}
 	r.found = &journal.Recovery{Messages: []*journal.Message{m}, Store: &store.Recovery{}} // as an earlier process left it
 	r.resume()
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(func() { cancel(); <-r.over })
-	go r.loop(ctx)
+	run(t, r)
 	<-dialled
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		r.finals.mu.Lock()
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -449,7 +449,7 @@
 			o := handover.Outcome(e)
 			r.send(handover.Frame{Outcome: &o})
 		case clearance:
-			e.reply <- false // nobody here can tell any more
+			e.reply <- nil // nobody here can tell any more
 		case gauges:
 			r.figures.Pending.Store(0)
 			close(e.done)
