Fleet: pages rest as the links have room; twins, joined fleets and mixed datagrams in virtual time

Cause: where a hundred members change all at once each page was told twice a second, 200 to 400 pages a second where the links carry 40 to all: news took 2.5 s to 99 %. Change: package gossip holds the figures that link, model and seam share (three tables before) and tells the room; a page rests so long that all members' pages together take no more than that (GCRA: what is urgent goes at once, four times in a row). Scenarios: link-mix (datagrams doubled and overtaken), in fleet-links; the emulator: a name started twice, two fleets joined by mistake, strangers heard as a mutant.

--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/des"
+	"onyxroad.dev/onyxroad/internal/fleet/gossip"
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
 	"onyxroad.dev/onyxroad/internal/fleet/seam"
 	"onyxroad.dev/onyxroad/internal/record"
@@ -16,26 +17,19 @@
 	"onyxroad.dev/onyxroad/policy"
 )
 
-// The model of the link between relays, with package link's figures: news goes to a few others at a time, and each sends on what is news
+// The model of the link between relays, with package gossip's figures: news goes to a few others at a time, and each sends on what is news
 // to it; digests are exchanged now and then. What it leaves out: membership (all try all that are listed) and the wire's form.
 const (
-	gossipEvery   = 100 * time.Millisecond
-	gossipTo      = 3
-	gossipPages   = 12 // that fit a datagram, more or less
-	gossipTimes   = 3  // times the logarithm of the fleet's size, as of ten at least
-	digestsEvery  = 10 * time.Second
-	linkLatency   = 500 * time.Microsecond
-	inboxMost     = 256 // datagrams that wait for a process that is stopped
-	seamEvery     = 250 * time.Millisecond
-	askClockEvery = 250 * time.Millisecond
-	asideMost     = 8
-	beliefsEvery  = 500 * time.Millisecond
-	beliefsOf     = 20   // relays at most, whose beliefs are recorded
-	clocksApart   = 0.01 // two relays' clocks at most
-	ageSlack      = 400 * time.Millisecond
-	absurdFactor  = 1000
-	versionsKeep  = 2 * ledger.AgeMost
-	datagramBytes = 1350
+	linkLatency  = 500 * time.Microsecond
+	inboxMost    = 256 // datagrams that wait for a process that is stopped
+	seamEvery    = 250 * time.Millisecond
+	beliefsEvery = 500 * time.Millisecond
+	beliefsOf    = 20   // relays at most, whose beliefs are recorded
+	clocksApart  = 0.01 // two relays' clocks at most
+	ageSlack     = 400 * time.Millisecond
+	absurdFactor = 1000
+	versionsKeep = 2 * ledger.AgeMost
+	mixHold      = 30 * time.Millisecond // a datagram that others overtake
 )
 
 // FleetWrong is what is wrong with the links of all relays. The zero value is nothing.
@@ -44,6 +38,7 @@
 	AgesStand bool // what is told on is told with the age that it had when it was heard
 	NoBounds  bool // absurd figures are taken
 	NoTransit bool // what was held up on its way, or by a process that was stopped, is taken for fresh
+	NoTable   bool // whoever tells is heard, listed or not
 }
 
 func (m *Mutant) fleet() FleetWrong {
@@ -62,6 +57,8 @@
 	pageOf  map[version]int
 	drift   []float64
 	absurd  int // a relay that tells absurd figures, counted from 0; below 0: none
+	fleets  int // that were joined by mistake: each relay's table lists those of its own
+	twin    int // a relay that was started under the name of the first, counted from 0; below 0: none
 	Wrong   []string
 	wrongs  map[string]bool
 	known   func(by *relay, v version) // told of each version that one takes; nil: nobody is
@@ -83,28 +80,66 @@
 // fleetMember is the link and the seam of one process.
 type fleetMember struct {
 	r       *relay
+	name    string // the relay's, but for a twin
 	net     *fleetNet
 	life    int
 	began   time.Duration
 	offset  time.Duration // of its clock
 	seam    *seam.Seam
 	ledger  *ledger.Ledger
-	transit ledger.Transit
-	queue   []outgoing
+	intake  ledger.Intake[fleetPacket]
+	claim   ledger.Claim
+	queue   outbox
 	mail    map[fleetPlace]bool
 	raised  ledger.Life   // a new one that the seam has not been told of
 	inbox   []fleetPacket // while the process is stopped
-	asked   map[string]time.Duration
-	aside   map[string][]fleetPacket // of members whose clocks are not known yet
 	seen    map[fleetPlace]version
 	heardAs map[fleetPlace]time.Duration // of AgesStand
 	arrived uint64                       // of LastWins
 	meant   map[fleetPlace]version       // of LastWins: what a page's version was
 }
 
-type outgoing struct {
-	fleetPlace
-	left int
+// outbox holds what is to be told, by how often it still is.
+type outbox struct {
+	left   map[fleetPlace]int
+	levels [][]fleetPlace // those that were told least last; a place counts where left says so
+}
+
+// put has a place told so many times from now on.
+func (o *outbox) put(p fleetPlace, times int) {
+	if o.left == nil {
+		o.left = map[fleetPlace]int{}
+	}
+	for len(o.levels) <= times {
+		o.levels = append(o.levels, nil)
+	}
+	if o.left[p] != times {
+		o.left[p] = times
+		o.levels[times] = append(o.levels[times], p)
+	}
+}
+
+// take takes what was told least, the newest first, so many at most.
+func (o *outbox) take(most int) (places []fleetPlace) {
+	for n := len(o.levels) - 1; n > 0; n-- {
+		level := &o.levels[n]
+		for len(*level) > 0 && len(places) < most {
+			p := (*level)[len(*level)-1]
+			*level = (*level)[:len(*level)-1]
+			if o.left[p] == n {
+				o.left[p] = -n // is being told
+				places = append(places, p)
+			}
+		}
+	}
+	for _, p := range slices.Backward(places) {
+		if n := -o.left[p] - 1; n > 0 {
+			o.put(p, n)
+		} else {
+			delete(o.left, p)
+		}
+	}
+	return places
 }
 
 type fleetPacket struct {
@@ -129,6 +164,7 @@
 	}
 	n := &fleetNet{
 		w: w, draw: des.Stream(w.plan.Seed, "fleet", 0), links: map[string]scenario.Step{}, told: map[version]time.Duration{}, pageOf: map[version]int{}, absurd: w.opts.Absurd - 1,
+		fleets: max(1, w.opts.Fleets), twin: w.opts.Twin - 1,
 		wrongs: map[string]bool{},
 	}
 	for range w.plan.File.Relays {
@@ -141,19 +177,25 @@
 // join begins a process's part in its fleet.
 func (n *fleetNet) join(r *relay) *fleetMember {
 	m := &fleetMember{
-		r: r, net: n, life: r.life, began: n.w.Now(), offset: time.Duration(n.draw.Int64N(int64(time.Hour))), mail: map[fleetPlace]bool{},
-		asked: map[string]time.Duration{}, aside: map[string][]fleetPacket{}, seen: map[fleetPlace]version{}, heardAs: map[fleetPlace]time.Duration{}, meant: map[fleetPlace]version{},
+		r: r, net: n, name: r.name, life: r.life, began: n.w.Now(), offset: time.Duration(n.draw.Int64N(int64(time.Hour))), mail: map[fleetPlace]bool{},
+		intake: ledger.Intake[fleetPacket]{AskEvery: gossip.AskEvery, AsideMost: gossip.AsideMost},
+		seen:   map[fleetPlace]version{}, heardAs: map[fleetPlace]time.Duration{}, meant: map[fleetPlace]version{},
+	}
+	if n.twin == r.n {
+		m.name = n.w.relays[0].name
 	}
 	r.incarnation++
 	life := ledger.Life{Incarnation: r.incarnation, Boot: n.draw.Uint32()}
 	var all []string
 	for i := range n.w.plan.File.Relays {
-		all = append(all, scenario.RelayName(i+1))
+		if i%n.fleets == r.n%n.fleets || r.wrong.fleet().NoTable {
+			all = append(all, scenario.RelayName(i+1))
+		}
 	}
-	m.seam = seam.New(seam.Settings{Self: r.name, Life: life, Members: all, Kinds: r.set.Kinds})
-	m.ledger = ledger.New(r.name, life, all)
-	m.every(gossipEvery, m.gossip)
-	m.every(digestsEvery, m.digests)
+	m.seam = seam.New(seam.Settings{Self: m.name, Life: life, Members: all, Kinds: r.set.Kinds})
+	m.ledger = ledger.New(m.name, life, all)
+	m.every(gossip.Every, m.gossip)
+	m.every(gossip.SyncEvery, m.digests)
 	m.every(seamEvery, func() { r.plan() })
 	return m
 }
@@ -206,7 +248,7 @@
 			m.spread(p) // it holds what it likes
 			continue
 		}
-		if m.ledger.Keep(at, p) == ledger.Changed {
+		if m.ledger.Keep(at, p) == ledger.Changed && !m.claim.Silent(at) {
 			m.put(fleetPlace{p.Name, p.Number})
 		}
 	}
@@ -223,32 +265,19 @@
 }
 
 // put queues a page to be told to others.
-func (m *fleetMember) put(p fleetPlace) {
-	times := 2 * gossipTimes
-	for n := len(m.net.w.relays); n >= 100; n /= 10 {
-		times += gossipTimes
-	}
-	m.queue = slices.DeleteFunc(m.queue, func(o outgoing) bool { return o.fleetPlace == p })
-	m.queue = append(m.queue, outgoing{p, times})
-}
+func (m *fleetMember) put(p fleetPlace) { m.queue.put(p, gossip.Times(len(m.net.w.relays))) }
 
 // gossip tells a few others what is news, first what was told least.
 func (m *fleetMember) gossip() {
-	for range min(gossipTo, len(m.net.w.relays)-1) {
-		if len(m.queue) == 0 {
-			return
-		}
-		slices.SortStableFunc(m.queue, func(a, b outgoing) int { return cmp.Compare(b.left, a.left) })
+	all := m.net.w.relays
+	for range min(gossip.Targets(len(all)), len(all)-1) {
 		var pages []ledger.Page
-		for i := range m.queue[:min(gossipPages, len(m.queue))] {
-			m.queue[i].left--
-			if p, ok := m.page(m.queue[i].fleetPlace); ok {
+		for _, place := range m.queue.take(gossip.PagesInDatagram) {
+			if p, ok := m.page(place); ok {
 				pages = append(pages, p)
 			}
 		}
-		m.queue = slices.DeleteFunc(m.queue, func(o outgoing) bool { return o.left <= 0 })
-		to := m.net.w.relays[m.net.draw.IntN(len(m.net.w.relays))]
-		if to != m.r {
+		if to := all[m.net.draw.IntN(len(all))]; to != m.r {
 			m.send(to, pages)
 		}
 	}
@@ -257,6 +286,9 @@
 // newer are the pages that another lacks.
 func (m *fleetMember) newer(than ledger.Digest) (pages []ledger.Page) {
 	for _, p := range m.ledger.Newer(m.clock(), than) {
+		if p.Name == m.name && m.claim.Silent(m.clock()) {
+			continue
+		}
 		if p, ok := m.page(fleetPlace{p.Name, p.Number}); ok {
 			pages = append(pages, p)
 		}
@@ -316,7 +348,7 @@
 	for _, p := range p.pages {
 		n.Bytes += 40 + 30*len(p.Cells)
 	}
-	late := linkLatency
+	late, again := linkLatency, time.Duration(-1)
 	switch f := n.links[scenario.LinkName(m.r.name, to.name)]; f.Op {
 	case scenario.OpLinkCut:
 		return
@@ -326,11 +358,18 @@
 		}
 	case scenario.OpLinkDelay:
 		late += f.For
+	case scenario.OpLinkMix:
+		if n.draw.Float64() < f.X {
+			again = late + time.Duration(n.draw.Int64N(int64(mixHold)))
+		}
+		if n.draw.Float64() < f.X {
+			late += mixHold
+		}
 	case scenario.OpLinkRate:
-		late += time.Duration(datagramBytes / f.X * float64(time.Second))
+		late += time.Duration(gossip.DatagramBytes / f.X * float64(time.Second))
 	}
-	p.from, p.boot, p.clock = m.r.name, m.ledger.Life().Boot, m.clock()
-	n.w.After(late, func() {
+	p.from, p.boot, p.clock = m.name, m.ledger.Life().Boot, m.clock()
+	come := func() {
 		switch o := to.fleet; {
 		case o == nil || !to.up:
 		case !to.frozen:
@@ -338,7 +377,10 @@
 		case len(o.inbox) < inboxMost:
 			o.inbox = append(o.inbox, p)
 		}
-	})
+	}
+	if n.w.After(late, come); again >= 0 {
+		n.w.After(again, come)
+	}
 }
 
 // hear takes a datagram that came.
@@ -351,25 +393,19 @@
 	}
 	if p.pong != nil {
 		if p.pong.boot == m.ledger.Life().Boot {
-			m.transit.Calibrate(p.from, p.boot, p.clock, p.pong.clock, at)
-			aside := m.aside[p.from]
-			delete(m.aside, p.from)
-			for _, p := range aside {
+			for _, p := range m.intake.Answered(p.from, p.boot, p.clock, p.pong.clock, at) {
 				m.hear(p)
 			}
 		}
 		return
 	}
-	held, known, stale := m.transit.Of(p.from, p.boot, p.clock, at)
-	if last, before := m.asked[p.from]; stale && (!before || at-last >= askClockEvery) {
-		m.asked[p.from] = at
+	held, known, ask := m.intake.Take(p, p.from, p.boot, p.clock, at)
+	if ask {
 		m.post(sender, fleetPacket{ping: true})
 	}
 	if wrong.NoTransit {
 		held = 0
 	} else if !known {
-		aside := append(m.aside[p.from], p)
-		m.aside[p.from] = aside[max(0, len(aside)-asideMost):]
 		return
 	}
 	for _, page := range p.pages {
@@ -381,7 +417,7 @@
 			page.Sequence = m.arrived
 		}
 		out, _ := m.ledger.Merge(at, page)
-		if out == ledger.Rival { // a life of this relay that its folder does not know of
+		if out == ledger.Rival && m.claim.Rival(at) { // a life of this relay that its folder does not know of
 			m.r.incarnation = m.ledger.Rival().Incarnation + 1
 			m.raised = ledger.Life{Incarnation: m.r.incarnation, Boot: m.ledger.Life().Boot}
 			m.ledger.Raise(m.raised)
@@ -424,13 +460,13 @@
 		if !r.up || r.frozen || r.fleet == nil {
 			continue
 		}
-		m := r.fleet
+		m, limits := r.fleet, r.fleet.seam.Limits()
 		youngest, lives := map[string]time.Duration{}, map[string]uint64{}
 		m.ledger.Pages(m.clock(), func(p ledger.Page) {
-			if p.Name == r.name {
+			if p.Name == m.name {
 				return
 			}
-			n.check(m, p)
+			n.check(m, limits, p)
 			if age, ok := youngest[p.Name]; !ok || p.Age < age {
 				youngest[p.Name] = p.Age
 			}
@@ -457,13 +493,15 @@
 
 // check holds one page that a relay has against the truth: no figure is beyond the bounds, no page is younger than it is, and
 // none goes back to an earlier version.
-func (n *fleetNet) check(m *fleetMember, p ledger.Page) {
+func (n *fleetNet) check(m *fleetMember, limits ledger.Limits, p ledger.Page) {
 	place := fleetPlace{p.Name, p.Number}
 	v := version{p.Name, p.Life, p.Sequence}
 	if meant, other := m.meant[place]; other {
 		v = meant
 	}
-	limits := m.seam.Limits()
+	if of := n.w.relay(p.Name); of.n%n.fleets != m.r.n%n.fleets {
+		n.wrong("stranger", "%s holds page %d of %s, of another fleet", m.r.name, p.Number, p.Name)
+	}
 	for _, c := range p.Cells {
 		if limit, ok := limits[c.Dest][c.Route]; ok && c.Calls > ledger.Multiple*max(1, limit) {
 			n.wrong("bound", "%s holds %g calls a second of %s at destination %d, which takes %g", m.r.name, c.Calls, p.Name, c.Dest, limit)
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -76,6 +76,10 @@
 	Machines bool
 	// Absurd is a relay of a fleet, counted from 1, that tells the others figures that cannot be; 0: none does.
 	Absurd int
+	// Twin is one that was started under the name of the first; 0: none is.
+	Twin int
+	// Fleets is how many fleets were joined by mistake, relays in turns: each relay lists those of its own, and reaches all; 0: one.
+	Fleets int
 	// EventsMost bounds the engine's events; 0: 2,000 for each message and second of length and relay, and a million more.
 	EventsMost uint64
 }
@@ -342,7 +346,7 @@
 		}
 	case scenario.OpFreeze, scenario.OpThaw:
 		w.relay(s.Target).freeze(s.Op == scenario.OpFreeze)
-	case scenario.OpLinkCut, scenario.OpLinkLose, scenario.OpLinkDelay, scenario.OpLinkRate, scenario.OpLinkSound:
+	case scenario.OpLinkCut, scenario.OpLinkLose, scenario.OpLinkDelay, scenario.OpLinkRate, scenario.OpLinkMix, scenario.OpLinkSound:
 		w.fleet.setLink(s)
 	case scenario.OpHUP:
 		w.see(record.Event{Kind: record.Process, Relay: s.Target, State: record.StateHUP})
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -351,6 +351,18 @@
 	return keys
 }
 
+// Count is how many pages it holds that have not aged out.
+func (l *Ledger) Count(now time.Duration) (n int) {
+	for _, m := range l.members {
+		for _, e := range m.pages {
+			if now-e.told <= AgeMost {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Sweep drops what has aged out.
 func (l *Ledger) Sweep(now time.Duration) {
 	for name, m := range l.members {
--- a/internal/fleet/ledger/transit.go
+++ b/internal/fleet/ledger/transit.go
@@ -57,3 +57,42 @@
 	}
 	return max(0, now-sent-c.bound(now)), true, now-c.at > CalibrateEvery
 }
+
+// Intake is Transit for whoever can ask: it tells when to ask a sender for its clock, and puts aside what comes of one whose clock is not
+// known yet. M is a message as the caller has it. Names must be of listed members: they bound it.
+type Intake[M any] struct {
+	Transit
+	AskEvery  time.Duration // an unanswered sender is asked again
+	AsideMost int           // messages of one sender that are kept, the newest
+
+	asked map[string]time.Duration
+	aside map[string][]M
+}
+
+// Take takes a message that was stamped sent. known is false if it was put aside; else it has been under way for held at most. ask tells that
+// its sender is to be asked now.
+func (in *Intake[M]) Take(m M, name string, boot uint32, sent, now time.Duration) (held time.Duration, known, ask bool) {
+	held, known, stale := in.Of(name, boot, sent, now)
+	if at, before := in.asked[name]; stale && (!before || now-at >= in.AskEvery) {
+		if in.asked == nil {
+			in.asked = map[string]time.Duration{}
+		}
+		in.asked[name], ask = now, true
+	}
+	if !known {
+		if in.aside == nil {
+			in.aside = map[string][]M{}
+		}
+		aside := append(in.aside[name], m)
+		in.aside[name] = aside[max(0, len(aside)-in.AsideMost):]
+	}
+	return held, known, ask
+}
+
+// Answered takes a sender's answer as Calibrate does, and returns what was put aside of it.
+func (in *Intake[M]) Answered(name string, boot uint32, clock, asked, now time.Duration) (aside []M) {
+	in.Calibrate(name, boot, clock, asked, now)
+	aside = in.aside[name]
+	delete(in.aside, name)
+	return aside
+}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -20,34 +20,21 @@
 	"github.com/hashicorp/memberlist"
 
 	"onyxroad.dev/onyxroad/internal/fleet/codec"
+	"onyxroad.dev/onyxroad/internal/fleet/gossip"
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
 )
 
 const (
-	packetMost   = 1350 // bytes of a datagram; ages grow by a byte or two between queue and wire
-	gossipEvery  = 100 * time.Millisecond
-	gossipTo     = 3
-	retransmits  = 3  // times the logarithm of the fleet's size, rounded up: each page is sent on by each so often
-	nodesLeast   = 10 // that the fleet's size is taken for
 	probeEvery   = time.Second
 	probeFor     = 400 * time.Millisecond
-	syncEvery    = 10 * time.Second // digests are exchanged with one other so often, less often in large fleets
-	streamFor    = 2 * time.Second  // a peer that hangs holds a stream no longer
+	streamFor    = 2 * time.Second // a peer that hangs holds a stream no longer
 	rejoinEvery  = 2 * time.Second
 	rejoinAtOnce = 2
 	repliesMost  = 8
 	notesMost    = 256
-	askEvery     = 250 * time.Millisecond // another for its clock, until it answers
-	asideMost    = 8                      // messages of one whose clock is not known yet
-	batchBytes   = 16 << 10               // of pages in a message on a stream, more or less
-	pageGuess    = 200                    // bytes
-
-	// An earlier life of this relay that is heard of is gone past once, or a few times where its last ones are heard of late. Who answers
-	// each new life with a greater one is another process under the same name: after raisesMost within twinSpan this one falls
-	// silent, until none was heard for twinFor.
-	raisesMost = 3
-	twinSpan   = 30 * time.Second
-	twinFor    = 60 * time.Second
+	batchBytes   = 16 << 10 // of pages in a message on a stream, more or less
+	pageGuess    = 200      // bytes
+
 	reclaimFor = 10 * time.Second // after which the others let a name that is silent have another address
 )
 
@@ -77,19 +64,15 @@
 	queue memberlist.TransmitLimitedQueue
 	wire  *transport
 
-	mu      sync.Mutex
-	ledger  *ledger.Ledger
-	transit ledger.Transit
-	asked   map[string]time.Duration   // whose clock was asked for, and when last
-	aside   map[string][]codec.Message // of senders whose clocks are not known yet, the newest
-	mail    map[place]struct{}
-	life    ledger.Life // a new one that Heard has not told yet
-	raises  int         // new lives since began
-	began   time.Duration
-	going   bool          // one is beginning
-	twin    time.Duration // until then this member tells nothing
-	counts  Counts
-	closed  bool
+	mu     sync.Mutex
+	ledger *ledger.Ledger
+	intake ledger.Intake[codec.Message]
+	mail   map[place]struct{}
+	life   ledger.Life // a new one that Heard has not told yet
+	going  bool        // a new life is beginning
+	claim  ledger.Claim
+	counts Counts
+	closed bool
 
 	replies chan reply
 	notes   chan note
@@ -137,21 +120,22 @@
 		cfg.now = func() time.Duration { return time.Since(began) }
 	}
 	l := &Link{
-		cfg: cfg, codec: c, ledger: ledger.New(cfg.Name, cfg.Life, names(cfg.Join)), mail: map[place]struct{}{}, twin: -1,
-		asked: map[string]time.Duration{}, aside: map[string][]codec.Message{}, notes: make(chan note, notesMost),
+		cfg: cfg, codec: c, ledger: ledger.New(cfg.Name, cfg.Life, names(cfg.Join)), mail: map[place]struct{}{},
+		intake:  ledger.Intake[codec.Message]{AskEvery: gossip.AskEvery, AsideMost: gossip.AsideMost},
+		notes:   make(chan note, notesMost),
 		replies: make(chan reply, repliesMost), raising: make(chan struct{}, 1),
 	}
 	// Who listens, not who is seen: one that sees nobody yet tells all the same. A small fleet's datagrams get lost like a large one's.
-	l.queue.NumNodes = func() int { return max(nodesLeast, len(cfg.Join)) }
+	l.queue.NumNodes = func() int { return gossip.Nodes(len(cfg.Join)) }
 	mc := memberlist.DefaultLANConfig()
 	mc.Name, mc.Label = cfg.Name, cfg.Fleet
 	mc.Logger = slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug)
-	mc.UDPBufferSize, mc.GossipInterval, mc.GossipNodes = packetMost, gossipEvery, gossipTo
+	mc.UDPBufferSize, mc.GossipInterval, mc.GossipNodes = gossip.DatagramBytes, gossip.Every, gossip.Targets(len(cfg.Join))
 	mc.ProbeInterval, mc.ProbeTimeout, mc.TCPTimeout = probeEvery, probeFor, streamFor
-	mc.PushPullInterval, mc.EnableCompression, mc.DeadNodeReclaimTime = cmp.Or(cfg.syncEvery, syncEvery), false, reclaimFor
+	mc.PushPullInterval, mc.EnableCompression, mc.DeadNodeReclaimTime = cmp.Or(cfg.syncEvery, gossip.SyncEvery), false, reclaimFor
 	mc.Delegate, mc.Conflict, mc.Alive = (*delegate)(l), (*delegate)(l), (*delegate)(l)
 	// memberlist's own number of the delegate's form stays 0 for good: it keeps out whole members that are newer. The codec does better.
-	l.queue.RetransmitMult = retransmits
+	l.queue.RetransmitMult = gossip.Mult(len(cfg.Join))
 	inner := cfg.transport
 	if inner == nil {
 		at, err := netip.ParseAddrPort(cfg.Listen)
@@ -201,7 +185,7 @@
 		return nil
 	}
 	l.stop()
-	l.list.Leave(2 * gossipEvery) // nobody need hear of it
+	l.list.Leave(2 * gossip.Every) // nobody need hear of it
 	err := l.list.Shutdown()
 	l.works.Wait()
 	if err != nil {
@@ -220,7 +204,7 @@
 	l.mu.Lock()
 	for _, p := range pages {
 		p.Age = 0
-		if l.ledger.Keep(now, p) == ledger.Changed && now >= l.twin {
+		if l.ledger.Keep(now, p) == ledger.Changed && !l.claim.Silent(now) {
 			take = append(take, place{p.Name, p.Number})
 		}
 	}
@@ -292,7 +276,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := Status{
-		Name: l.cfg.Name, Fleet: l.cfg.Fleet, Listen: l.Addr(), Life: l.ledger.Life(), Twin: now < l.twin, Health: l.list.GetHealthScore(),
+		Name: l.cfg.Name, Fleet: l.cfg.Fleet, Listen: l.Addr(), Life: l.ledger.Life(), Twin: l.claim.Silent(now), Health: l.list.GetHealthScore(),
 		Queued: l.queue.NumQueued(), Counts: l.counts,
 	}
 	s.SentBytes, s.Streams = l.wire.sent.Load(), l.wire.streams.Load()
@@ -343,9 +327,7 @@
 	}
 	waiting := []codec.Message{m}
 	if m.Pong != nil && m.Pong.Boot == l.cfg.Life.Boot {
-		l.transit.Calibrate(m.From, m.Boot, micros(m.Clock), micros(m.Pong.Clock), now)
-		waiting = append(l.aside[m.From], m)
-		delete(l.aside, m.From)
+		waiting = append(l.intake.Answered(m.From, m.Boot, micros(m.Clock), micros(m.Pong.Clock), now), m)
 	}
 	for _, m := range waiting {
 		news = append(news, l.pages(now, m)...)
@@ -366,14 +348,11 @@
 	if len(m.Pages) == 0 {
 		return nil
 	}
-	held, known, stale := l.transit.Of(m.From, m.Boot, micros(m.Clock), now)
-	if at, before := l.asked[m.From]; stale && (!before || now-at >= askEvery) {
-		l.asked[m.From] = now
+	held, known, ask := l.intake.Take(m, m.From, m.Boot, micros(m.Clock), now)
+	if ask {
 		l.send(note{to: m.From})
 	}
 	if !known {
-		aside := append(l.aside[m.From], m)
-		l.aside[m.From] = aside[max(0, len(aside)-asideMost):]
 		return nil
 	}
 	for _, p := range m.LedgerPages() {
@@ -438,26 +417,22 @@
 // the name. mu is held.
 func (l *Link) rival(now time.Duration) {
 	l.counts.Rivals++
-	switch {
-	case l.going:
+	if l.going {
 		return
-	case now < l.twin || l.raises >= raisesMost && now < l.began+twinSpan:
-		l.twinned(now, twinFor)
+	}
+	if was := l.claim.Silent(now); !l.claim.Rival(now) {
+		l.twinned(!was)
 		return
-	case now >= l.began+twinSpan:
-		l.raises, l.began = 0, now
 	}
-	l.raises++
 	l.going = true
 	l.raising <- struct{}{} // has room: one is beginning at most
 }
 
-// twinned has this member tell nothing for a while. mu is held.
-func (l *Link) twinned(now, wait time.Duration) {
-	if now >= l.twin {
+// twinned says that this member tells nothing for a while, if that is anew.
+func (l *Link) twinned(anew bool) {
+	if anew {
 		l.cfg.Log.Error("fleet: another process runs under this relay's name; this one falls silent", "name", l.cfg.Name)
 	}
-	l.twin = max(l.twin, now+wait)
 }
 
 // raise begins a new life, past all that were heard of, once that outlasts the process.
@@ -511,7 +486,7 @@
 		to := others[i]
 		l.mu.Lock()
 		pages := l.ledger.Newer(l.cfg.now(), r.digest)
-		if l.cfg.now() < l.twin {
+		if l.claim.Silent(l.cfg.now()) {
 			pages = slices.DeleteFunc(pages, func(p ledger.Page) bool { return p.Name == l.cfg.Name })
 		}
 		l.mu.Unlock()
@@ -630,7 +605,7 @@
 		l.cfg.Log.Warn("fleet: a name is told with two addresses", "name", other.Name, "other", other.Address())
 	}
 	if other.Name == l.cfg.Name { // the others know another process by this name, or this one by an address that it had before
-		l.twinned(now, reclaimFor)
+		l.twinned(l.claim.Yield(now, reclaimFor))
 	}
 }
 
--- a/internal/fleet/seam/seam.go
+++ b/internal/fleet/seam/seam.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"onyxroad.dev/onyxroad/internal/fleet/gossip"
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -20,12 +21,13 @@
 const (
 	rateSpan = 5 * time.Second // rates are means over about so long
 
-	// A page is told at once when a wait, a backlog or coldness begins or ends, else when a rate has changed by changeShare, no more
-	// often than after tellLeast, or after tellShare for each member if that is longer: what all must hear grows with their
-	// number. What has not changed is told again after tellAgain, so that it does not fade.
+	// A page is told when a rate has changed by changeShare, no more often than after its rest: tellLeast, or longer where all members' pages
+	// together would take more than the links have room for. Where a wait, a backlog or coldness begins or ends it is told at once, burst
+	// times in a row, and rests the longer after that. What has not changed is told again after tellAgain, so that it does not fade.
 	tellLeast   = 500 * time.Millisecond
-	tellShare   = 5 * time.Millisecond
 	tellAgain   = ledger.HalfLife / 2
+	burst       = 4
+	restEvery   = time.Second // how long a page rests is found anew
 	changeShare = 0.1
 	changeLeast = 0.05                   // a second, under which no change counts
 	lookEvery   = 100 * time.Millisecond // what is to be told is looked at so often
@@ -76,6 +78,7 @@
 type toldPage struct {
 	_     struct{} `cbor:",toarray"`
 	At    time.Duration
+	Paid  time.Duration // all tellings until At have had their rests then: GCRA's theoretical time of arrival
 	Cells []ledger.Cell
 }
 
@@ -89,6 +92,8 @@
 	Held     map[uint32]held
 	Told     map[int]toldPage
 	LookAt   time.Duration
+	Rest     time.Duration // of a page between two tellings, as of RestAt
+	RestAt   time.Duration
 	SweepAt  time.Duration
 	Pages    []ledger.Page // of the ledger, in snapshots
 	Now      time.Duration
@@ -371,7 +376,7 @@
 		}
 	}
 	slices.Sort(numbers)
-	rest := max(tellLeast, tellShare*time.Duration(len(s.Set.Members)))
+	rest := s.rest()
 	for _, n := range numbers {
 		was, told := s.Told[n]
 		page := fit(cells[n])
@@ -387,13 +392,23 @@
 			continue // counted; a figure of this relay's own beyond the bounds is not told
 		}
 		pages = append(pages, p)
-		if s.Told[n] = (toldPage{At: now, Cells: page}); len(page) == 0 {
+		if s.Told[n] = (toldPage{At: now, Paid: max(now, was.Paid) + rest, Cells: page}); len(page) == 0 {
 			delete(s.Told, n) // an empty page fades like others, and says nothing meanwhile
 		}
 	}
 	return pages
 }
 
+// rest is how long a page rests between two tellings, so that all pages of all members together take no more than the links have room for. One who
+// hears a part of the fleet alone knows of that part's pages: it is with these that it shares links.
+func (s *Seam) rest() time.Duration {
+	if s.Rest == 0 || s.Now >= s.RestAt+restEvery {
+		room := gossip.Room(len(s.Set.Members))
+		s.Rest, s.RestAt = max(tellLeast, time.Duration(float64(s.ledger.Count(s.Now))/room*float64(time.Second))), s.Now
+	}
+	return s.Rest
+}
+
 func (t *Tally) cell(at scope, now time.Duration) ledger.Cell {
 	rate := func(level float64) float64 { return round(level / rateSpan.Seconds()) }
 	return ledger.Cell{
@@ -430,29 +445,28 @@
 
 // due tells whether a page must be told.
 func due(was toldPage, cells []ledger.Cell, told bool, now, rest time.Duration) bool {
-	switch {
-	case !told:
+	if !told {
 		return len(cells) > 0
-	case now-was.At >= max(tellAgain, rest):
-		return true
-	case len(cells) != len(was.Cells):
-		return now-was.At >= rest
 	}
-	for i, c := range cells {
-		o := was.Cells[i]
-		if c.Dest != o.Dest || c.Route != o.Route {
-			return now-was.At >= rest
-		}
-		waits := c.Wait > 0 && (o.Wait == 0 || (c.Wait-(o.Wait-(now-was.At))).Abs() > 2*lookEvery)
-		if waits || c.Cold != o.Cold || (c.Backlog > 0) != (o.Backlog > 0) {
-			return now-was.At >= lookEvery
-		}
-		if moved(c.Demand, o.Demand) || moved(c.Calls, o.Calls) || moved(c.Refusals, o.Refusals) || moved(c.Deliveries, o.Deliveries) ||
-			moved(c.Failures, o.Failures) || moved(float64(c.Backlog), float64(o.Backlog)) {
-			return now-was.At >= rest
+	if now < was.Paid { // only what is urgent goes before its time, and not without end
+		return now-was.At >= lookEvery && was.Paid-now <= (burst-1)*rest && slices.ContainsFunc(cells, was.urgent(now))
+	}
+	return now-was.At >= max(tellAgain, rest) || !slices.EqualFunc(cells, was.Cells, func(c, o ledger.Cell) bool {
+		return c.Dest == o.Dest && c.Route == o.Route && !moved(c.Demand, o.Demand) && !moved(c.Calls, o.Calls) && !moved(c.Refusals, o.Refusals) &&
+			!moved(c.Deliveries, o.Deliveries) && !moved(c.Failures, o.Failures) && !moved(float64(c.Backlog), float64(o.Backlog))
+	}) || slices.ContainsFunc(cells, was.urgent(now))
+}
+
+// urgent tells of a cell whether a wait, a backlog or coldness began or ended since its page was told.
+func (p toldPage) urgent(now time.Duration) func(ledger.Cell) bool {
+	return func(c ledger.Cell) bool {
+		var o ledger.Cell
+		if i := slices.IndexFunc(p.Cells, func(o ledger.Cell) bool { return o.Dest == c.Dest && o.Route == c.Route }); i >= 0 {
+			o = p.Cells[i]
 		}
+		waits := c.Wait > 0 && (o.Wait == 0 || (c.Wait-(o.Wait-(now-p.At))).Abs() > 2*lookEvery)
+		return waits || c.Cold != o.Cold || (c.Backlog > 0) != (o.Backlog > 0)
 	}
-	return false
 }
 
 func moved(a, b float64) bool { return math.Abs(a-b) > max(changeLeast, changeShare*max(a, b)) }
--- a/internal/fleet/seam/seam_test.go
+++ b/internal/fleet/seam/seam_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/fleet/gossip"
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
 	"onyxroad.dev/onyxroad/internal/flight"
 	"onyxroad.dev/onyxroad/internal/flight/flighttest"
@@ -202,3 +203,53 @@
 		s.Step(now, Input{Events: ev, Views: none})
 	}
 }
+
+// However much changes, the pages of all members together take no more than the links have room for; what is urgent goes at once, a few
+// times in a row.
+func TestRestsGrowWithTheFleet(t *testing.T) {
+	const began, length = 30 * time.Second, 120 * time.Second
+	for _, members := range []int{3, 100, 300} {
+		set := newSeam().Set
+		set.Members = []string{"me"}
+		for i := range members - 1 {
+			set.Members = append(set.Members, fmt.Sprint("m", i))
+		}
+		s := New(set)
+		s.Step(time.Second, Input{Events: []policy.Event{{Kind: policy.ListWhole, List: []policy.Listing{{Route: "s-1", Destination: 9, Weight: 500, InService: true}}}}})
+		told, seq := 0, uint64(0)
+		for now := time.Second; now < began+length; now += lookEvery {
+			in := Input{Views: func() []policy.View { return nil }, Events: []policy.Event{{Kind: policy.Taken, ID: 1, Destination: 9}}}
+			if now/lookEvery%2 == 0 { // a backlog begins and ends with every look
+				in.Events = []policy.Event{{Kind: policy.Finished, ID: 1, Route: "s-1", Outcome: policy.OK, Ended: true}}
+			}
+			if now%(10*time.Second) == 0 { // two pages of each of the others
+				seq += 2
+				for _, m := range set.Members[1:] {
+					for n := range uint64(2) {
+						in.Heard = append(in.Heard, ledger.Page{Name: m, Life: ledger.Life{Incarnation: 1, Boot: 1}, Number: int(n), Sequence: seq + n})
+					}
+				}
+			}
+			if pages := s.Step(now, in); now >= began {
+				told += len(pages)
+			}
+		}
+		pages := 2*(members-1) + 1
+		share := gossip.Room(members) / float64(pages) // tellings of one page a second
+		most := length.Seconds()*min(share, 1/tellLeast.Seconds()) + burst
+		if float64(told) > most || float64(told) < 0.7*most {
+			t.Errorf("%d members: %d tellings in %v, room for %.0f", members, told, length, most)
+		}
+	}
+	// Coldness that begins is told with the next look, though the page was told just before.
+	s := newSeam()
+	s.Step(time.Second, Input{Events: []policy.Event{{Kind: policy.ListWhole, List: []policy.Listing{{Route: "s-1", Destination: 9, Weight: 500, InService: true}}}}})
+	look := func(now time.Duration, cold bool) []ledger.Page {
+		return s.Step(now, Input{Events: []policy.Event{{Kind: policy.Taken, ID: uint32(now), Destination: 9}}, Views: func() []policy.View {
+			return []policy.View{{Listing: policy.Listing{Route: "s-1"}, Cold: cold}}
+		}})
+	}
+	if len(look(2*time.Second, false)) != 1 || len(look(2*time.Second+lookEvery, true)) != 1 {
+		t.Error("coldness waits for the page's rest")
+	}
+}
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -113,6 +113,8 @@
 		f.Drop = step.X
 	case scenario.OpLinkDelay:
 		f.Delay = step.For
+	case scenario.OpLinkMix:
+		f.Double, f.Reorder = step.X, step.X
 	case scenario.OpLinkRate:
 		f.Rate = int(step.X)
 	case scenario.OpLinkSound:
--- a/internal/rehearsal/steps.go
+++ b/internal/rehearsal/steps.go
@@ -47,7 +47,7 @@
 		})
 	case scenario.OpFreeze, scenario.OpThaw:
 		err = s.relays[step.Target].freeze(step.Op == scenario.OpFreeze)
-	case scenario.OpLinkCut, scenario.OpLinkLose, scenario.OpLinkDelay, scenario.OpLinkRate, scenario.OpLinkSound:
+	case scenario.OpLinkCut, scenario.OpLinkLose, scenario.OpLinkDelay, scenario.OpLinkRate, scenario.OpLinkMix, scenario.OpLinkSound:
 		err = s.setLink(step)
 	case scenario.OpHUP:
 		err = s.relays[step.Target].reload()
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -88,6 +88,7 @@
 	OpLinkLose  Op = "link-lose"  // the share X of its datagrams
 	OpLinkDelay Op = "link-delay" // all by For
 	OpLinkRate  Op = "link-rate"  // X bytes a second
+	OpLinkMix   Op = "link-mix"   // the share X of its datagrams comes twice, and the same share is overtaken by others
 	OpLinkSound Op = "link-sound"
 )
 
@@ -363,7 +364,7 @@
 		}
 	case DiscoveryDown, DiscoveryLate, Term, Kill, HUP, ClockStep, Stall:
 		struck = p.relays(draw, t)
-	case LinkCut, LinkLoss, LinkDelay, LinkThrottle:
+	case LinkCut, LinkLoss, LinkDelay, LinkThrottle, LinkMix:
 		struck = p.links(draw, t)
 	default:
 		for _, place := range p.struck(draw, t) {
@@ -487,6 +488,8 @@
 		p.step(begin, OpLinkLose, name).X = t.Loss
 	case LinkDelay:
 		p.step(begin, OpLinkDelay, name).For = t.Delay.D()
+	case LinkMix:
+		p.step(begin, OpLinkMix, name).X = t.Mixed
 	case LinkThrottle:
 		p.step(begin, OpLinkRate, name).X = float64(t.Rate)
 	}
