Rights: a new process uses its part as soon as all others hold nothing of an earlier life

Cause: a process that begins anew waited out a whole lease with a fifth of its part, since an earlier life may have lent the rest: two of twenty seconds. Change: it asks all others whether they hold a loan of another life of it; who does not says so, and takes none of another life for as long as one may be under way. When all have said so it goes on at once; where one does not answer, after the lease as before. A life that lost its folder, and is lesser, too. Checked: rapid with restarts without the folder; a delayed loan of the earlier life breaks the sum if that promise is not kept, and not if it is.

--- a/internal/fleet/codec/codec.go
+++ b/internal/fleet/codec/codec.go
@@ -53,6 +53,8 @@
 	Loans       []loan `cbor:"7,keyasint,omitempty"`
 	Asks        []ask  `cbor:"8,keyasint,omitempty"`
 	Gives       []give `cbor:"9,keyasint,omitempty"`
+	New         bool   `cbor:"10,keyasint,omitempty"`
+	None        bool   `cbor:"11,keyasint,omitempty"`
 }
 
 type loan struct {
@@ -227,7 +229,7 @@
 
 // SetRights puts what one member tells another of rights into a message.
 func (m *Message) SetRights(r rights.Message) {
-	n := &rightsNote{Incarnation: r.Incarnation, Seq: r.Seq, Seen: r.Seen, OfInc: r.Of.Incarnation, OfBoot: r.Of.Boot, Ping: r.Ping}
+	n := &rightsNote{Incarnation: r.Incarnation, Seq: r.Seq, Seen: r.Seen, OfInc: r.Of.Incarnation, OfBoot: r.Of.Boot, Ping: r.Ping, New: r.New, None: r.None}
 	for _, l := range r.Loans {
 		n.Loans = append(n.Loans, loan{l.Scope.Dest, l.Scope.Route, l.Rate, l.Done, l.Refused})
 	}
@@ -245,7 +247,7 @@
 	n := m.Rights
 	r := rights.Message{
 		Member: m.From, Life: ledger.Life{Incarnation: n.Incarnation, Boot: m.Boot}, Seq: n.Seq, Seen: n.Seen,
-		Of: ledger.Life{Incarnation: n.OfInc, Boot: n.OfBoot}, Ping: n.Ping,
+		Of: ledger.Life{Incarnation: n.OfInc, Boot: n.OfBoot}, Ping: n.Ping, New: n.New, None: n.None,
 	}
 	for _, l := range n.Loans {
 		r.Loans = append(r.Loans, rights.Loan{Scope: rights.Scope{Dest: l.Dest, Route: l.Route}, Rate: l.Rate, Done: l.Done, Refused: l.Refused})
--- a/internal/fleet/codec/codec_test.go
+++ b/internal/fleet/codec/codec_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"errors"
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"onyxroad.dev/onyxroad/internal/fleet/gossip"
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/fleet/rights"
 )
 
 func newCodec(t testing.TB) *Codec {
@@ -118,3 +121,42 @@
 		m.LedgerDigest()
 	})
 }
+
+// What one member tells another of rights comes as it was told, all of it, and a message that is full of it fits a datagram.
+func TestRightsOnTheWire(t *testing.T) {
+	c, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := rights.Message{
+		Member: "relay-17", Life: ledger.Life{Incarnation: 3, Boot: 9}, Seq: 70000, Seen: 69000, Of: ledger.Life{Incarnation: 12, Boot: 1 << 31},
+		Ping: true, New: true, None: true,
+	}
+	for i := range 24 { // the most that one holds
+		at := rights.Scope{Dest: 40000 + i, Route: fmt.Sprintf("s-%08x", i)}
+		switch i % 3 {
+		case 0:
+			r.Loans = append(r.Loans, rights.Loan{Scope: at, Rate: 0.123456789, Done: 1 << 20, Refused: 1 << 12})
+		case 1:
+			r.Asks = append(r.Asks, rights.Ask{Scope: at, ID: 1 << 20, N: 16, Done: 1 << 20, Refused: 1 << 12})
+		case 2:
+			r.Gives = append(r.Gives, rights.Give{Scope: at, ID: 1 << 20, N: 16})
+		}
+	}
+	m := Message{From: r.Member, Boot: r.Boot, Clock: 1 << 40}
+	m.SetRights(r)
+	data, err := c.Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := c.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if back := got.RightsMessage(); !reflect.DeepEqual(back, r) {
+		t.Errorf("%+v\nwant %+v", back, r)
+	}
+	if len(data) > gossip.DatagramBytes {
+		t.Errorf("%d bytes", len(data))
+	}
+}
--- a/internal/fleet/rights/rights.go
+++ b/internal/fleet/rights/rights.go
@@ -107,6 +107,8 @@
 	Seen  uint64        // the greatest Seq heard of the other, of SeenLife
 	Of    ledger.Life
 	Ping  bool // asks for an answer
+	New   bool // asks whether a loan of another life of the sender is held
+	None  bool // none is, and none will be taken as long as one may be under way
 	Loans []Loan
 	Asks  []Ask
 	Gives []Give
@@ -193,6 +195,10 @@
 	Sent   time.Duration // loans, last
 	Acked  bool          // they are
 	SentAs uint64        // their Seq
+	None   bool          // it holds no loan of another life of this member
+	Asked  time.Duration // that, last
+	Only   ledger.Life   // it was told so: loans of other lives are not taken
+	Until  time.Duration // before then
 }
 
 // State is all that a Book holds, exported for snapshots alone.
@@ -277,9 +283,45 @@
 	}
 }
 
+// unsure tells whether others may hold what an earlier life of this member has lent: until a lease is over, or all have said that they do not.
+func (b *Book) unsure() bool {
+	if b.Set.Fresh || b.Now >= b.Began+b.hold() {
+		return false
+	}
+	for _, name := range b.Set.Members {
+		if p := b.Peers[name]; name != b.Set.Self && (p == nil || !p.None) {
+			return true
+		}
+	}
+	return false
+}
+
+// inquire asks all that have not said so.
+func (b *Book) inquire() {
+	for _, name := range b.Set.Members {
+		if p := b.peer(name); name != b.Set.Self && !p.None && b.Now >= p.Asked+callEvery {
+			p.Asked = b.Now
+			b.to(name).New = true
+		}
+	}
+}
+
+// answer tells a new life of a member whether a loan of another one is held.
+func (b *Book) answer(m Message, p *peer) {
+	for _, a := range b.Accounts {
+		for _, h := range a.Held {
+			if h.From == m.Member && h.Life != m.Life && b.Now < h.Until {
+				return // it asks again, or waits
+			}
+		}
+	}
+	p.Only, p.Until = m.Life, b.Now+b.hold()
+	b.to(m.Member).None = true
+}
+
 // lent is how much of its part others may still use.
 func (b *Book) lent(s Scope, a *Account) (sum float64) {
-	if !b.Set.Fresh && b.Now < b.Began+b.hold() {
+	if b.unsure() {
 		sum = (1 - Kept) * b.part(a) // to whom, an earlier life knew
 	}
 	most := map[string]float64{}
@@ -416,10 +458,17 @@
 // since that is counted in all.
 func (b *Book) Hear(now time.Duration, m Message) {
 	b.Now = now
-	if !slices.Contains(b.Set.Members, m.Member) || m.Member == b.Set.Self || m.Held < 0 || m.Life.Compare(b.peer(m.Member).Life) < 0 {
+	if !slices.Contains(b.Set.Members, m.Member) || m.Member == b.Set.Self || m.Held < 0 {
 		return
 	}
 	p := b.peer(m.Member)
+	if m.New && (m.Life == p.Life || now >= p.Until) {
+		b.answer(m, p) // before its life is looked at: one that has lost its folder begins with a lesser one
+	}
+	if m.Life.Compare(p.Life) < 0 || now < p.Until && m.Life != p.Only {
+		return
+	}
+	p.None = p.None || m.None && m.Of == b.Set.Life
 	if m.Life != p.Life {
 		p.Life, p.Seen = m.Life, 0
 	}
@@ -441,7 +490,7 @@
 		return
 	}
 	p.Seen = m.Seq
-	if m.Ping || len(m.Loans)+len(m.Asks) > 0 {
+	if m.Ping || m.New || len(m.Loans)+len(m.Asks) > 0 {
 		b.to(m.Member)
 	}
 	for _, l := range m.Loans {
@@ -566,6 +615,9 @@
 func (b *Book) Step(now time.Duration) (send []Message, changes []Change) {
 	b.Now = now
 	all := b.scopes()
+	if b.unsure() {
+		b.inquire()
+	}
 	if now >= b.RenewAt {
 		b.RenewAt = now + renewEvery
 		for _, s := range all {
@@ -634,7 +686,10 @@
 func (b *Book) leave(m *Message) Message {
 	p := b.peer(m.Member)
 	b.Seq++
-	now := Message{Member: m.Member, Life: b.Set.Life, Seq: b.Seq, Seen: p.Seen, Of: p.Life, Ping: m.Ping}
+	now := Message{Member: m.Member, Life: b.Set.Life, Seq: b.Seq, Seen: p.Seen, Of: p.Life, Ping: m.Ping, New: m.New, None: m.None}
+	if m.None {
+		now.Of = p.Only
+	}
 	room := messageMost
 	now.Gives, m.Gives = split(m.Gives, &room)
 	now.Asks, m.Asks = split(m.Asks, &room)
@@ -700,7 +755,7 @@
 		return
 	}
 	others := 0.0
-	if !b.Set.Fresh && b.Now < b.Began+b.hold() {
+	if b.unsure() {
 		others = math.Inf(1)
 	}
 	most := map[string]float64{}
--- a/internal/fleet/rights/rights_test.go
+++ b/internal/fleet/rights/rights_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,7 +37,8 @@
 	transit ledger.Transit
 	offset  time.Duration
 	drift   float64
-	lives   uint64
+	lives   uint64 // of its folder
+	boots   uint32
 	stopped bool
 	inbox   []flying
 }
@@ -77,9 +79,9 @@
 
 func (t *tiny) boot(i int) {
 	m := t.members[i]
-	m.lives++
+	m.lives, m.boots = m.lives+1, m.boots+1
 	set := t.set
-	set.Self, set.Life = m.name, ledger.Life{Incarnation: m.lives, Boot: uint32(m.lives)}
+	set.Self, set.Life = m.name, ledger.Life{Incarnation: m.lives, Boot: m.boots}
 	now := m.clock(t.now)
 	if m.book = New(now, set); t.wrong.forgets && m.lives > 1 {
 		m.book.Began = now
@@ -88,8 +90,8 @@
 	m.transit, m.inbox, m.stopped = ledger.Transit{}, nil, false
 	for j, o := range t.members { // questions for clocks are the carrier's, and answered at once here
 		if o.book != nil {
-			m.transit.Calibrate(o.name, uint32(o.lives), o.clock(t.now), now, now)
-			t.members[j].transit.Calibrate(m.name, uint32(m.lives), now, o.clock(t.now), o.clock(t.now))
+			m.transit.Calibrate(o.name, o.boots, o.clock(t.now), now, now)
+			t.members[j].transit.Calibrate(m.name, m.boots, now, o.clock(t.now), o.clock(t.now))
 		}
 	}
 }
@@ -151,7 +153,7 @@
 				}
 			}
 			for _, d := range after(i, to) {
-				t.flying = append(t.flying, flying{i, to, uint32(m.lives), now, t.now + d, x})
+				t.flying = append(t.flying, flying{i, to, m.boots, now, t.now + d, x})
 			}
 		}
 	}
@@ -204,7 +206,10 @@
 		if f.now >= next { // something happens
 			next = f.now + time.Duration(draw(200, 4000))*time.Millisecond
 			i := draw(0, n-1)
-			switch draw(0, 4) {
+			switch draw(0, 5) {
+			case 5: // without its folder
+				f.members[i].lives = 0
+				f.boot(i)
 			case 0:
 				f.boot(i)
 			case 1:
@@ -266,6 +271,60 @@
 	}
 }
 
+// A member that has lost its folder uses its part as soon as all others say that they hold nothing of an earlier life of it. What that life had
+// lent and is still under way is not taken any more: one that took it all the same would break the sum.
+func TestNothingOfAnEarlierLife(t *testing.T) {
+	for _, keeps := range []bool{true, false} {
+		f := newTiny(2, 2, 10, wrong{}, func(from, to int) int { return (from + to) / 2 })
+		f.used = []float64{0}
+		var lent *flying
+		sound := func(from, to int) []time.Duration { return []time.Duration{time.Millisecond} }
+		run := func(d time.Duration, hold func(flying) bool) {
+			for end := f.now + d; f.now < end; f.now += 10 * time.Millisecond {
+				if err := f.step(sound, func(int) int { return 0 }); err != nil {
+					t.Fatal(err)
+				}
+				for i := len(f.flying) - 1; i >= 0; i-- {
+					if x := f.flying[i]; hold(x) {
+						lent, f.flying = &x, slices.Delete(f.flying, i, i+1)
+					}
+				}
+			}
+		}
+		lender, keeper := 0, 1
+		f.members[0].book.peer("m1").Heard = f.members[0].book.Now
+		if f.members[0].book.keeper(scope) == "m0" {
+			lender, keeper = 1, 0
+		}
+		f.members[lender].lives = 40
+		f.boot(lender)
+		loans := func(x flying) bool { return x.from == lender && len(x.m.Loans) > 0 }
+		run(2*Lease, loans) // no loan of it comes to the keeper
+		if lent == nil {
+			t.Fatal("it lends nothing")
+		}
+		f.members[lender].lives = 0
+		f.boot(lender)
+		for f.members[lender].book.unsure() {
+			run(10*time.Millisecond, loans)
+			if f.now > time.Hour+time.Minute {
+				t.Fatal("it waits for good")
+			}
+		}
+		if waited := f.members[lender].clock(f.now) - f.members[lender].book.Began; waited > Lease/2 {
+			t.Errorf("waited %v, though nothing is held", waited)
+		}
+		f.members[lender].book.Accounts[scope].Lent = nil // as where it has lent nothing yet
+		if !keeps {
+			f.members[keeper].book.peer(f.members[lender].name).Until = 0
+		}
+		f.hear(*lent)
+		if broken := f.check() != nil; broken == keeps {
+			t.Errorf("the promise is kept: %v, the sum is broken: %v", keeps, broken)
+		}
+	}
+}
+
 // fleet plays a sound network for a while and returns how many calls were given to each member.
 func (t *tiny) fleet(length time.Duration, wants func(i int) int) (err error) {
 	for end := t.now + length; t.now < end; t.now += 10 * time.Millisecond {
