Fleet link: its status asks the queue and memberlist before it locks, not while it holds the link

Seen: internal/fleet/link's tests ran into their time limit under -race (noted before, cause not known); TestAllHear, 45 s. The goroutines' dump: Status holds the link and waits for memberlist's queue (NumQueued, link.go), the gossip goroutine holds the queue and waits for the link (broadcast.Message). The loop would have waited with them at its next step. Addr and GetHealthScore in the same place took memberlist's locks under the link's, which memberlist takes the other way round when it tells of members. Ruled out: the tests' own network (its senders wait aside, 171 of them, and hold nothing). Change: Status asks all three before it locks. The test holds the two in the order that locks up, and runs into its time limit without the change.

--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -312,12 +312,14 @@
 			memberlist.StateAlive: "alive", memberlist.StateSuspect: "suspect", memberlist.StateDead: "dead", memberlist.StateLeft: "left",
 		}[n.State]
 	}
+	// Unlocked: the queue asks for messages and memberlist tells of members, which lock, while they are locked themselves.
+	queued, listen, health := l.queue.NumQueued(), l.Addr(), l.list.GetHealthScore()
 	now := l.cfg.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := Status{
-		Name: l.cfg.Name, Fleet: l.cfg.Fleet, Listen: l.Addr(), Life: l.ledger.Life(), Twin: l.claim.Silent(now), Health: l.list.GetHealthScore(),
-		Queued: l.queue.NumQueued(), Counts: l.counts,
+		Name: l.cfg.Name, Fleet: l.cfg.Fleet, Listen: listen, Life: l.ledger.Life(), Twin: l.claim.Silent(now), Health: health,
+		Queued: queued, Counts: l.counts,
 	}
 	s.SentBytes, s.Streams = l.wire.sent.Load(), l.wire.streams.Load()
 	told, refused := l.ledger.Stats(now)
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -186,6 +186,27 @@
 	})
 }
 
+// Who asks for the status while the queue is being read waits for it and not the other way round: holding the link meanwhile, both would wait for
+// ever, and the relay's loop with them.
+func TestStatusWhileTheQueueIsRead(t *testing.T) {
+	l := mesh(t, &network{}, 1, nil)[0]
+	l.Tell([]ledger.Page{pageOf(l, 0, 1, 2)})
+	l.mu.Lock()
+	done := make(chan struct{}, 2)
+	go func() { l.Status(); done <- struct{}{} }()
+	time.Sleep(50 * time.Millisecond) // until it waits for the link; nothing tells
+	go func() { l.queue.GetBroadcasts(2, gossip.DatagramBytes); done <- struct{}{} }()
+	time.Sleep(50 * time.Millisecond) // until it has the queue and waits for the link
+	l.mu.Unlock()
+	for range 2 {
+		select {
+		case <-done:
+		case <-time.After(10 * time.Second):
+			t.Fatal("both wait for ever")
+		}
+	}
+}
+
 // What waited on its way, or for a process that was stopped, is as old as it is: the hearer's own clock tells.
 func TestHeldUpIsOlder(t *testing.T) {
 	var clock atomic.Int64
