--- a/internal/emulate/rights_test.go
+++ b/internal/emulate/rights_test.go
@@ -1,6 +1,7 @@
 package emulate
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -79,3 +80,34 @@
 		}
 	}
 }
+
+// TestRightsOnTheDays tells, with -large, what rights bring on the first 20 s of the days of docs/experiments, by the number of relays: some minutes.
+func TestRightsOnTheDays(t *testing.T) {
+	if !*large {
+		t.Skip("measures; -large")
+	}
+	const length = 20 * time.Second
+	for _, relays := range []int{20, 80, 300} {
+		for _, day := range []string{"herd", "zone", "join", "split"} {
+			t.Run(fmt.Sprint(relays, " ", day), func(t *testing.T) {
+				t.Parallel()
+				for _, on := range []bool{false, true} {
+					f, err := scenario.LoadFor("../../docs/experiments/fleet-"+day+".toml", scenario.EmulatorBounds)
+					if err != nil {
+						t.Fatal(err)
+					}
+					f.Relays, f.Length, f.Fleet = relays, scenario.Duration(length), scenario.Fleet{Enabled: true, Rights: on}
+					for i := range f.Traffic {
+						f.Traffic[i].To = min(f.Traffic[i].To, f.Length)
+					}
+					f.Troubles = slices.DeleteFunc(f.Troubles, func(x scenario.Trouble) bool { return x.At >= f.Length })
+					w := played(t, f.Draw(1), Options{Latency: 20 * time.Millisecond, Connections: 400})
+					if len(w.fleet.Wrong) > 0 {
+						t.Errorf("rights %v: wrong %v", on, slices.Compact(w.fleet.Wrong))
+					}
+					t.Logf("rights %v: whole day %.3f, %d calls refused of %d", on, w.Whole(), w.CallsFull, w.CallsFull+w.CallsOK)
+				}
+			})
+		}
+	}
+}
