Rights: what is lent is added up in one place

Behaviour as before: the package's tests, rapid and the mutants among them, and the seam's pass unchanged.

--- a/internal/fleet/rights/rights.go
+++ b/internal/fleet/rights/rights.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -324,13 +325,18 @@
 	if b.unsure() {
 		sum = (1 - Kept) * b.part(a) // to whom, an earlier life knew
 	}
+	return sum + a.loans(b.Now)
+}
+
+// loans is what members but those named may still use of what was lent: of each the greatest loan counts until it is over.
+func (a *Account) loans(now time.Duration, but ...string) (sum float64) {
 	most := map[string]float64{}
 	for _, l := range a.Lent {
-		if b.Now < l.Until {
+		if now < l.Until && !slices.Contains(but, l.To) {
 			most[l.To] = max(most[l.To], l.Rate)
 		}
 	}
-	for _, to := range sorted(most) {
+	for _, to := range slices.Sorted(maps.Keys(most)) {
 		sum += most[to]
 	}
 	return sum
@@ -385,15 +391,6 @@
 	return all
 }
 
-func sorted[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 func (b *Book) scopes() []Scope {
 	if len(b.order) != len(b.Accounts) { // they come with the list, and go here
 		b.order = b.order[:0]
@@ -628,7 +625,7 @@
 			b.RenewAt = now + resendEvery
 		}
 	}
-	for _, name := range sorted(b.Peers) { // loans that were not acknowledged
+	for _, name := range slices.Sorted(maps.Keys(b.Peers)) { // loans that were not acknowledged
 		if p := b.Peers[name]; !p.Acked && now >= p.Sent+resendEvery && now < p.Sent+renewEvery {
 			for _, s := range all {
 				if b.Accounts[s].Keeper == name {
@@ -664,7 +661,7 @@
 		b.order = b.order[:0]
 		delete(b.Accounts, s)
 	}
-	for _, name := range sorted(b.out) {
+	for _, name := range slices.Sorted(maps.Keys(b.out)) {
 		for m := b.out[name]; ; {
 			send = append(send, b.leave(m))
 			if len(m.Loans)+len(m.Asks)+len(m.Gives) == 0 {
@@ -754,20 +751,10 @@
 	if a.Limit <= 0 {
 		return
 	}
-	others := 0.0
-	if b.unsure() {
-		others = math.Inf(1)
-	}
-	most := map[string]float64{}
-	for _, l := range a.Lent {
-		if b.Now < l.Until && l.To != a.Keeper && l.To != b.Set.Self {
-			most[l.To] = max(most[l.To], l.Rate)
-		}
-	}
-	for _, to := range sorted(most) {
-		others += most[to]
+	rate := 0.0
+	if !b.unsure() {
+		rate = max(0, (1-Kept)*b.part(a)-a.loans(b.Now, a.Keeper, b.Set.Self))
 	}
-	rate := max(0, (1-Kept)*b.part(a)-others)
 	if a.Keeper != b.Set.Self {
 		a.Lent = slices.DeleteFunc(a.Lent, func(l loan) bool { return l.To == b.Set.Self })
 	}
