A call of several messages is led by the one with most time left, and never outlasts it

Wrong: addSend in relay.go put messages into a call in the order of the module's decisions and let the call last as long as its longest attempt, so that it outlasted its first message; hosts.do kept that time when the message with most time did not leave any more. Now the first has the most time, and the call's time is that of what still leaves.

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -54,6 +54,17 @@
 	size     int // of the body, at most, if it carries several
 }
 
+// lastUntil is when the last of a call's attempts is given up.
+func (c *call) lastUntil() time.Time {
+	last := c.attempts[0].until
+	for _, a := range c.attempts[1:] {
+		if a.until.After(last) {
+			last = a.until
+		}
+	}
+	return last
+}
+
 // attempt is one message's part in a call.
 type attempt struct {
 	*call
@@ -100,6 +111,12 @@
 		conn.keep()
 		return results
 	}
+	if last := leaving.lastUntil(); last.Before(leaving.until) {
+		leaving.until = last // that of a message which leaves no more
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, last)
+		defer cancel()
+	}
 	req, err := newRequest(&leaving)
 	if err != nil {
 		conn.keep()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -857,7 +857,7 @@
 	}
 	until := r.started.Add(a.At)
 	c.size += size
-	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, body: body, until: until})
+	c.lead(&attempt{call: c, m: m, n: m.sends, body: body, until: until})
 	m.sends++
 	m.out++
 	if len(c.attempts) == 1 || until.After(c.until) == r.cfg.MayDuplicate {
@@ -866,6 +866,16 @@
 	return calls
 }
 
+// lead adds an attempt before those whose messages have less time left. A call goes by its first message: an answer that comes
+// after this one's time tells nothing certain of the others, however whole it is. So no call may outlast its first message.
+func (c *call) lead(a *attempt) {
+	i := slices.IndexFunc(c.attempts, func(b *attempt) bool { return b.m.Deadline.Before(a.m.Deadline) })
+	if i < 0 {
+		i = len(c.attempts)
+	}
+	c.attempts = slices.Insert(c.attempts, i, a)
+}
+
 // record writes the sends of calls and all that was noted in this step.
 func (r *Relay) record(calls []*call) error {
 	var sends []journal.Send
