Where lists are pushed, a relay of any fleet asks its agent again within the drain's grace

Ruled out: a jam of agents by calls that come sooner (nobody shares one).

Wrong: relay.go gave internal/herd the fleet's size whatever the mode, and few callers' pauses grew to 1 s whatever the grace. Now herd spreads calls over a fleet only where lists are asked for, and pauses of few stay within half of the grace.

Tests: the pauses added up, four settings, of which one must miss the bound; an agent on real connections that is silent for four calls (fails with the fleet's pauses: never told within 10 s); pauses within the grace. -race -count=5.

--- a/internal/herd/herd.go
+++ b/internal/herd/herd.go
@@ -22,7 +22,7 @@
 	// few is a number of clients that any such service bears at once.
 	few = 6
 
-	// Bounds of the pause between the calls of few clients.
+	// Bounds of the pause between the calls of few clients; it stays within their part of the grace, too.
 	pauseFirst = 50 * time.Millisecond
 	pauseMost  = time.Second
 )
@@ -54,7 +54,11 @@
 	c.failed++
 	switch ended := c.answered; {
 	case c.Clients <= few:
-		return min(pauseMost, pauseFirst<<k)
+		most := pauseMost
+		if c.Grace > 0 {
+			most = min(most, time.Duration(graceShare*float64(c.Grace)))
+		}
+		return min(most, pauseFirst<<k)
 	case ended:
 		c.failed, c.answered = 0, false
 		return pauseFirst + c.First(rng)
--- a/internal/herd/herd_test.go
+++ b/internal/herd/herd_test.go
@@ -142,3 +142,16 @@
 		}
 	}
 }
+
+// However often their calls fail, few clients call again within their part of the grace.
+func TestFewCallAgainWithinTheGrace(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	for _, grace := range []time.Duration{200 * time.Millisecond, time.Second, 10 * time.Second} {
+		c := Caller{Clients: 1, Grace: grace}
+		for i := range 20 {
+			if d := c.Failed(rng); d > grace/2 || d > pauseMost {
+				t.Errorf("grace %v: pause %d is %v", grace, i, d)
+			}
+		}
+	}
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -91,6 +91,17 @@
 	whole   bool  // changes alone won't do: the list is to be had whole
 }
 
+// listCaller tells how a relay shares discovery with the others. Where lists are asked for, all call one service. Where they are
+// pushed, the address is an agent of the relay's own, which costs nobody anything; and what it has binds at once, also after it
+// was silent.
+func listCaller(cfg Config) herd.Caller {
+	c := herd.Caller{Clients: 1, Grace: cfg.Grace}
+	if cfg.Settings.AskList {
+		c.Clients = cfg.Settings.Senders
+	}
+	return c
+}
+
 // run follows the list until ctx ends.
 func (w *watcher) run(ctx context.Context) {
 	first := w.known
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -114,3 +114,82 @@
 	w.agent.move(addrOf(fresh))
 	hear(9)
 }
+
+// Where lists are pushed, what the agent has binds within the grace. It is silent while discovery is down, and answers what it was
+// asked meanwhile when it is back. So a relay of a fleet of 300 has a call open at nearly all times, however many failed before.
+// The times here are those of a clock that stands still while nothing waits: each call's silence, and the pauses as they are drawn.
+func TestAnAgentThatWasSilentIsAskedWithinTheGrace(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		ask     bool
+		senders int
+		grace   time.Duration
+		within  bool
+	}{
+		{"pushed, 300 relays", false, 300, time.Second, true},
+		{"pushed, 300 relays, short grace", false, 300, 400 * time.Millisecond, true},
+		{"pushed, 2 relays", false, 2, time.Second, true},
+		// One service answers all of these in turn: calls this soon would jam it. This shows that the test can fail.
+		{"asked for, 300 relays", true, 300, time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cfg := Config{Grace: c.grace}
+			cfg.Settings.Senders, cfg.Settings.AskList = c.senders, c.ask
+			caller, rng := listCaller(cfg), rand.New(most{})
+			if first := caller.First(rng); first > c.grace {
+				t.Errorf("the first call comes after %v", first)
+			}
+			caller.Answered()
+			// A watch falls silent right after a line; the next ones are never answered.
+			clock, unasked := watchSilence, time.Duration(0)
+			if again := caller.Failed(rng); clock+again > 6*time.Second {
+				t.Errorf("asked again %v after the watch fell silent, when what it missed binds already", clock+again)
+			}
+			for range 6 {
+				unasked = max(unasked, caller.Failed(rng))
+			}
+			if ok := unasked <= c.grace; ok != c.within {
+				t.Errorf("not asked for %v at a time, of a grace of %v", unasked, c.grace)
+			}
+		})
+	}
+}
+
+// The same on real connections: an agent that takes calls and says nothing, until it is back.
+func TestCallsOpenWhileAnAgentIsSilentAreAnswered(t *testing.T) {
+	back := make(chan struct{})
+	var calls atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := calls.Add(1)
+		select {
+		case <-back:
+		case <-r.Context().Done():
+			if n == 4 {
+				close(back)
+			}
+			return
+		}
+		fmt.Fprintln(w, `{"version":9,"full":true,"servers":[]}`)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	told, ended := make(chan List, 8), make(chan struct{})
+	defer func() { stop(); <-ended }()
+	cfg := Config{Grace: 400 * time.Millisecond}
+	cfg.Settings.Senders = 300
+	w := watcher{
+		log: quiet(), agent: newAgent(addrOf(s)), silence: 30 * time.Millisecond, known: true,
+		told: func(l List) { told <- l }, herd: listCaller(cfg), rng: rand.New(most{}),
+	}
+	began := time.Now()
+	go func() { w.run(ctx); close(ended) }()
+	select {
+	case <-told:
+	case <-time.After(patience):
+		t.Fatal("never told")
+	}
+	// Four silent calls and the pauses between; as one of a fleet that asks, the pauses alone are over twenty seconds.
+	t.Logf("told after %v and %d calls", time.Since(began), calls.Load())
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,7 +22,6 @@
 	"onyxroad.dev/onyxroad/internal/figures"
 	"onyxroad.dev/onyxroad/internal/fleet"
 	"onyxroad.dev/onyxroad/internal/handover"
-	"onyxroad.dev/onyxroad/internal/herd"
 	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/internal/standing"
 	"onyxroad.dev/onyxroad/internal/terms"
@@ -221,7 +220,7 @@
 	go r.finals.run(lead)
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
-		told: func(l List) { r.post(l) }, herd: herd.Caller{Clients: r.cfg.Settings.Senders, Grace: r.cfg.Grace}, rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
+		told: func(l List) { r.post(l) }, herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
 		known: r.listed.Load(),
 	}
 	go list.run(lead)
