What a restart finds untried is tried or kept: not refused early for want of pace or room

Wrong: resume in resume.go takes part() for a pace where nothing tells of the limit; release and makeRoom in policy.go refuse a resumed message like one just taken, though its client was told that it is taken on.

Now a message that a restart finds untried is refused early only where all gates of its destination are told to wait beyond its time; and where no limit is told the pace is such that what waits leaves in half of its time, first calls of many drawn apart.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -560,7 +560,7 @@
 		return
 	}
 	for i := len(long.queue) - 1; i >= 0; i-- {
-		if m := long.queue[i]; s.mayRefuse(m) {
+		if m := long.queue[i]; s.mayDrop(m) {
 			s.refuse(m)
 			return
 		}
@@ -780,7 +780,7 @@
 // The client may come again elsewhere, to a sender that was told less.
 func (s *Sender) release(d *dest) {
 	for i := len(d.queue) - 1; i >= 0; i-- {
-		if m := d.queue[i]; d.opens < math.MaxInt64 && d.opens >= m.deadline && s.mayRefuse(m) {
+		if m := d.queue[i]; d.opens < math.MaxInt64 && d.opens >= m.deadline && s.mayDrop(m) {
 			s.refuse(m)
 		}
 	}
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -1,20 +1,19 @@
 package policy
 
 import (
+	"slices"
 	"time"
 )
 
-// What a real relay needs beyond the simulator's events: messages that outlast a process, and calls that take
-// time to leave.
+// What a real relay needs beyond the simulator's events: messages outlast a process, and calls take time to leave.
 
-// resume gives a message what an earlier process knew of it, so that the guards hold across a restart. Guards
-// also against a backlog that a fresh Sender, free of any pace, would pour onto hosts as one: the pace of its
-// destination starts at this sender's part, that of many spread as any first calls of theirs.
+// resume gives a message what an earlier process knew of it, so that the guards hold across a restart. No
+// backlog is poured onto hosts as one: paces start at this sender's part, those of many spread as first calls.
 func (s *Sender) resume(m *message, e *Resumed) {
 	if e == nil {
 		return
 	}
-	m.sends = e.Attempts
+	m.sends, m.resumed = e.Attempts, true
 	if e.Ran {
 		s.mark(m, s.now-e.RanAgo, e.RanZone)
 	}
@@ -29,10 +28,23 @@
 			s.startPace(g)
 		} else if g.pace == 0 {
 			g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
+			if s.set.Senders > fewSenders {
+				g.tokens = s.rng.Float64()
+			}
+		}
+		if n := (m.dest.held-1)/s.perCall(g.kind) + 1; s.limit(g) == 0 { // no part is known: all in half of its time
+			g.pace = max(g.pace, 2*float64(n)/max(time.Second, m.deadline-s.now).Seconds())
 		}
 	}
 }
 
+// mayDrop tells whether m may be refused for want of room or pace: not where a restart found it untried.
+func (s *Sender) mayDrop(m *message) bool {
+	open := func(g *gate) bool { return g.wait < m.deadline }
+	owed := len(m.dest.gates) == 0 || slices.ContainsFunc(m.dest.gates, open)
+	return s.mayRefuse(m) && !(owed && m.resumed && m.sends == 0)
+}
+
 // MayStill tells whether a call to a route that was decided earlier, with these messages, may leave at now. Guards
 // against one that was held up, by a slow connection say, while a drain or a wait was told, or until a message that
 // may have run is past the time in which its repeat is dropped.
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -176,3 +176,98 @@
 		t.Errorf("after the window: %v", got)
 	}
 }
+
+// untried plays a sender of many that resumes messages nobody has tried, for as long as they have; what becomes of each.
+type untried struct {
+	sent, refused map[uint32]time.Duration // when
+}
+
+func playUntried(t *testing.T, set Settings, first []Event, n int, left time.Duration) untried {
+	t.Helper()
+	s, err := New(set, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := untried{map[uint32]time.Duration{}, map[uint32]time.Duration{}}
+	began := time.Second
+	now, evs := began, first
+	for id := range uint32(n) {
+		evs = append(evs, Event{Kind: Taken, ID: id + 1, Destination: 5, Left: left, Resumed: &Resumed{}})
+	}
+	for now < began+left+time.Second {
+		wake := now + time.Second
+		var next []Event
+		for _, a := range s.Step(now, evs) {
+			switch a.Kind {
+			case Send:
+				u.sent[a.ID] = now - began
+				next = append(next, Event{Kind: Finished, ID: a.ID, Route: a.Route, Outcome: OK, Took: 50 * time.Millisecond, Ended: true})
+			case Refuse:
+				u.refused[a.ID] = now - began
+			case Fail:
+				t.Errorf("message %d failed", a.ID)
+			case Wake:
+				wake = min(wake, now+a.Delay)
+			}
+		}
+		if evs = next; len(evs) > 0 {
+			wake = min(wake, now+50*time.Millisecond)
+		}
+		now = wake
+	}
+	return u
+}
+
+// Where nothing tells of limits a part of them tells nothing either: what waits is tried in half of its time. Where a limit bars
+// some of it, or no room is left, it is kept until its time is up; it ends early only where a wait is told beyond that.
+func TestWhatNobodyTriedIsTriedOrKept(t *testing.T) {
+	const left = 10 * time.Second
+	plain := resumeSettings()
+	plain.Kinds, plain.Senders, plain.WarmWithin, plain.OverloadWindow = []Kind{{PerCall: 1}}, 300, 14*time.Second, 3*time.Second
+	untold := plain
+	untold.NoWeights = true
+	few := untold
+	few.Senders = 2
+	full := plain
+	full.MaxHeld = 20
+	list := func(weight float64) []Event {
+		return []Event{{Kind: ListWhole, List: []Listing{{Route: "only", Destination: 5, Weight: weight, InService: true}}}}
+	}
+	told := append(list(500), Event{Kind: Probed, Route: "only", Outcome: Moot, Wait: time.Minute})
+	for _, c := range []struct {
+		name        string
+		set         Settings
+		first       []Event
+		n           int
+		sent        int           // at least
+		sentBy      time.Duration // all of these
+		refusedFrom time.Duration // none before; the rest
+	}{
+		{"limits not told", untold, list(0), 20, 20, left/2 + time.Second, left},
+		{"limits not told, one message", untold, list(0), 1, 1, left / 2, left},
+		{"limits not told, few senders", few, list(0), 20, 20, left/2 + time.Second, left},
+		{"a limit that bars most", plain, list(3), 20, 1, left, left - 50*time.Millisecond},
+		{"no room", full, list(3), 20, 1, left, left - 50*time.Millisecond},
+		{"a wait beyond their time", plain, told, 20, 0, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := playUntried(t, c.set, c.first, c.n, left)
+			if len(u.sent) < c.sent || len(u.sent)+len(u.refused) != c.n {
+				t.Errorf("%d sent, %d refused of %d", len(u.sent), len(u.refused), c.n)
+			}
+			for id, at := range u.sent {
+				if at > c.sentBy {
+					t.Errorf("message %d sent after %v", id, at)
+				}
+			}
+			for id, at := range u.refused {
+				if at < c.refusedFrom {
+					t.Errorf("message %d refused after %v", id, at)
+				}
+				if c.refusedFrom == 0 && at > 0 {
+					t.Errorf("message %d, told to wait beyond its time, refused after %v only", id, at)
+				}
+			}
+		})
+	}
+}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -12,7 +12,7 @@
 // The state of a Sender as bytes, for recordings that begin in mid-life: one description for both directions.
 
 // snapshotForm is raised with every change of what follows: one of another form is refused.
-const snapshotForm = 5
+const snapshotForm = 6
 
 // Snapshot appends the Sender's state, between two steps, to buf. Equal states give equal bytes.
 func (s *Sender) Snapshot(buf []byte) []byte {
@@ -140,7 +140,7 @@
 		s.codeTurn(c, &m.turn)
 		c.Times(&m.due, &m.deadline, &m.rank, &m.ranAt)
 		c.Ints(&m.sends, &m.most, &m.ranZone, &m.timeouts)
-		c.Bools(&m.ran, &m.ended, &m.queued)
+		c.Bools(&m.ran, &m.ended, &m.queued, &m.resumed)
 		archive.Ref(c, &m.avoid, func(r *route) { s.codeRoute(c, r) })
 		archive.List(c, &m.out, func(a *attempt) { c.Ints(&a.n); s.codeCall(c, &a.call) })
 	})
--- a/policy/spent.go
+++ b/policy/spent.go
@@ -1,11 +1,8 @@
 package policy
 
-import (
-	"time"
-)
+import "time"
 
-// When a message has no further try in it. It gets its final answer then, not at its deadline: the client may have
-// use for the time.
+// A message with no further try in it has its final answer then, not at its deadline: its client may use the time.
 
 // mark notes that an attempt of m, sent at so, may have run, and has m looked at when repeats stop being dropped.
 func (s *Sender) mark(m *message, at time.Duration, zone int) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -115,6 +115,7 @@
 	avoid    *route // failed this message last
 	ended    bool
 	queued   bool
+	resumed  bool // an earlier process took it on
 }
 
 // turn is the order of one key.
