What came in the moment of a close, a shutdown or a connection's next use is seen before it

Faults: - conn.unwatch: a read deadline that has passed hides what the system holds already (the runtime reports the deadline first). A kept connection with a FIN, a reset, half a line or a whole answer in it counted as quiet: the next call on it ended as may-have-run, or took "200" that nobody had asked for, and its message was lost as delivered. A client that had left counted as open. - clients.drain, close and makeRoom, and serve at the end of a connection's time: they went by the phase alone and closed over a request that was in the system, which resets the connection and leaves it without an answer. - hosts.do: the module was asked again only behind a new connection.

Mend: conn.ahead looks at the socket (MSG_PEEK, without waiting, beside a reader that is at it); a connection with bytes is not closed but read and answered, and ends with the answer; a call that is over 10 ms late is looked at again, behind all that the loop has to hear first.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -36,6 +36,7 @@
 	lingerFor  = 3 * time.Second
 	lingerMost = 128 << 20
 
+	lastFor   = 500 * time.Millisecond // for what begins in the last moment
 	silentFor = 100 * time.Millisecond // after this a connection on which nothing came makes way first
 	spareFor  = 2 * time.Second        // and an idle one may be closed without need
 )
@@ -107,7 +108,7 @@
 		s.makeRoom(false)
 		c := &client{conn: newConn(nc), since: time.Now()}
 		s.mu.Lock()
-		if s.closed {
+		if s.closed && c.quiet() {
 			s.mu.Unlock()
 			nc.Close()
 			continue
@@ -124,7 +125,12 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	for len(s.conns) >= s.most || forced {
-		if c := s.leastNeeded(now); c != nil {
+		c := s.leastNeeded(now)
+		if c != nil && (c.phase == silent || c.phase == idle) && !c.quiet() {
+			c.phase = reading // all but: others make way first
+			continue
+		}
+		if c != nil {
 			s.drop(c)
 		} else if !forced {
 			s.room.Wait()
@@ -135,7 +141,7 @@
 	// theirs are in use.
 	if len(s.conns) > s.roomy {
 		for c := range s.conns {
-			if c.phase == idle && now.Sub(c.since) > spareFor {
+			if c.phase == idle && now.Sub(c.since) > spareFor && c.quiet() {
 				s.drop(c)
 			}
 		}
@@ -174,6 +180,10 @@
 	}
 }
 
+// quiet tells whether nothing came of a client that was not read: closed over that, its connection would be reset, and a request
+// that was whole be left without an answer. One on which something came is about to be served.
+func (c *client) quiet() bool { return c.ahead() != aheadBytes }
+
 // enter notes what a connection is at; false if it was dropped meanwhile, or is not to be kept.
 func (s *clients) enter(c *client, p phase) bool {
 	s.mu.Lock()
@@ -216,7 +226,7 @@
 	defer s.mu.Unlock()
 	s.ending = true
 	for c := range s.conns {
-		if c.phase == idle {
+		if c.phase == idle && c.quiet() {
 			s.drop(c)
 		}
 	}
@@ -231,7 +241,7 @@
 	for len(s.conns) > 0 {
 		late := !time.Now().Before(by)
 		for c := range s.conns {
-			if late || c.phase == silent || c.phase == idle {
+			if late || (c.phase == silent || c.phase == idle) && c.quiet() {
 				s.drop(c)
 			}
 		}
@@ -250,14 +260,10 @@
 	}()
 	by := time.Now().Add(requestFor)
 	for {
-		c.SetReadDeadline(by)
-		c.allow(headMost)
-		if _, err := c.r.Peek(1); err != nil || !s.enter(c, reading) {
+		if !s.comes(c, by) || !s.enter(c, reading) {
 			return
 		}
-		if soon := time.Now().Add(requestFor); soon.Before(by) { // it was idle before
-			c.SetReadDeadline(soon)
-		}
+		c.SetReadDeadline(wholeBy(time.Now(), by))
 		if !s.request(c) || !s.enter(c, idle) {
 			return
 		}
@@ -265,6 +271,32 @@
 	}
 }
 
+// wholeBy is when a request that begins now must have come, on a connection that was given until by to begin one. One that began in
+// the last moment has a little longer.
+func wholeBy(now, by time.Time) time.Time {
+	switch soon := now.Add(requestFor); {
+	case soon.Before(by): // it was idle before
+		return soon
+	case by.Sub(now) < lastFor:
+		return now.Add(lastFor)
+	}
+	return by
+}
+
+// comes waits until a request begins, until by. A deadline that has passed hides what came just before it.
+func (s *clients) comes(c *client, by time.Time) bool {
+	c.SetReadDeadline(by)
+	c.allow(headMost)
+	_, err := c.r.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.SetReadDeadline(time.Time{})
+		if c.ahead() == aheadBytes {
+			_, err = c.r.Peek(1)
+		}
+	}
+	return err == nil
+}
+
 // request reads a request and answers it; false if the connection is of no further use.
 func (s *clients) request(c *client) bool {
 	c.keepRaw()
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -82,6 +83,55 @@
 	c.SetReadDeadline(longAgo)
 	err := <-c.watched
 	c.SetReadDeadline(time.Time{})
-	quiet = errors.Is(err, os.ErrDeadlineExceeded) && c.r.Buffered() == 0
-	return err == nil || quiet, quiet
+	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.r.Buffered() > 0 {
+		return err == nil, false
+	}
+	// A deadline that has passed hides what came just before it.
+	switch c.ahead() {
+	case aheadNone:
+		return true, true
+	case aheadBytes:
+		return true, false
+	}
+	return false, false
+}
+
+// ahead is what the system holds of a connection that nobody has read.
+type ahead int
+
+const (
+	aheadNone  ahead = iota
+	aheadBytes       // the peer spoke
+	aheadEnd         // it has left, or nothing more can be read
+)
+
+// ahead looks at what has come and was not read, without waiting for more.
+func (c *conn) ahead() ahead {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return aheadNone // no socket: nothing stands between the peer and a read
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return aheadEnd
+	}
+	found := aheadEnd
+	// Not by its Read, which waits for a reader that is at it.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, err := 0, error(syscall.EINTR)
+		for err == syscall.EINTR {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
+		switch {
+		case err == syscall.EAGAIN:
+			found = aheadNone
+		case err == nil && n > 0:
+			found = aheadBytes
+		}
+	})
+	if err != nil {
+		return aheadEnd
+	}
+	return found
 }
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -29,6 +29,8 @@
 	// reportMost bounds what a host may tell of its limit.
 	reportMost = 1e9
 	informMost = 16 // 1xx answers before one
+	// heldUpAfter is how long after its decision a call may leave unasked: within what the module's times leave before they bind.
+	heldUpAfter = 10 * time.Millisecond
 )
 
 var (
@@ -89,8 +91,8 @@
 	return &hosts{pool: newPool(cfg), reports: cfg.Reports, written: written}
 }
 
-// do makes a call and tells the end of each of its attempts, in their order. clear is asked before the request is written where a new
-// connection had to come up first: for the attempts that may leave even then.
+// do makes a call and tells the end of each of its attempts, in their order. clear is asked before the request is written where that was
+// held up, as by a new connection that had to come up first: for the attempts that may leave even then.
 func (h *hosts) do(ctx context.Context, c *call, clear func(*call) []*attempt) []result {
 	ctx, cancel := context.WithDeadline(ctx, c.until)
 	defer cancel()
@@ -101,9 +103,9 @@
 	case err != nil:
 		return alike(c, result{outcome: policy.ConnectFailed})
 	}
-	// While the connection came up, a drain or a wait may have been told, and messages may have ended.
+	// While the connection came up, or the journal was slow to write, a drain or a wait may have been told, and messages may have ended.
 	leaving := *c
-	if fresh {
+	if fresh || time.Since(c.sent) > heldUpAfter {
 		leaving.attempts = clear(c)
 	}
 	results := alike(c, result{outcome: policy.Moot})
--- /dev/null
+++ b/internal/relay/moments_test.go
@@ -0,0 +1,245 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Bytes and ends that arrive in the very moment in which the relay uses or closes a connection. The order is made by hand: what
+// reads a connection is held back until the system has what the peer sent.
+
+// pair is a connection of real sockets: the relay's side and the peer's.
+func pair(t *testing.T) (ours, peer net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err = net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ours, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ours.Close(); peer.Close() })
+	peer.SetDeadline(time.Now().Add(patience))
+	return ours, peer
+}
+
+// peerActs are what a peer may do in the last moment, and what is then to be seen of it.
+var peerActs = []struct {
+	name        string
+	act         func(peer net.Conn)
+	ahead       ahead
+	open, quiet bool
+}{
+	{"nothing", func(net.Conn) {}, aheadNone, true, true},
+	{"half a line", func(p net.Conn) { io.WriteString(p, "HTT") }, aheadBytes, true, false},
+	{"its end", func(p net.Conn) { p.(*net.TCPConn).CloseWrite() }, aheadEnd, false, false},
+	{"a close", func(p net.Conn) { p.Close() }, aheadEnd, false, false},
+	{"a reset", func(p net.Conn) { p.(*net.TCPConn).SetLinger(0); p.Close() }, aheadEnd, false, false},
+	{"bytes and its end", func(p net.Conn) { io.WriteString(p, "x"); p.Close() }, aheadBytes, true, false},
+}
+
+// A deadline that has passed hides what the system holds already. Here it has passed before the watch begins.
+func TestAWatchSeesWhatCameBeforeItsEnd(t *testing.T) {
+	for _, c := range peerActs {
+		t.Run(c.name, func(t *testing.T) {
+			ours, peer := pair(t)
+			x := newConn(ours)
+			x.SetReadDeadline(longAgo)
+			x.watch(nil)
+			eventually(t, "the watch has ended", func() bool { return len(x.watched) == 1 })
+			c.act(peer)
+			eventually(t, "the system has it", func() bool { return x.ahead() == c.ahead })
+			if open, quiet := x.unwatch(); open != c.open || quiet != c.quiet {
+				t.Errorf("open %v, quiet %v; want %v, %v", open, quiet, c.open, c.quiet)
+			}
+		})
+	}
+}
+
+// A kept connection on which the host spoke or left in the moment of its next use carries no call: what stands there would be taken
+// for the answer, and a message be lost as delivered.
+func TestAKeptConnectionIsLookedAtBeforeItsUse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		act  func(conn net.Conn)
+	}{
+		{"an answer that nobody asked for", func(conn net.Conn) { io.WriteString(conn, okAnswer) }},
+		{"a close", func(conn net.Conn) { conn.Close() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			served := make(chan net.Conn, 2)
+			addr, requests := rawHost(t, func(n int, conn net.Conn, _ *http.Request) bool {
+				served <- conn
+				if n > 1 {
+					fmt.Fprint(conn, "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n")
+				} else {
+					fmt.Fprint(conn, okAnswer)
+				}
+				return true
+			})
+			h := testHosts(t, testConfig())
+			if r := h.do(t.Context(), newCall(addr, "a"), yes); r[0].outcome != policy.OK {
+				t.Fatalf("the first call: %v", r[0].outcome)
+			}
+			kept := h.takeIdle(peer{"s-1", addr})
+			kept.unwatch()
+			kept.SetReadDeadline(longAgo) // its watch will see nothing
+			kept.keep()
+			eventually(t, "the watch has ended", func() bool { return len(kept.watched) == 1 || requests.Load() > 1 })
+			c.act(<-served)
+			eventually(t, "the system has it", func() bool { return kept.ahead() != aheadNone })
+			if r := h.do(t.Context(), newCall(addr, "b"), yes); r[0].outcome != policy.Full {
+				t.Errorf("the second call: %v, want the host's own answer to it", r[0].outcome)
+			}
+		})
+	}
+}
+
+// A call that was held up on its way to a kept connection, as by a slow journal, is looked at again before it leaves.
+func TestACallThatWasHeldUpIsLookedAtAgain(t *testing.T) {
+	addr, requests := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		fmt.Fprint(conn, okAnswer)
+		return true
+	})
+	h := testHosts(t, testConfig())
+	if r := h.do(t.Context(), newCall(addr, "a"), yes); r[0].outcome != policy.OK {
+		t.Fatalf("the first call: %v", r[0].outcome)
+	}
+	for _, c := range []struct {
+		held  time.Duration
+		asked bool
+	}{{-time.Hour, false}, {time.Second, true}} {
+		asked := false
+		again := newCall(addr, "b")
+		again.sent = time.Now().Add(-c.held)
+		r := h.do(t.Context(), again, func(*call) []*attempt { asked = true; return nil })
+		if asked != c.asked {
+			t.Errorf("held up for %v: asked %v", c.held, asked)
+		}
+		if want := map[bool]policy.Outcome{true: policy.Moot, false: policy.OK}[c.asked]; r[0].outcome != want {
+			t.Errorf("held up for %v: %v, want %v", c.held, r[0].outcome, want)
+		}
+	}
+	if n := requests.Load(); n != 2 {
+		t.Errorf("%d requests at the host", n)
+	}
+}
+
+// A request that was whole before the relay closed its connection has an answer, whoever closes it and why.
+func TestARequestThatCameBeforeTheCloseIsAnswered(t *testing.T) {
+	const text = "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+	for _, c := range []struct {
+		name  string
+		phase phase
+		close func(t *testing.T, s *clients)
+		last  bool
+	}{
+		{"idle, at the signal", idle, func(_ *testing.T, s *clients) { s.drain() }, true},
+		{"idle, at the end", idle, closing, true},
+		{"silent, at the end", silent, closing, true},
+		{"idle, no room", idle, func(_ *testing.T, s *clients) { s.makeRoom(true) }, false},
+		{"silent, no room", silent, func(_ *testing.T, s *clients) { s.makeRoom(true) }, false},
+		{"idle, little room", idle, func(_ *testing.T, s *clients) { s.roomy = 0; s.makeRoom(false) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var answered atomic.Int32
+			s := newClients(quiet(), 100, func(c *client, req *http.Request) answer {
+				answered.Add(1)
+				io.Copy(io.Discard, req.Body)
+				return answer{status: http.StatusAccepted}
+			})
+			ours, peer := pair(t)
+			x := &client{conn: newConn(ours), phase: c.phase, since: time.Now().Add(-time.Minute)}
+			s.conns[x] = struct{}{}
+			// Beside it one that may go: it is the newer, and the last choice.
+			other, _ := pair(t)
+			y := &client{conn: newConn(other), phase: idle, since: time.Now().Add(-spareFor / 2)}
+			s.conns[y] = struct{}{}
+			if _, err := io.WriteString(peer, text); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "the request is there", func() bool { return x.ahead() == aheadBytes })
+			c.close(t, s)
+			served := make(chan struct{})
+			go func() { s.serve(x); close(served) }()
+			res, err := http.ReadResponse(bufio.NewReader(peer), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			if res.StatusCode != http.StatusAccepted || res.Close != c.last || answered.Load() != 1 {
+				t.Errorf("status %d, the last %v", res.StatusCode, res.Close)
+			}
+			peer.Close()
+			<-served
+		})
+	}
+}
+
+// closing begins the end of clients and returns when the first look at them is over.
+func closing(t *testing.T, s *clients) {
+	ended := make(chan struct{})
+	s.finish()
+	go func() { s.close(time.Now().Add(patience)); close(ended) }()
+	t.Cleanup(func() { <-ended })
+	eventually(t, "the end has begun", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.closed })
+}
+
+// A request that comes in the last moment of a connection's time is read, one that never comes is not waited for; and what begins so
+// late has a little longer to come whole.
+func TestARequestInTheLastMomentOfAConnection(t *testing.T) {
+	s := newClients(quiet(), 100, nil)
+	for _, c := range peerActs {
+		ours, peer := pair(t)
+		x := &client{conn: newConn(ours)}
+		c.act(peer)
+		eventually(t, c.name, func() bool { return x.ahead() == c.ahead })
+		if comes := s.comes(x, longAgo); comes != (c.ahead == aheadBytes) {
+			t.Errorf("%s: comes %v", c.name, comes)
+		}
+	}
+	now := time.Unix(1000, 0)
+	for _, c := range []struct{ left, whole time.Duration }{
+		{keptFor, requestFor}, {requestFor, requestFor}, {time.Second, time.Second}, {time.Millisecond, lastFor}, {-time.Minute, lastFor},
+	} {
+		if got := wholeBy(now, now.Add(c.left)).Sub(now); got != c.whole {
+			t.Errorf("with %v left a request has %v, want %v", c.left, got, c.whole)
+		}
+	}
+}
+
+// What comes and goes on a whole relay at the moment of SIGTERM: clients that rest with a request on its way are answered.
+func TestAPlannedEndAnswersWhatHadCome(t *testing.T) {
+	r := newTestRelay(t)
+	ctx, stop := context.WithCancel(context.Background())
+	go r.loop(ctx)
+	defer func() { stop(); <-r.over }()
+	ours, peer := pair(t)
+	x := &client{conn: newConn(ours), phase: idle, since: time.Now()}
+	r.clients.mu.Lock()
+	r.clients.conns[x] = struct{}{}
+	r.clients.mu.Unlock()
+	if _, err := io.WriteString(peer, handInText("m1")); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the request is there", func() bool { return x.ahead() == aheadBytes })
+	r.clients.drain()
+	go r.clients.serve(x)
+	if res := read(t, bufio.NewReader(peer)); res.StatusCode != http.StatusAccepted || !res.Close {
+		t.Errorf("status %d, the last %v", res.StatusCode, res.Close)
+	}
+}
