What answered a moment before a restart stands so after it; untold limits go by own deliveries

Wrong: - standing.Events told a refusal to a module that knew no answer: hint then casts doubt by chance (0.6), which the former module, having had an answer of late, had not; and coldUntil takes a route that never answered for as ill as its siblings. - part and coldRate in policy.go assumed a destination of one call a second where nothing is told: a budget of 0.003 calls a second each.

Now routes that answered within 3 s are recorded beside ill ones and told first; takes() is what a gate took from this sender, times the senders, where no limit is told. Told limits are as before. Nothing is forgotten: doubts, skips and waits stand as they did.

Tests: six standings under forty seeds; takes with and without deliveries. Both fail without their mend.

--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -15,7 +15,7 @@
 // most bounds the records, and so the room that they take: some 100 bytes each.
 const most = 256
 
-// Record is how a route stands, where that is not well. Times are on one axis over all processes: journal.Stamp.
+// Record is how a route stands, where that is not well or where another one of its destination does not. Times are on one axis over all processes: journal.Stamp.
 type Record struct {
 	Route string
 	At    time.Time // seen so
@@ -23,20 +23,36 @@
 	Down  bool      `json:",omitempty"` // skipped, and nothing delivered since
 	Cold  bool      `json:",omitempty"` // may be in an outage or coming back from one
 	Paced bool      `json:",omitempty"` // refused above a limit of late
+	Alive bool      `json:",omitempty"` // answered of late, and neither skipped nor in doubt
 }
 
+// ill tells whether a route does not stand well.
+func (r *Record) ill() bool { return r.Down || r.Cold || r.Paced || !r.Wait.IsZero() }
+
+// aliveFor is how long after it was written down an answer still counts as one of late.
+const aliveFor = 3 * time.Second
+
 // pacedFor is how long a refusal above a limit is of use to the next process.
 const pacedFor = 10 * time.Second
 
 // Of returns the records of a module's view at now, its own time, which is wall.
 func Of(views []policy.View, now time.Duration, wall time.Time) (recs []Record) {
-	for i := range views {
-		v := &views[i]
+	record := func(v *policy.View) Record {
 		r := Record{Route: v.Route, At: wall, Down: v.Down, Cold: v.Cold, Paced: v.Halved > 0 && now < v.Halved+pacedFor}
 		if v.Wait > now {
 			r.Wait = wall.Add(v.Wait - now)
 		}
-		if len(recs) < most && (r.Down || r.Cold || r.Paced || !r.Wait.IsZero()) {
+		r.Alive = v.Alive && !r.Down && !r.Cold
+		return r
+	}
+	ill := map[int]bool{} // destinations
+	for i := range views {
+		if r := record(&views[i]); len(recs) < most && r.ill() {
+			recs, ill[views[i].Destination] = append(recs, r), true
+		}
+	}
+	for i := range views {
+		if r := record(&views[i]); len(recs) < most && r.Alive && !r.ill() && ill[views[i].Destination] {
 			recs = append(recs, r)
 		}
 	}
@@ -53,6 +69,8 @@
 // Changed tells whether there is anything to write down that was is not worth any more. A route that stands well again is news,
 // too; that time has passed is none, until what is written down is no longer fresh.
 func Changed(was, is []Record) bool {
+	well := func(r Record) bool { return !r.ill() }
+	was, is = slices.DeleteFunc(slices.Clone(was), well), slices.DeleteFunc(slices.Clone(is), well)
 	if len(was) > 0 && len(is) > 0 && is[0].At.Sub(was[0].At).Abs() > fresh {
 		return true
 	}
@@ -87,6 +105,13 @@
 // Events tell a fresh module, at wall, of records that a former process left. They come behind the list. A route is told as
 // cold for as long as an outage's traces last: warm after it was seen.
 func Events(recs []Record, wall time.Time, warm time.Duration) (evs []policy.Event) {
+	// What answered a moment ago is told first. Guards against doubts that the former module had not: it takes a refusal by a route that
+	// has not answered for a sign of an outage, and a route that has not for as ill as those beside it.
+	for _, r := range recs {
+		if age := max(0, wall.Sub(r.At)); r.Route != "" && r.Alive && age < aliveFor {
+			evs = append(evs, policy.Event{Kind: policy.Probed, Route: r.Route, Outcome: policy.OK})
+		}
+	}
 	for _, r := range recs {
 		if r.Route == "" {
 			continue
--- a/internal/standing/standing_test.go
+++ b/internal/standing/standing_test.go
@@ -143,3 +143,59 @@
 		Events(Decode(spoilt), time.Unix(2, 0), time.Second)
 	}
 }
+
+// A refusal that a former module took for a limit's casts no doubt in the next, nor does a sibling's trouble on what answers: what had
+// answered a moment before is told so, but not for long, and no more than the former had it.
+func TestWhatAnsweredAMomentAgoStandsSo(t *testing.T) {
+	many := settings()
+	many.Senders = 300
+	const at = time.Second
+	play := func(seed uint64, recs []Record, wall time.Time) *policy.Sender {
+		s, err := policy.New(many, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Step(at, append([]policy.Event{list()}, Events(recs, wall, many.WarmWithin)...))
+		// A message has the routes looked at.
+		s.Step(at, []policy.Event{{Kind: policy.Taken, ID: 1, Destination: 1, Left: 10 * time.Second}})
+		return s
+	}
+	wall := time.Unix(1e9, 0)
+	for _, c := range []struct {
+		name string
+		recs []Record
+		down time.Duration
+		cold bool // "a", under some seed
+	}{
+		{"refused, alive", []Record{{Route: "a", At: wall, Paced: true, Alive: true}}, time.Second, false},
+		{"refused, not alive", []Record{{Route: "a", At: wall, Paced: true}}, time.Second, true},
+		{"refused, alive long ago", []Record{{Route: "a", At: wall, Paced: true, Alive: true}}, 4 * time.Second, true},
+		{"beside one in doubt, alive", []Record{{Route: "a", At: wall, Alive: true}, {Route: "b", At: wall, Cold: true}}, time.Second, false},
+		{"beside one in doubt, not told", []Record{{Route: "b", At: wall, Cold: true}}, time.Second, true},
+		{"in doubt", []Record{{Route: "a", At: wall, Cold: true}}, time.Second, true},
+	} {
+		cold := false
+		for seed := range uint64(40) {
+			s := play(seed, c.recs, wall.Add(c.down))
+			cold = cold || viewOf(s, "a").Cold
+			if hasCold := slices.ContainsFunc(c.recs, func(r Record) bool { return r.Route == "b" }); hasCold && !viewOf(s, "b").Cold {
+				t.Fatalf("%s: the doubt is gone", c.name)
+			}
+		}
+		if cold != c.cold {
+			t.Errorf("%s: in doubt %v", c.name, cold)
+		}
+	}
+	// Only beside trouble is it worth a record, and it is no news by itself.
+	views := []policy.View{{Alive: true}, {Alive: true}, {Cold: true, Alive: true}}
+	for i, name := range []string{"well", "beside", "ill"} {
+		views[i].Route, views[i].Destination = name, min(i, 1)
+	}
+	recs := Of(views, time.Second, wall)
+	if len(recs) != 2 || recs[0].Route != "beside" || !recs[0].Alive || recs[1].Route != "ill" || recs[1].Alive {
+		t.Errorf("records %+v", recs)
+	}
+	if Changed(recs, recs[1:]) {
+		t.Error("a route that answers is news")
+	}
+}
--- a/policy/inspect.go
+++ b/policy/inspect.go
@@ -116,8 +116,8 @@
 	Pace, Ceiling, Limit, Part    float64 // 0: free, none, not told
 	Wait, Halved, SkipUntil, Back time.Duration
 	Mean                          time.Duration // of its answers
-	Down, Cold                    bool
-	Calls, Out, Queued            int // calls of the route, of its gate; messages waiting at the destination
+	Down, Cold, Alive             bool          // Alive: it has answered of late
+	Calls, Out, Queued            int           // calls of the route, of its gate; messages waiting at the destination
 }
 
 // Views tells of all routes, by destination, and how many slots are taken.
@@ -126,7 +126,7 @@
 		for _, g := range d.gates {
 			for _, r := range g.routes {
 				views = append(views, View{r.Listing, g.pace, g.ceiling, s.limit(g), s.part(g), g.wait, g.halvedAt, r.skipUntil,
-					r.back, r.mean, r.down, r.cold, len(r.calls), g.out, len(d.queue)})
+					r.back, r.mean, r.down, r.cold, s.alive(r), len(r.calls), g.out, len(d.queue)})
 			}
 		}
 	}
--- a/policy/many.go
+++ b/policy/many.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// What senders of a large fleet do otherwise than a few: each sees little of any destination, and what is harmless from
-// one of them is not from all.
+// What senders of a large fleet do otherwise than a few: what is harmless from one of them is not from all.
 
 const (
 	manyBurst  = 0.5                    // calls beyond one that one of many may send after idling
@@ -22,6 +21,14 @@
 	askAhead   = 700 * time.Millisecond // and so long before the calls may leave
 )
 
+// takes is what a gate takes from all, on the low side; where nothing tells, as often what it took from this sender as there are such.
+func (s *Sender) takes(g *gate) float64 {
+	if s.limit(g) == 0 {
+		return max(leastLimit, s.rate(g)*float64(s.set.Senders))
+	}
+	return max(leastLimit, s.limit(g))
+}
+
 // many tells whether a gate's told limit is shared by more senders than see it filled.
 func (s *Sender) many(g *gate) bool { return s.set.Senders > fewSenders && s.limit(g) > 0 }
 
@@ -32,9 +39,8 @@
 	g.tokens = 1 - s.rng.Float64()*math.Min(1, g.pace*manySpread.Seconds())
 }
 
-// keepPace bounds the pace of one of many where rates are told: by its fair one, and with a backlog by twice that, which only
-// growth from the fair one on leads to. Guards against paces that grew past it over the seconds that one success stands for,
-// or whose share has shrunk since: their sum passes the limit, and refused calls use it up.
+// keepPace bounds the pace of one of many where rates are told: by its fair one, and with a backlog by twice that, if it grew there.
+// Guards against paces that grew past it at one success, or whose share has shrunk: their sum passes the limit, and refusals use it up.
 func (s *Sender) keepPace(g *gate, was float64) {
 	if g.pace == 0 {
 		s.startPace(g)
@@ -47,8 +53,7 @@
 	}
 }
 
-// trial is the least pace of one of many: one call in the time that a message has, or half of its part if that is less. Guards against
-// paces so low that the end of a trouble is learnt when most of what waited has ended.
+// trial is the least pace of one of many: a call in a message's time, or half of its part: else a trouble's end is learnt too late.
 func (s *Sender) trial(part float64) float64 {
 	least := 0.0
 	for _, c := range s.set.Classes {
@@ -75,9 +80,8 @@
 	return quota
 }
 
-// manyGrowth is the growth of the pace of one of many, quick below its fair one. Fair paces add up to the limit: beyond, a pace grows
-// only with a backlog, into what others leave. Where rates are told that is only long after a refusal; one that cannot tell
-// its share of the traffic has to find it out until it is refused.
+// manyGrowth is the growth of the pace of one of many, quick below its fair one. These add up to the limit: beyond, a pace grows with a
+// backlog only, into what others leave, and where rates are told long after a refusal; else its share is found out by refusals.
 func (s *Sender) manyGrowth(g *gate) float64 {
 	fair, told, refused := s.fair(g), s.usual() > 0, g.halvedAt > 0 && s.now-g.halvedAt < calmSpan
 	switch {
@@ -102,9 +106,8 @@
 	return math.Min(pace, math.Max(less, least))
 }
 
-// fair is the pace that one of many keeps to until it learns better: its part, by the share of all traffic that comes to
-// it, as far as its own count and the customers' told rates tell. Guards against senders with much traffic that wait at
-// paces which others do not use.
+// fair is the pace that one of many keeps to until it learns better: its part, by the share of all traffic that its own count and
+// the customers' told rates tell. Guards against senders with much traffic that wait at paces which others do not use.
 func (s *Sender) fair(g *gate) float64 {
 	share := 1.0
 	if quota := s.usual(); quota > 0 {
@@ -126,10 +129,9 @@
 	}
 }
 
-// hint takes two refusals some time apart for a sign of an outage and, where this sender's part is under a
-// call in a warm-up, by chance one refusal or one connection failed as at a full table. Guards against many
-// senders told once that all come again. Most refusals being a limit's, some must: those left are under two
-// thirds while they come less than five times as often as senders not told.
+// hint takes two refusals some time apart for a sign of an outage and, where this sender's part is under a call in a warm-up, by
+// chance one refusal or connection failed as at a full table. Guards against many senders told once that all come again. Most
+// refusals being a limit's, some must: those left are under two thirds while they come less than five times as often as others.
 func (s *Sender) hint(r *route) {
 	again := r.refusals >= sparseShut && s.now-r.refusedAt >= shutSpan
 	seldom := !s.alive(r) && s.part(r.gate)*s.set.WarmWithin.Seconds() < 1
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -217,23 +217,22 @@
 // part is this sender's part of the calls a second that a gate takes from all: a fixed mix of an even part
 // and own deliveries, since traffic is uneven. Each adds up to what the gate takes, and so does the mix.
 func (s *Sender) part(g *gate) float64 {
-	return (1-ownPart)*math.Max(leastLimit, s.limit(g))/float64(s.set.Senders) + ownPart*s.rate(g)
+	return (1-ownPart)*s.takes(g)/float64(s.set.Senders) + ownPart*s.rate(g)
 }
 
 // coldRate is how many calls a second this sender may make to a route in doubt that takes L from all when
-// warm. It falls over at OverloadFactor*share*L*OverloadWindow calls in a window, at the share of the
-// window's end. Senders told of a failure break no rule below two thirds of that: b. They draw their calls
-// apart: a sum of n scatters by sqrt(n), by half a call for each of few senders. n + scatter*deviation = b
-// gives n, shared by parts that add up. A call not made lapses, so that a window holds little more than its
-// own after any outage. The share grows with the time since the first delivery, no further than deliveries in
-// a row bear out: an outage fails most calls, k in a row have a chance of 2^-k in it.
+// warm. It falls over at OverloadFactor*share*L*OverloadWindow calls in a window, at the share of its end.
+// Senders told of a failure break no rule below two thirds of that: b. Calls are drawn apart: a sum of n
+// scatters by sqrt(n), by half a call for each of few. n + scatter*deviation = b gives n, shared by parts
+// that add up. A call not made lapses. The share grows with the time since the first delivery, no further
+// than deliveries in a row bear out: an outage fails most calls, k in a row have a chance of 2^-k in it.
 func (s *Sender) coldRate(r *route) float64 {
 	share, warming := s.set.ColdShare, 1-s.set.ColdShare
 	window, warm := s.set.OverloadWindow.Seconds(), s.set.WarmWithin.Seconds()
 	if r.back > 0 {
 		share += warming * min((s.now-r.back).Seconds()/warm, 1-math.Pow(0.5, float64(r.run)))
 	}
-	takes := max(leastLimit, s.limit(r.gate), s.rate(r.gate))
+	takes := max(s.takes(r.gate), s.rate(r.gate))
 	b := toldShare * s.set.OverloadFactor * min(1, share+warming*window/warm) * takes * window
 	root := (math.Sqrt(scatter*scatter+4*b) - scatter) / 2
 	n := max(root*root, b-scatter*math.Sqrt(float64(s.set.Senders))/2)
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -271,3 +271,40 @@
 		})
 	}
 }
+
+// Where nothing tells what a destination takes, a sender goes by what it took from it: the budget of a route in doubt is then this
+// sender's part of a destination of that size, not of one call a second; it is no less than that, and a told limit goes before it.
+func TestWhatNobodyTellsIsTakenFromOwnDeliveries(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		weights    bool
+		deliveries int // one in 100 ms
+		least      float64
+		most       float64
+	}{
+		{"nothing delivered", false, 0, 1, 1},
+		{"some delivered", false, 40, 300 * 1.5, 300 * 5},
+		{"told", true, 40, 50, 50},
+	} {
+		set := resumeSettings()
+		set.Kinds, set.Senders, set.NoWeights = []Kind{{PerCall: 1}}, 300, !c.weights
+		s, err := New(set, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Second
+		s.Step(now, []Event{{Kind: ListWhole, List: []Listing{{Route: "only", Destination: 5, Weight: 50, InService: true}}}})
+		for range c.deliveries {
+			now += 100 * time.Millisecond
+			s.Step(now, []Event{{Kind: Probed, Route: "only", Outcome: OK}})
+		}
+		r := s.routes["only"]
+		if takes := s.takes(r.gate); takes < c.least || takes > c.most {
+			t.Errorf("%s: takes %.1f calls a second, want %.1f to %.1f", c.name, takes, c.least, c.most)
+		}
+		s.Step(now, []Event{{Kind: Probed, Route: "only", Outcome: Error}, {Kind: Probed, Route: "only", Outcome: Error}})
+		if all := s.coldRate(r) * float64(set.Senders); !r.cold || c.deliveries > 0 && all < 2 || all > s.takes(r.gate) {
+			t.Errorf("%s: in doubt all senders may make %.2f calls a second", c.name, all)
+		}
+	}
+}
