--- /dev/null
+++ b/cmd/cherrytrestle/endings_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Whatever happens at the moment of SIGTERM, a relay ends in order before SIGKILL may come, and what it had taken on and not tried
+// is tried by the next process.
+func TestAPlannedEndAtAnOddMoment(t *testing.T) {
+	const killAfter = 3700 * time.Millisecond
+	term := func(r *relayProcess) { must(r.t, r.cmd.Process.Signal(syscall.SIGTERM)) }
+	for _, c := range []struct {
+		name   string
+		listed bool // the first process knows the message's host, which drains
+		at     func(t *testing.T, r *relayProcess)
+	}{
+		{"twice", true, func(_ *testing.T, r *relayProcess) {
+			term(r)
+			time.Sleep(100 * time.Millisecond)
+			r.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
+		}},
+		{"before the first list", false, func(_ *testing.T, r *relayProcess) { term(r) }},
+		{"with a SIGHUP", true, func(_ *testing.T, r *relayProcess) {
+			must(r.t, r.cmd.Process.Signal(syscall.SIGHUP))
+			term(r)
+		}},
+		{"while clients hold on to half requests", true, func(t *testing.T, r *relayProcess) {
+			for range 20 {
+				trickle(t, r.addr)
+			}
+			term(r)
+		}},
+		{"while a message's client has gone", true, func(t *testing.T, r *relayProcess) {
+			conn, err := net.Dial("tcp", r.addr)
+			must(t, err)
+			must(t, r.request("gone", 10*time.Second, nil).Write(conn))
+			conn.Close()
+			term(r)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := newPlatform(t)
+			h := newHost(t, nil)
+			host := func(state string) []member { return []member{listed("s-1", h.addr(), "a", "gateway", state)} }
+			var known []member
+			if c.listed {
+				known = host("draining")
+			}
+			r := prepareRelay(t, known, nil)
+			r.launch(p)
+			eventually(t, "it listens", func() bool {
+				conn, err := net.Dial("tcp", r.addr)
+				if err == nil {
+					conn.Close()
+				}
+				return err == nil
+			})
+			r.take("m", 12*time.Second)
+			c.at(t, r)
+			began := time.Now()
+			err := r.cmd.Wait()
+			r.cmd = nil
+			r.client.CloseIdleConnections()
+			if took := time.Since(began); err != nil || took > killAfter {
+				t.Errorf("ended after %v: %v", took, err)
+			}
+			r.config["known"] = map[string]any{"version": 2, "full": true, "servers": host("ready")}
+			r.writeConfig()
+			r.start(p)
+			eventually(t, "the message is tried", func() bool { return h.count("m") == 1 })
+			if h.count("gone") > 1 {
+				t.Errorf("the message whose client has gone: tried %d times", h.count("gone"))
+			}
+		})
+	}
+}
+
+// trickle sends a request by a byte at a time, and never the last one.
+func trickle(t *testing.T, addr string) {
+	conn, err := net.Dial("tcp", addr)
+	must(t, err)
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for _, b := range []byte("POST /order HTTP/1.1\r\nHost: x\r\nX-Trace-Id: half\r\nContent-Length: 400\r\n\r\nbody") {
+			if _, err := conn.Write([]byte{b}); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		io.Copy(io.Discard, conn)
+	})
+	t.Cleanup(func() { conn.Close(); sending.Wait() })
+}
+
+// Clients that rest are ended without a reset at SIGTERM.
+func TestRestingClientsAreEndedInOrder(t *testing.T) {
+	p := newPlatform(t)
+	h := newHost(t, nil)
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, nil)
+	var conns []net.Conn
+	for range 20 {
+		conn, err := net.Dial("tcp", r.addr)
+		must(t, err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+		must(t, err)
+		conn.SetDeadline(time.Now().Add(10 * time.Second))
+		answer := make([]byte, 1)
+		_, err = conn.Read(answer) // the rest comes with it, or stands before the end
+		must(t, err)
+		conns = append(conns, conn)
+	}
+	must(t, r.cmd.Process.Signal(syscall.SIGTERM))
+	for _, conn := range conns {
+		if _, err := io.Copy(io.Discard, conn); err != nil {
+			t.Errorf("ended by %v", err)
+		}
+	}
+	err := r.cmd.Wait()
+	r.cmd = nil
+	if err != nil {
+		t.Error(err)
+	}
+}
