--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,7 +22,6 @@
 	"onyxroad.dev/onyxroad/internal/figures"
 	"onyxroad.dev/onyxroad/internal/fleet"
 	"onyxroad.dev/onyxroad/internal/handover"
-	"onyxroad.dev/onyxroad/internal/herd"
 	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/internal/standing"
 	"onyxroad.dev/onyxroad/internal/terms"
@@ -221,7 +220,7 @@
 	go r.finals.run(lead)
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
-		told: func(l List) { r.post(l) }, herd: herd.Caller{Clients: r.cfg.Settings.Senders, Grace: r.cfg.Grace}, rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
+		told: func(l List) { r.post(l) }, herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
 		known: r.listed.Load(),
 	}
 	go list.run(lead)
@@ -857,7 +856,7 @@
 	}
 	until := r.started.Add(a.At)
 	c.size += size
-	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, body: body, until: until})
+	c.lead(&attempt{call: c, m: m, n: m.sends, body: body, until: until})
 	m.sends++
 	m.out++
 	if len(c.attempts) == 1 || until.After(c.until) == r.cfg.MayDuplicate {
@@ -866,6 +865,16 @@
 	return calls
 }
 
+// lead adds an attempt before those whose messages have less time left. A call goes by its first message: an answer that comes
+// after this one's time tells nothing certain of the others, however whole it is. So no call may outlast its first message.
+func (c *call) lead(a *attempt) {
+	i := slices.IndexFunc(c.attempts, func(b *attempt) bool { return b.m.Deadline.Before(a.m.Deadline) })
+	if i < 0 {
+		i = len(c.attempts)
+	}
+	c.attempts = slices.Insert(c.attempts, i, a)
+}
+
 // record writes the sends of calls and all that was noted in this step.
 func (r *Relay) record(calls []*call) error {
 	var sends []journal.Send
