Read once more: one test of a resting client, one wait of a test's process, the limit looked up once

No behaviour changes. conn.unwatch tells ahead's finding as it is; clients ask rests() in three places; lastUntil is slices.MaxFunc; herd's part of the grace stands in one place; takes() looks the limit up once; tests of planned ends use the process's own wait, as terminate does.

Looked at and left: the pairs that share a shape only (fields of wire forms, comparisons, imports, set-up of raw hosts).

--- a/cmd/cherrytrestle/endings_test.go
+++ b/cmd/cherrytrestle/endings_test.go
@@ -64,9 +64,7 @@
 			r.take("m", 12*time.Second)
 			c.at(t, r)
 			began := time.Now()
-			err := r.cmd.Wait()
-			r.cmd = nil
-			r.client.CloseIdleConnections()
+			err := r.wait()
 			if took := time.Since(began); err != nil || took > killAfter {
 				t.Errorf("ended after %v: %v", took, err)
 			}
@@ -122,9 +120,7 @@
 			t.Errorf("ended by %v", err)
 		}
 	}
-	err := r.cmd.Wait()
-	r.cmd = nil
-	if err != nil {
+	if err := r.wait(); err != nil {
 		t.Error(err)
 	}
 }
--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -504,6 +504,11 @@
 // terminate sends SIGTERM and returns how the process ended.
 func (r *relayProcess) terminate() error {
 	r.cmd.Process.Signal(syscall.SIGTERM)
+	return r.wait()
+}
+
+// wait returns how the process ended.
+func (r *relayProcess) wait() error {
 	err := r.cmd.Wait()
 	r.cmd = nil
 	r.client.CloseIdleConnections()
--- a/internal/herd/herd.go
+++ b/internal/herd/herd.go
@@ -36,6 +36,9 @@
 	answered bool // the last call was
 }
 
+// heeded is how long news may wait to be heard, well within the grace.
+func (c *Caller) heeded() time.Duration { return time.Duration(graceShare * float64(c.Grace)) }
+
 // First is how long to wait before the first call, where what an earlier one told is still of use. It ends well within the grace:
 // what changed while no process ran can be heard from the first moment on. Guards against a restarted fleet of which
 // some go on for seconds by a list that has changed.
@@ -43,7 +46,7 @@
 	if c.Clients <= few {
 		return 0
 	}
-	window := min(time.Duration(c.Clients)*2*share, time.Duration(graceShare*float64(c.Grace)))
+	window := min(time.Duration(c.Clients)*2*share, c.heeded())
 	return time.Duration(rng.Float64() * float64(window))
 }
 
@@ -56,7 +59,7 @@
 	case c.Clients <= few:
 		most := pauseMost
 		if c.Grace > 0 {
-			most = min(most, time.Duration(graceShare*float64(c.Grace)))
+			most = min(most, c.heeded())
 		}
 		return min(most, pauseFirst<<k)
 	case ended:
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -126,7 +126,7 @@
 	now := time.Now()
 	for len(s.conns) >= s.most || forced {
 		c := s.leastNeeded(now)
-		if c != nil && (c.phase == silent || c.phase == idle) && !c.quiet() {
+		if c != nil && c.rests() && !c.quiet() {
 			c.phase = reading // all but: others make way first
 			continue
 		}
@@ -154,7 +154,7 @@
 		switch age := now.Sub(c.since); {
 		case c.phase == silent && age > silentFor:
 			return 1
-		case c.phase == silent || c.phase == idle:
+		case c.rests():
 			return 2
 		case c.phase == reading || c.phase == lingering:
 			return 3
@@ -180,6 +180,9 @@
 	}
 }
 
+// rests tells whether nothing of a request was read on a client's connection that is not answered.
+func (c *client) rests() bool { return c.phase == silent || c.phase == idle }
+
 // quiet tells whether nothing came of a client that was not read: closed over that, its connection would be reset, and a request
 // that was whole be left without an answer. One on which something came is about to be served.
 func (c *client) quiet() bool { return c.ahead() != aheadBytes }
@@ -241,7 +244,7 @@
 	for len(s.conns) > 0 {
 		late := !time.Now().Before(by)
 		for c := range s.conns {
-			if late || (c.phase == silent || c.phase == idle) && c.quiet() {
+			if late || c.rests() && c.quiet() {
 				s.drop(c)
 			}
 		}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -87,13 +87,8 @@
 		return err == nil, false
 	}
 	// A deadline that has passed hides what came just before it.
-	switch c.ahead() {
-	case aheadNone:
-		return true, true
-	case aheadBytes:
-		return true, false
-	}
-	return false, false
+	found := c.ahead()
+	return found != aheadEnd, found == aheadNone
 }
 
 // ahead is what the system holds of a connection that nobody has read.
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -58,13 +58,7 @@
 
 // lastUntil is when the last of a call's attempts is given up.
 func (c *call) lastUntil() time.Time {
-	last := c.attempts[0].until
-	for _, a := range c.attempts[1:] {
-		if a.until.After(last) {
-			last = a.until
-		}
-	}
-	return last
+	return slices.MaxFunc(c.attempts, func(a, b *attempt) int { return a.until.Compare(b.until) }).until
 }
 
 // attempt is one message's part in a call.
--- a/policy/many.go
+++ b/policy/many.go
@@ -23,10 +23,10 @@
 
 // takes is what a gate takes from all, on the low side; where nothing tells, as often what it took from this sender as there are such.
 func (s *Sender) takes(g *gate) float64 {
-	if s.limit(g) == 0 {
-		return max(leastLimit, s.rate(g)*float64(s.set.Senders))
+	if l := s.limit(g); l > 0 {
+		return max(leastLimit, l)
 	}
-	return max(leastLimit, s.limit(g))
+	return max(leastLimit, s.rate(g)*float64(s.set.Senders))
 }
 
 // many tells whether a gate's told limit is shared by more senders than see it filled.
