The bad relay that breaks order does so each time: the first of a key goes after the next

Wrong: turn() in badrelay_test.go let every message go at once, so order broke only where two calls of a key happened to cross. Now the first of two waits for the second. Assertions as before.

--- a/internal/rehearsal/badrelay_test.go
+++ b/internal/rehearsal/badrelay_test.go
@@ -143,11 +143,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before, done = b.turns[order], make(chan struct{})
-	if order == "" || before == nil || b.mode == "order" {
+	if b.mode == "order" && order != "" {
+		if before == nil { // waits for the next of its key
+			b.turns[order] = done
+			return done, make(chan struct{})
+		}
+		delete(b.turns, order)
+		done = before // the next goes first, and lets it go
+		before = nil
+	}
+	if order == "" || before == nil {
 		before = make(chan struct{})
 		close(before)
 	}
-	if order != "" {
+	if order != "" && b.mode != "order" {
 		b.turns[order] = done
 	}
 	return before, done
