Bad input of a kind is logged once a minute, and not for each

Change: a trouble, what goes wrong outside, has its log limited to one line a minute, with the count of those left out.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -89,6 +89,8 @@
 
 	version int64 // of the list as told
 	whole   bool  // changes alone won't do: the list is to be had whole
+
+	unread trouble // lines
 }
 
 // listCaller tells how a relay shares discovery with the others. Where lists are asked for, all call one service. Where they are
@@ -172,7 +174,7 @@
 			l, err := parseList(line)
 			if err != nil {
 				// Asked for once more it would be as unreadable, for ever: the whole list makes up for it.
-				w.log.Warn("unreadable line of the watch", "err", err)
+				w.unread.came(w.log, "err", err)
 				w.whole = true
 			} else if l.Full || l.Version > fetched {
 				w.take(l)
@@ -273,6 +275,7 @@
 // message that is over does no harm, one that is missing loses a message.
 func (f *finals) run(ctx context.Context) {
 	pause := retryFirst
+	untaken := trouble{what: "notices not taken"}
 	for {
 		f.mu.Lock()
 		batch := f.queue[:min(len(f.queue), noticeMost)]
@@ -286,7 +289,7 @@
 			continue
 		}
 		if err := f.post(ctx, batch); err != nil {
-			f.log.Warn("notices not taken", "count", len(batch), "err", err)
+			untaken.came(f.log, "count", len(batch), "err", err)
 			if errors.Is(err, errMoved) {
 				pause = retryFirst
 				continue // at once, to the new address
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -9,6 +9,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -43,6 +45,9 @@
 	*pool
 	reports []string
 	written func(messages int) // whole, to a host
+
+	log    *slog.Logger
+	spoilt trouble
 }
 
 // call is one request to a host, with one message or several.
@@ -81,8 +86,8 @@
 	took    time.Duration // from when the request was written
 }
 
-func newHosts(cfg Config, written func(int)) *hosts {
-	return &hosts{pool: newPool(cfg), reports: cfg.Reports, written: written}
+func newHosts(cfg Config, log *slog.Logger, written func(int)) *hosts {
+	return &hosts{pool: newPool(cfg), reports: cfg.Reports, written: written, log: log, spoilt: trouble{what: "spoilt answer"}}
 }
 
 // do makes a call and tells the end of each of its attempts, in their order. clear is asked before the request is written where that was
@@ -148,6 +153,9 @@
 	r := h.told(a.head)
 	r.took = a.came.Sub(began)
 	spoilt := a.err != nil && !errors.Is(a.err, errLast)
+	if spoilt && !gone(a.err) {
+		h.spoilt.came(h.log, "route", c.route, "err", a.err)
+	}
 	switch {
 	case a.head != nil && a.head.StatusCode == http.StatusOK && !several:
 		r.outcome = policy.OK // with the first line: what follows means nothing
@@ -162,6 +170,12 @@
 	return alike(c, r)
 }
 
+// gone tells whether an answer did not come for the peer's silence or end, and not for what the peer sent.
+func gone(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // writeRequest writes a request in one go.
 func writeRequest(conn *hostConn, req *http.Request) error {
 	var text bytes.Buffer
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -30,7 +30,7 @@
 }
 
 func testHosts(t *testing.T, cfg Config) *hosts {
-	h := newHosts(cfg, func(int) {})
+	h := newHosts(cfg, quiet(), func(int) {})
 	t.Cleanup(h.close)
 	return h
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,7 +132,9 @@
 	lastID   uint32
 	wakeAt   time.Time      // zero: none asked for
 	later    []policy.Event // for the next step
-	full     bool           // the log took no new work last
+	full     trouble        // the log takes no new work
+	unlogged trouble        // nor the sends of calls
+	unlisted trouble        // entries of the list cannot be read
 
 	stopping, noSends, idled bool
 }
@@ -155,6 +157,7 @@
 		cfg: cfg, log: log, logOut: out, rec: newRecording(cfg, log, out, started, sender, 0), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
 		started: started, sender: sender, calling: map[*call]struct{}{},
+		full: trouble{what: "refusing new messages"}, unlogged: trouble{what: "log not written"}, unlisted: trouble{what: "unreadable entry of the list"},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 		cells: map[int]bool{}, settled: cfg.Terms, version: cfg.Known.Version,
 	}
@@ -164,7 +167,7 @@
 	}
 	// Clients hold a third of the descriptors with their requests; more is for those that are slow to leave.
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
-	r.hosts = newHosts(cfg, func(n int) { r.figures.Upstream.Add(int64(n)) })
+	r.hosts = newHosts(cfg, log, func(n int) { r.figures.Upstream.Add(int64(n)) })
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
 	r.joinFleet()
 	r.kept.Store(r.rec)
@@ -221,7 +224,7 @@
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
 		told: func(l List) { r.post(l) }, herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
-		known: r.listed.Load(),
+		known: r.listed.Load(), unread: trouble{what: "unreadable line of the watch"},
 	}
 	go list.run(lead)
 
@@ -565,14 +568,10 @@
 		in.as.fresh = false
 	}
 	if err == nil {
-		r.full = false
 		return waiting
 	}
 	// A full disk is no reason to die: what is held goes on, new work is refused.
-	if !r.full {
-		r.log.Warn("refusing new messages", "err", err)
-	}
-	r.full = true
+	r.full.came(r.log, "err", err)
 	for _, in := range waiting {
 		if m := in.as; m.Message == in.m {
 			r.held--
@@ -739,7 +738,7 @@
 	for _, raw := range l.Entries {
 		entry, addr, err := r.cfg.listing(raw)
 		if err != nil {
-			r.log.Warn("unreadable entry of the list", "entry", string(raw), "err", err)
+			r.unlisted.came(r.log, "entry", string(raw), "err", err)
 			if known, ok := r.routes[entry.Route]; ok {
 				routes[entry.Route] = known
 				e.List = append(e.List, known.Listing)
@@ -814,7 +813,7 @@
 		}
 	}
 	if err := r.record(calls); err != nil {
-		r.log.Warn("log not written", "calls", len(calls), "err", err)
+		r.unlogged.came(r.log, "calls", len(calls), "err", err)
 		// A send that is not in the log must not leave: after a restart it would be made again.
 		r.giveBack(calls)
 		calls = nil
