A host that is gone behind its own entry in one list is gone for the relay too

Cause: an entry with state gone took the host from the routes that were known, but not from those that the same list had named before it; the module had forgotten the host, and the relay went on listing it.

Change: it is taken from both. Beside it tests for moments of lists that are sound: versions that begin again, and lists with blanks, returns, blank lines or over many lines.

Result: TestAHostThatGoesAndComesBackInOneList, TestVersionsThatBeginAgain and TestIndentedLists pass; without the line the first finds s-1 listed with no host in the module, for whole lists and changes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -748,6 +748,7 @@
 		e.List = append(e.List, entry)
 		if entry.Gone {
 			delete(r.routes, entry.Route)
+			delete(routes, entry.Route) // it stood before in this very list
 			r.hosts.closeIdle(entry.Route)
 		} else {
 			if known, ok := r.routes[entry.Route]; ok && known.addr != addr {
