An id that has just ended and was forgotten gets the answer that the first had

Cause: a message of which nothing is owed leaves the relay's tables at once. Handed in once more under its id, as after an answer that was lost with its connection, it was a new one and ran again: also one that may not run twice. So did one whose client had left with the call out, when that call had delivered.

What surely never ran, and what was put off, may come as new.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,7 @@
 	batchMost = 512 // events in a step
 
 	clockSlack = 10 * time.Millisecond // what two readings of a clock that is slewed may differ by
-	longAgoRan = 24 * time.Hour        // past every window in which repeats are dropped
+	longAgoRan = 24 * time.Hour        // past the usual windows in which repeats are dropped
 
 	// clockStart keeps the module's clock away from 0, which it takes for never.
 	clockStart = time.Second
@@ -127,8 +127,9 @@
 	routes   map[string]target
 	cells    map[int]bool // destinations that the list has named
 	left     []*message   // withdrawn, may have run; by deadline, more or less
-	held     int          // messages that the module has not done with
-	out      int          // calls
+	recent   recent
+	held     int // messages that the module has not done with
+	out      int // calls
 	lastID   uint32
 	wakeAt   time.Time      // zero: none asked for
 	later    []policy.Event // for the next step
@@ -335,6 +336,14 @@
 	r.carryOut(r.decide(r.now(), evs), nil)
 }
 
+// classOf is a message's class, if the settings still name it.
+func (r *Relay) classOf(m *journal.Message) (class policy.Class, known bool) {
+	if known = m.Class >= 0 && m.Class < len(r.terms.Settings.Classes); known {
+		class = r.terms.Settings.Classes[m.Class]
+	}
+	return class, known
+}
+
 // resumed tells the module of a message of an earlier process, in the module's own time.
 func (r *Relay) resumed(m *message) policy.Event {
 	e := r.taken(m)
@@ -344,7 +353,8 @@
 		e.Resumed.Ran, e.Resumed.RanZone = true, first.Zone
 		if e.Resumed.RanAgo = time.Since(first.At); first.Undated || e.Resumed.RanAgo < -clockSlack {
 			// The clock was set, or may have been: nobody can tell how long its host still drops a repeat.
-			e.Resumed.RanAgo = longAgoRan
+			class, _ := r.classOf(m.Message)
+			e.Resumed.RanAgo = max(longAgoRan, class.Window)
 		}
 		e.Resumed.RanAgo = max(0, e.Resumed.RanAgo)
 	}
@@ -353,8 +363,8 @@
 
 func (r *Relay) taken(m *message) policy.Event {
 	left := time.Until(m.Deadline)
-	if m.Class >= 0 && m.Class < len(r.terms.Settings.Classes) {
-		left = min(left, longest(r.terms.Settings.Classes[m.Class])) // a clock that was set back gives no more time
+	if class, known := r.classOf(m.Message); known {
+		left = min(left, longest(class)) // a clock that was set back gives no more time
 	}
 	return policy.Event{
 		Kind: policy.Taken, ID: m.ID, Key: m.Order, Class: m.Class, Customer: m.Customer, Destination: m.Dest, Left: left,
@@ -518,6 +528,7 @@
 // others have their answers.
 func (r *Relay) accept(ins []*handIn) (waiting []*handIn) {
 	var ms []*journal.Message
+	now := time.Now()
 	for _, in := range ins {
 		if in.m.Service != "" {
 			// The terms may have changed since the door read them.
@@ -536,6 +547,10 @@
 			in.reply <- r.again(old)
 			continue
 		}
+		if a, ended := r.recent.again(in.m.Trace, now); old == nil && ended {
+			in.reply <- a
+			continue
+		}
 		switch {
 		case len(r.cells) > 0 && !r.cells[in.m.Dest]:
 			r.count(in.m, figures.Failed)
@@ -650,6 +665,7 @@
 // they go on as others, which know all that these did.
 func (r *Relay) forget() {
 	now := time.Now()
+	r.recent.forget(now)
 	r.left = slices.DeleteFunc(r.left, func(m *message) bool {
 		if m.next == nil && len(m.MayRun) > 0 && now.Before(m.Deadline) {
 			return false
@@ -722,6 +738,7 @@
 		delete(r.msgs, m.ID)
 		if r.traces[m.Trace] == m {
 			delete(r.traces, m.Trace)
+			r.recent.add(m)
 		}
 	}
 }
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -46,7 +46,8 @@
 
 // bears tells whether a message may run any number of times.
 func (r *Relay) bears(m *journal.Message) bool {
-	return m.Class >= 0 && m.Class < len(r.terms.Settings.Classes) && r.terms.Settings.Classes[m.Class].Effect == policy.Safe
+	class, known := r.classOf(m)
+	return known && class.Effect == policy.Safe
 }
 
 // unreadable ends a message whose body the disk no longer gives.
