A host that hangs is skipped also for classes with less time than most answers take

Cause: a call that is cut within 800 ms says nothing of its route, since an answer may take as long. A class whose aim is shorter has all its calls cut before that: a host that hangs was never skipped. The constant stood in for what the settings tell.

Change: for a class with a shorter aim a call counts from that aim on. Where room is short, 500 messages are looked at for one to refuse, as for one to send: a restart that finds a full house looked through all of it for each message.

Result: TestHostsThatHangAreSkippedForShortTimes and TestRoomIsLookedForOnlySoFar fail without their lines (skipped after 12 calls: false; refused beyond the depth).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -558,7 +558,7 @@
 	if long == nil {
 		return
 	}
-	for i := len(long.queue) - 1; i >= 0; i-- {
+	for i := len(long.queue) - 1; i >= max(0, len(long.queue)-scanDepth); i-- {
 		if m := long.queue[i]; s.mayDrop(m) {
 			s.refuse(m)
 			return
@@ -587,7 +587,7 @@
 		if c.ok {
 			o = OK
 		}
-		short := (o == Timeout || o == ConnectFailed) && c.cut < c.sent+leastExpect
+		short := (o == Timeout || o == ConnectFailed) && c.cut < c.sent+min(leastExpect, cmp.Or(m.class.Aim, leastExpect))
 		s.learn(r, sample{outcome: o, wait: e.Wait, sent: c.sent, short: short}, e.Took)
 	}
 	s.touch(m.dest)
