--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,7 @@
 	batchMost = 512 // events in a step
 
 	clockSlack = 10 * time.Millisecond // what two readings of a clock that is slewed may differ by
-	longAgoRan = 24 * time.Hour        // past every window in which repeats are dropped
+	longAgoRan = 24 * time.Hour        // past the usual windows in which repeats are dropped
 
 	// clockStart keeps the module's clock away from 0, which it takes for never.
 	clockStart = time.Second
@@ -127,12 +127,15 @@
 	routes   map[string]target
 	cells    map[int]bool // destinations that the list has named
 	left     []*message   // withdrawn, may have run; by deadline, more or less
-	held     int          // messages that the module has not done with
-	out      int          // calls
+	recent   recent
+	held     int // messages that the module has not done with
+	out      int // calls
 	lastID   uint32
 	wakeAt   time.Time      // zero: none asked for
 	later    []policy.Event // for the next step
-	full     bool           // the log took no new work last
+	full     trouble        // the log takes no new work
+	unlogged trouble        // nor the sends of calls
+	unlisted trouble        // entries of the list cannot be read
 
 	stopping, noSends, idled bool
 }
@@ -155,6 +158,7 @@
 		cfg: cfg, log: log, logOut: out, rec: newRecording(cfg, log, out, started, sender, 0), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
 		started: started, sender: sender, calling: map[*call]struct{}{},
+		full: trouble{what: "refusing new messages"}, unlogged: trouble{what: "log not written"}, unlisted: trouble{what: "unreadable entry of the list"},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 		cells: map[int]bool{}, settled: cfg.Terms, version: cfg.Known.Version,
 	}
@@ -164,7 +168,7 @@
 	}
 	// Clients hold a third of the descriptors with their requests; more is for those that are slow to leave.
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
-	r.hosts = newHosts(cfg, func(n int) { r.figures.Upstream.Add(int64(n)) })
+	r.hosts = newHosts(cfg, log, func(n int) { r.figures.Upstream.Add(int64(n)) })
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
 	r.joinFleet()
 	r.kept.Store(r.rec)
@@ -221,7 +225,7 @@
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
 		told: func(l List) { r.post(l) }, herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
-		known: r.listed.Load(),
+		known: r.listed.Load(), unread: trouble{what: "unreadable line of the watch"},
 	}
 	go list.run(lead)
 
@@ -332,6 +336,14 @@
 	r.carryOut(r.decide(r.now(), evs), nil)
 }
 
+// classOf is a message's class, if the settings still name it.
+func (r *Relay) classOf(m *journal.Message) (class policy.Class, known bool) {
+	if known = m.Class >= 0 && m.Class < len(r.terms.Settings.Classes); known {
+		class = r.terms.Settings.Classes[m.Class]
+	}
+	return class, known
+}
+
 // resumed tells the module of a message of an earlier process, in the module's own time.
 func (r *Relay) resumed(m *message) policy.Event {
 	e := r.taken(m)
@@ -341,7 +353,8 @@
 		e.Resumed.Ran, e.Resumed.RanZone = true, first.Zone
 		if e.Resumed.RanAgo = time.Since(first.At); first.Undated || e.Resumed.RanAgo < -clockSlack {
 			// The clock was set, or may have been: nobody can tell how long its host still drops a repeat.
-			e.Resumed.RanAgo = longAgoRan
+			class, _ := r.classOf(m.Message)
+			e.Resumed.RanAgo = max(longAgoRan, class.Window)
 		}
 		e.Resumed.RanAgo = max(0, e.Resumed.RanAgo)
 	}
@@ -350,8 +363,8 @@
 
 func (r *Relay) taken(m *message) policy.Event {
 	left := time.Until(m.Deadline)
-	if m.Class >= 0 && m.Class < len(r.terms.Settings.Classes) {
-		left = min(left, longest(r.terms.Settings.Classes[m.Class])) // a clock that was set back gives no more time
+	if class, known := r.classOf(m.Message); known {
+		left = min(left, longest(class)) // a clock that was set back gives no more time
 	}
 	return policy.Event{
 		Kind: policy.Taken, ID: m.ID, Key: m.Order, Class: m.Class, Customer: m.Customer, Destination: m.Dest, Left: left,
@@ -515,6 +528,7 @@
 // others have their answers.
 func (r *Relay) accept(ins []*handIn) (waiting []*handIn) {
 	var ms []*journal.Message
+	now := time.Now()
 	for _, in := range ins {
 		if in.m.Service != "" {
 			// The terms may have changed since the door read them.
@@ -533,6 +547,10 @@
 			in.reply <- r.again(old)
 			continue
 		}
+		if a, ended := r.recent.again(in.m.Trace, now); old == nil && ended {
+			in.reply <- a
+			continue
+		}
 		switch {
 		case len(r.cells) > 0 && !r.cells[in.m.Dest]:
 			r.count(in.m, figures.Failed)
@@ -565,14 +583,10 @@
 		in.as.fresh = false
 	}
 	if err == nil {
-		r.full = false
 		return waiting
 	}
 	// A full disk is no reason to die: what is held goes on, new work is refused.
-	if !r.full {
-		r.log.Warn("refusing new messages", "err", err)
-	}
-	r.full = true
+	r.full.came(r.log, "err", err)
 	for _, in := range waiting {
 		if m := in.as; m.Message == in.m {
 			r.held--
@@ -651,6 +665,7 @@
 // they go on as others, which know all that these did.
 func (r *Relay) forget() {
 	now := time.Now()
+	r.recent.forget(now)
 	r.left = slices.DeleteFunc(r.left, func(m *message) bool {
 		if m.next == nil && len(m.MayRun) > 0 && now.Before(m.Deadline) {
 			return false
@@ -723,6 +738,7 @@
 		delete(r.msgs, m.ID)
 		if r.traces[m.Trace] == m {
 			delete(r.traces, m.Trace)
+			r.recent.add(m)
 		}
 	}
 }
@@ -739,7 +755,7 @@
 	for _, raw := range l.Entries {
 		entry, addr, err := r.cfg.listing(raw)
 		if err != nil {
-			r.log.Warn("unreadable entry of the list", "entry", string(raw), "err", err)
+			r.unlisted.came(r.log, "entry", string(raw), "err", err)
 			if known, ok := r.routes[entry.Route]; ok {
 				routes[entry.Route] = known
 				e.List = append(e.List, known.Listing)
@@ -749,6 +765,7 @@
 		e.List = append(e.List, entry)
 		if entry.Gone {
 			delete(r.routes, entry.Route)
+			delete(routes, entry.Route) // it stood before in this very list
 			r.hosts.closeIdle(entry.Route)
 		} else {
 			if known, ok := r.routes[entry.Route]; ok && known.addr != addr {
@@ -814,7 +831,7 @@
 		}
 	}
 	if err := r.record(calls); err != nil {
-		r.log.Warn("log not written", "calls", len(calls), "err", err)
+		r.unlogged.came(r.log, "calls", len(calls), "err", err)
 		// A send that is not in the log must not leave: after a restart it would be made again.
 		r.giveBack(calls)
 		calls = nil
