Where lists are asked for, a call that failed is followed by the next within five seconds

Cause: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed, refused or given-up call. internal/herd drew the second pause and later ones from up to ten seconds, counted from the call's end. Added up on a clock of calls and pauses alone, the worst moment being right after a call began that comes to nothing: 10.05 s after a refusal and 14.55 s after a call that was silent, for 12 to 2600 relays that ask; 5.55 s at most for up to six, and for any number where lists are pushed.

Checked: the long pauses are there for a service that needs 8 s for one call of each.

Change: the next call begins within five seconds of the beginning of the one that failed, and pauses end in the last 1.5 s of their window: what was turned away together comes again together, and the service works off its queue in between.

The first watch of a grace over 2 s may come later than 6 s, inside 6 s and the grace.

--- a/internal/herd/herd.go
+++ b/internal/herd/herd.go
@@ -2,8 +2,8 @@
 // to call at once. It is pure: no clock, no I/O; random numbers are the caller's.
 //
 // A service that answers calls in turn and whose callers give up after a while can jam for good: once its queue is as long as
-// they wait, all that it answers is given up on, and what comes again keeps the queue as it is. Only fewer calls end that.
-// So the time over which calls that come again spread grows with the number of clients, and doubles while calls fail.
+// they wait, all that it answers is given up on, and what comes again keeps the queue as it is. Only a time with fewer calls ends that.
+// So the pauses of calls that come again grow with the number of clients, double while calls fail up to a bound, and end in turns.
 package herd
 
 import (
@@ -13,10 +13,10 @@
 
 const (
 	share = 60 * time.Millisecond // what a client adds to the spread of all that call again
-	// soonMost bounds that of the first call after one that failed: what a service tells may count as told some seconds after it
-	// changed (six, and a grace), whether a client has called by then or not.
-	soonMost   = 5 * time.Second
-	spreadMost = 10 * time.Second // of further ones: services bear one call of each in less
+	// period bounds the time from the beginning of a call that failed to the next one: what a service has counts as told six seconds
+	// after it could be reached, however the calls before went, and a call takes a while too.
+	period = 5 * time.Second
+	jitter = 1500 * time.Millisecond // a pause is drawn from the last part of its window: so much, half of it at most
 	// graceShare is the part of the grace over which calls spread that may find news which binds at once.
 	graceShare = 0.5
 	// few is a number of clients that any such service bears at once.
@@ -50,9 +50,13 @@
 	return time.Duration(rng.Float64() * float64(window))
 }
 
-// Failed is how long to wait before the next call, after one that failed or was turned away, or whose answer has ended. In the
-// last case the service was there a moment ago and may have news: the next call comes as a first one does.
-func (c *Caller) Failed(rng *rand.Rand) time.Duration {
+// Failed is how long to wait before the next call, after one that took so long and failed or was turned away, or whose answer has
+// ended. In the last case the service was there a moment ago and may have news: the next call comes as a first one does.
+//
+// The windows of many grow to the period and no further, so it is not by calling seldom that they leave a slow service room, but by calling
+// in turns: those that were turned away together come again together, within the jitter, and until then the service works off
+// what it has. Drawn from all of the window, the pauses of 300 would spread evenly over it and keep a queue full for good.
+func (c *Caller) Failed(rng *rand.Rand, took time.Duration) time.Duration {
 	k := min(c.failed, 10)
 	c.failed++
 	switch ended := c.answered; {
@@ -66,11 +70,10 @@
 		c.failed, c.answered = 0, false
 		return pauseFirst + c.First(rng)
 	}
-	window := min(spreadMost, (time.Duration(c.Clients)*share)<<k)
-	if k == 0 {
-		window = min(soonMost, window)
-	}
-	return pauseFirst + time.Duration(rng.Float64()*float64(window))
+	window := min(period, (time.Duration(c.Clients)*share)<<k)
+	least := max(window/2, window-jitter)
+	window, least = max(0, window-took), max(0, least-took)
+	return pauseFirst + least + time.Duration(rng.Float64()*float64(window-least))
 }
 
 // Answered notes a call that was answered.
--- a/internal/herd/herd_test.go
+++ b/internal/herd/herd_test.go
@@ -37,7 +37,7 @@
 
 // allAnswered plays clients that all have to call at 0, and returns when the last had its answer; false if that is not
 // within a minute.
-func allAnswered(s service, n int, seed uint64, first, failed func(c *Caller, rng *rand.Rand) time.Duration) (time.Duration, bool) {
+func allAnswered(s service, n int, seed uint64, first func(*Caller, *rand.Rand) time.Duration, failed func(c *Caller, rng *rand.Rand, took time.Duration) time.Duration) (time.Duration, bool) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	callers := make([]Caller, n)
 	var a agenda
@@ -53,12 +53,12 @@
 		}
 		c := &callers[d.client]
 		if d.gaveUp {
-			heap.Push(&a, due{at: d.at + failed(c, rng), client: d.client})
+			heap.Push(&a, due{at: d.at + failed(c, rng, s.patience), client: d.client})
 			continue
 		}
 		// What would have to wait too long is turned away; what is taken may still be answered too late.
 		if s.free-d.at > s.patience {
-			heap.Push(&a, due{at: d.at + failed(c, rng), client: d.client})
+			heap.Push(&a, due{at: d.at + failed(c, rng, 0), client: d.client})
 			continue
 		}
 		s.free = max(s.free, d.at) + s.each
@@ -72,30 +72,39 @@
 	return last, true
 }
 
-// All have their answers within a few times the time that the service needs for one call of each, whatever that is. The
-// pauses of few clients, used by many, jam it: the test can fail.
+// All have their answers within a few times the time that the service needs for one call of each, whatever that is, and whether their
+// first calls come together or at any moment of a period. The pauses of few clients, used by many, jam it, and so do pauses that are
+// drawn from all of the period: the test can fail.
 func TestManyThatCallAtOnceAreAllAnswered(t *testing.T) {
-	jammed := false
-	for _, n := range []int{1, 3, 8, 16, 36, 48, 80, 300} {
+	jammed, spread := false, false
+	anyMoment := func(_ *Caller, rng *rand.Rand) time.Duration { return time.Duration(rng.Float64() * float64(period)) }
+	for _, n := range []int{1, 3, 8, 16, 36, 48, 80, 300, 2600} {
 		for _, all := range []time.Duration{2 * time.Second, 8 * time.Second} {
 			for seed := range uint64(20) {
 				s := service{each: all / time.Duration(max(n, 12)), patience: 2 * time.Second}
-				took, ok := allAnswered(s, n, seed, (*Caller).First, (*Caller).Failed)
-				if bound := 5*all + 2*time.Second; !ok || took > bound {
-					t.Errorf("%d clients, %v for all, seed %d: %v, %v, not within %v", n, all, seed, took, ok, bound)
+				bound := 5*all + 2*time.Second
+				for i, first := range []func(*Caller, *rand.Rand) time.Duration{(*Caller).First, anyMoment} {
+					took, ok := allAnswered(s, n, seed, first, (*Caller).Failed)
+					if !ok || took > bound {
+						t.Errorf("%d clients, %v for all, first calls %d, seed %d: %v, %v, not within %v", n, all, i, seed, took, ok, bound)
+					}
 				}
+				took, ok := allAnswered(s, n, seed, (*Caller).First, func(c *Caller, rng *rand.Rand, _ time.Duration) time.Duration {
+					return pauseFirst + time.Duration(rng.Float64()*float64(period))
+				})
+				spread = spread || !ok || took > bound
 				took, ok = allAnswered(s, n, seed, func(*Caller, *rand.Rand) time.Duration { return 0 },
-					func(c *Caller, _ *rand.Rand) time.Duration {
+					func(c *Caller, _ *rand.Rand, _ time.Duration) time.Duration {
 						k := min(c.failed, 10)
 						c.failed++
 						return min(pauseMost, pauseFirst<<k)
 					})
-				jammed = jammed || !ok || took > 5*all+2*time.Second
+				jammed = jammed || !ok || took > bound
 			}
 		}
 	}
-	if !jammed {
-		t.Error("the pauses of few clients, used by many, never jam it: this test shows nothing")
+	if !jammed || !spread {
+		t.Error("the pauses of few clients, used by many, or pauses of any length never jam it: this test shows nothing")
 	}
 }
 
@@ -107,12 +116,12 @@
 		t.Errorf("first after %v", d)
 	}
 	for i, want := range []time.Duration{50, 100, 200, 400, 800, 1000, 1000} {
-		if d := c.Failed(rng); d != want*time.Millisecond {
+		if d := c.Failed(rng, 0); d != want*time.Millisecond {
 			t.Errorf("pause %d: %v", i, d)
 		}
 	}
 	c.Answered()
-	if d := c.Failed(rng); d != 50*time.Millisecond {
+	if d := c.Failed(rng, 0); d != 50*time.Millisecond {
 		t.Errorf("after an answer: %v", d)
 	}
 }
@@ -128,9 +137,9 @@
 		first, after := time.Duration(0), time.Duration(0)
 		for range 1000 {
 			d := c.First(rng)
-			first, after = max(first, d), max(after, c.Failed(rng))
+			first, after = max(first, d), max(after, c.Failed(rng, 0))
 			c.Answered()
-			if again := c.Failed(rng); d > grace/2 || again > grace/2+pauseFirst {
+			if again := c.Failed(rng, 0); d > grace/2 || again > grace/2+pauseFirst {
 				t.Fatalf("%d clients: first call after %v, again %v after one that was answered", n, d, again)
 			}
 		}
@@ -149,7 +158,7 @@
 	for _, grace := range []time.Duration{200 * time.Millisecond, time.Second, 10 * time.Second} {
 		c := Caller{Clients: 1, Grace: grace}
 		for i := range 20 {
-			if d := c.Failed(rng); d > grace/2 || d > pauseMost {
+			if d := c.Failed(rng, 0); d > grace/2 || d > pauseMost {
 				t.Errorf("grace %v: pause %d is %v", grace, i, d)
 			}
 		}
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -15,7 +15,7 @@
 var behindConstants = map[string][]string{
 	"the protocol's pages, the same for every customer": {
 		"relay.bodyMost", "relay.requestFor", "relay.lastFor", "relay.acceptFor", "relay.answerFor", "relay.sendFor", "relay.endBy",
-		"relay.watchSilence", "relay.leaveFor", "relay.noticeTimeout", "herd.soonMost", "herd.spreadMost", "policy.toldShare",
+		"relay.watchSilence", "relay.leaveFor", "relay.noticeTimeout", "herd.period", "policy.toldShare",
 	},
 	"a bound of the relay's own, on what a peer may have of it": {
 		"relay.wireMost", "relay.idMost", "relay.keptFor", "relay.writeFor", "relay.lingerFor", "relay.lingerMost", "relay.headMost",
@@ -39,7 +39,7 @@
 		"policy.paceRestart", "policy.paceLeast", "policy.paceSure", "policy.paceCreep", "policy.paceCrawl", "policy.creepSteps", "policy.paceNear",
 		"policy.paceFree", "policy.paceBurst", "policy.manyBurst", "policy.calmSpan", "policy.manyCreep", "policy.manyMost", "policy.manyLeast",
 		"policy.takenSpan", "policy.takenPrior", "policy.takenShare", "policy.askEvery", "policy.askAhead", "policy.tightMost", "policy.tightRest",
-		"policy.scarceSpan", "policy.aliveSpan", "policy.fewSenders", "policy.manySpread", "herd.few", "herd.share", "herd.pauseFirst",
+		"policy.scarceSpan", "policy.aliveSpan", "policy.fewSenders", "policy.manySpread", "herd.few", "herd.share", "herd.pauseFirst", "herd.jitter",
 	},
 	"statistics: deviations, mixes, spans of a mean": {
 		"policy.scatter", "policy.ownPart", "policy.roughFactor", "policy.ownSpan", "policy.devs", "policy.lateDevs",
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -137,7 +137,7 @@
 // follow is one watch, until its connection ends or falls silent, and the pause before the next. A connection that is cut off says
 // nothing: only the missing lines tell. version is kept up, so that the next watch resumes where this one ended.
 func (w *watcher) follow(ctx context.Context, addr string) {
-	was := w.version
+	was, began := w.version, time.Now()
 	err := w.stream(ctx, addr)
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errMoved) {
 		return
@@ -148,7 +148,7 @@
 	if w.version != was {
 		w.herd.Answered()
 	}
-	sleep(ctx, w.herd.Failed(w.rng))
+	sleep(ctx, w.herd.Failed(w.rng, time.Since(began)))
 }
 
 func (w *watcher) stream(ctx context.Context, addr string) error {
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -142,11 +142,11 @@
 			caller.Answered()
 			// A watch falls silent right after a line; the next ones are never answered.
 			clock, unasked := watchSilence, time.Duration(0)
-			if again := caller.Failed(rng); clock+again > 6*time.Second {
+			if again := caller.Failed(rng, 0); clock+again > 6*time.Second {
 				t.Errorf("asked again %v after the watch fell silent, when what it missed binds already", clock+again)
 			}
-			for range 6 {
-				unasked = max(unasked, caller.Failed(rng))
+			for range 6 { // as if they had failed at once, which gives the longest pauses
+				unasked = max(unasked, caller.Failed(rng, 0))
 			}
 			if ok := unasked <= c.grace; ok != c.within {
 				t.Errorf("not asked for %v at a time, of a grace of %v", unasked, c.grace)
@@ -193,3 +193,114 @@
 	// Four silent calls and the pauses between; as one of a fleet that asks, the pauses alone are over twenty seconds.
 	t.Logf("told after %v and %d calls", time.Since(began), calls.Load())
 }
+
+// toldWithin is when a change counts as told: so long after discovery had it and could be reached, however the calls before went. callTakes
+// is left of it for the call that finds it.
+const (
+	toldWithin = 6 * time.Second
+	callTakes  = 400 * time.Millisecond
+)
+
+// However many relays share discovery and however their calls fail, the next call begins in time. The clock is that of the calls and pauses
+// alone; the worst moment for discovery to be back is right after a call began that comes to nothing.
+func TestWhatDiscoveryHasIsAskedForInTime(t *testing.T) {
+	ways := map[string]time.Duration{"refused": 0, "turned away": 2 * time.Second, "not connected": time.Second, "silent": watchSilence}
+	for _, ask := range []bool{false, true} {
+		for _, senders := range []int{1, 2, 6, 7, 12, 24, 80, 300, 1000, 2600} {
+			for _, grace := range []time.Duration{400 * time.Millisecond, time.Second, 2 * time.Second} {
+				cfg := Config{Grace: grace}
+				cfg.Settings.Senders, cfg.Settings.AskList = senders, ask
+				worst, at := time.Duration(0), ""
+				note := func(d time.Duration, how string) {
+					if d > worst {
+						worst, at = d, how
+					}
+				}
+				for seed := range uint64(50) {
+					rng := rand.New(rand.NewPCG(seed, 9))
+					if seed == 0 {
+						rng = rand.New(most{})
+					}
+					caller := listCaller(cfg)
+					note(caller.First(rng), "the first call")
+					for range 3 {
+						caller.Answered() // a watch, which falls silent
+						note(watchSilence+caller.Failed(rng, watchSilence), "after a watch")
+						for i := range 12 {
+							for way, took := range ways {
+								note(took+caller.Failed(rng, took), fmt.Sprintf("after call %d, %s", i, way))
+							}
+						}
+					}
+				}
+				if worst+callTakes > toldWithin {
+					t.Errorf("%d relays, asked for %v, grace %v: no call for %v, %s", senders, ask, grace, worst, at)
+				}
+			}
+		}
+	}
+}
+
+// The same on real connections: discovery fails two calls, and has news from the moment on at which the second has begun.
+func TestNewsOfDiscoveryThatIsBackIsToldInTime(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	broken := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for _, c := range []struct {
+		name    string
+		ask     bool
+		senders int
+		fail    http.HandlerFunc
+	}{
+		{"refused, 300 ask", true, 300, refuse},
+		{"refused, 2600 ask", true, 2600, refuse},
+		{"given up, 2600 ask", true, 2600, silent},
+		{"broken off, 80 ask", true, 80, broken},
+		{"given up, pushed to 300", false, 300, silent},
+		{"refused, 3 ask", true, 3, refuse},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int64
+			had := make(chan time.Time, 1)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if n := calls.Add(1); n <= 2 {
+					if n == 2 {
+						had <- time.Now()
+					}
+					c.fail(w, r)
+					return
+				}
+				fmt.Fprintln(w, `{"version":9,"full":true,"servers":[]}`)
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			}))
+			ctx, stop := context.WithCancel(context.Background())
+			told, ended := make(chan time.Time, 8), make(chan struct{})
+			t.Cleanup(func() { stop(); <-ended; s.Close() })
+			cfg := Config{Grace: time.Second}
+			cfg.Settings.Senders, cfg.Settings.AskList = c.senders, c.ask
+			w := watcher{
+				log: quiet(), agent: newAgent(addrOf(s)), silence: watchSilence, known: true, version: 4,
+				told: func(List) { told <- time.Now() }, herd: listCaller(cfg), rng: rand.New(most{}),
+			}
+			go func() { w.run(ctx); close(ended) }()
+			var since time.Time
+			select {
+			case since = <-had:
+			case <-time.After(patience):
+				t.Fatal("no second call")
+			}
+			select {
+			case at := <-told:
+				if took := at.Sub(since); took > toldWithin {
+					t.Errorf("told after %v", took)
+				} else {
+					t.Logf("told after %v", took)
+				}
+			case <-time.After(patience):
+				t.Error("never told")
+			}
+		})
+	}
+}
