--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -107,14 +107,13 @@
 // Named tells whether a list has named a destination. Of those without an endpoint now as many are remembered as the most that ever had one, or
 // WholeMost if that is more: those longest without are forgotten first.
 func (c *Catalog) Named(dest int) bool {
-	_, p := c.place(dest)
-	return p != 0
+	return c.place(dest) != 0
 }
 
 // Remember has a destination count as named, as an earlier process knew it.
 func (c *Catalog) Remember(dest int) {
-	if h, p := c.place(dest); p == 0 {
-		c.abandon(c.newPlace(h, dest))
+	if c.place(dest) == 0 {
+		c.abandon(c.newPlace(dest))
 	}
 }
 
@@ -133,7 +132,7 @@
 
 // Endpoint returns what is known of an id.
 func (c *Catalog) Endpoint(id string) (Endpoint, bool) {
-	_, i := c.find(id)
+	i := c.find(id)
 	if i == 0 {
 		return Endpoint{}, false
 	}
@@ -142,7 +141,7 @@
 
 // Of appends a destination's endpoints, in the order listed.
 func (c *Catalog) Of(dest int, into []Endpoint) []Endpoint {
-	_, p := c.place(dest)
+	p := c.place(dest)
 	if p == 0 || c.places.at(p).empty() {
 		return into
 	}
@@ -169,7 +168,7 @@
 
 // Put takes an entry of a list. One that is gone is removed. In a whole list it counts as named and comes behind what was named before.
 func (c *Catalog) Put(e Endpoint) Change {
-	h, i := c.find(e.Route)
+	i := c.find(e.Route)
 	switch {
 	case e.Gone && i == 0:
 		return Change{e, e, Same}
@@ -180,7 +179,7 @@
 	}
 	c.scratch = appendText(c.scratch[:0], &e)
 	if i == 0 {
-		c.add(h, e.Destination)
+		c.add(e.Destination)
 		return Change{Is: e, Kind: Added}
 	}
 	s := c.slots.at(i)
@@ -206,7 +205,7 @@
 
 // Keep has an entry that could not be read count as named; what is known of it stays.
 func (c *Catalog) Keep(id string) (Endpoint, bool) {
-	_, i := c.find(id)
+	i := c.find(id)
 	if i == 0 {
 		return Endpoint{}, false
 	}
@@ -359,7 +358,7 @@
 		next := -1
 		for at, all := 0, c.text.chunks[chunk].data; at < len(all); {
 			id, n := skipText(all[at:])
-			if _, i := c.findBytes(id); i != 0 && c.slots.at(i).text == position(chunk, at) {
+			if i, ok := c.has(id, position(chunk, at)); ok {
 				var full int
 				if c.slots.at(i).text, full = c.text.add(all[at : at+n]); full >= 0 {
 					next = full
@@ -374,26 +373,33 @@
 
 // Slots.
 
-func (c *Catalog) find(id string) (h uint64, i uint32) {
-	h = maphash.String(c.seed, id)
-	for i = c.ids.bucket(h); i != 0 && string(c.id(i)) != id; i = c.slots.at(i).chain {
+// find returns an id's slot; 0: none.
+func (c *Catalog) find(id string) uint32 {
+	if c.whole && c.first != 0 && string(c.id(c.first)) == id {
+		return c.first // a whole list mostly names its entries in the order of the last
 	}
-	return h, i
+	i := c.ids.bucket(maphash.String(c.seed, id))
+	for i != 0 && string(c.id(i)) != id {
+		i = c.slots.at(i).chain
+	}
+	return i
 }
 
-func (c *Catalog) findBytes(id []byte) (h uint64, i uint32) {
-	h = maphash.Bytes(c.seed, id)
-	for i = c.ids.bucket(h); i != 0 && !bytes.Equal(c.id(i), id); i = c.slots.at(i).chain {
+// has tells whether a slot with this id has its text there.
+func (c *Catalog) has(id []byte, at uint32) (i uint32, ok bool) {
+	i = c.ids.bucket(maphash.Bytes(c.seed, id))
+	for i != 0 && c.slots.at(i).text != at {
+		i = c.slots.at(i).chain
 	}
-	return h, i
+	return i, i != 0
 }
 
 // add makes a slot of the text in scratch.
-func (c *Catalog) add(h uint64, dest int) {
+func (c *Catalog) add(dest int) {
 	at := c.write()
 	i := c.slots.add()
 	c.slots.at(i).text = at
-	c.ids.add(i, h)
+	c.ids.add(i)
 	c.enter(i, dest)
 	c.link(i)
 	c.name(i)
@@ -500,14 +506,16 @@
 
 // Destinations.
 
-func (c *Catalog) place(dest int) (h uint64, p uint32) {
-	h = maphash.Comparable(c.seed, dest)
-	for p = c.numbers.bucket(h); p != 0 && c.places.at(p).number() != dest; p = c.places.at(p).chain {
+// place returns a destination's; 0: none.
+func (c *Catalog) place(dest int) uint32 {
+	p := c.numbers.bucket(maphash.Comparable(c.seed, dest))
+	for p != 0 && c.places.at(p).number() != dest {
+		p = c.places.at(p).chain
 	}
-	return h, p
+	return p
 }
 
-func (c *Catalog) newPlace(h uint64, dest int) uint32 {
+func (c *Catalog) newPlace(dest int) uint32 {
 	p := c.free
 	if p == 0 {
 		p = c.places.add()
@@ -515,15 +523,15 @@
 		c.free = c.places.at(p).chain
 	}
 	*c.places.at(p) = place{low: uint32(dest), high: uint32(uint64(dest) >> 32)}
-	c.numbers.add(p, h)
+	c.numbers.add(p)
 	return p
 }
 
 // enter puts a slot at the end of a destination.
 func (c *Catalog) enter(i uint32, dest int) {
-	h, n := c.place(dest)
+	n := c.place(dest)
 	if n == 0 {
-		n = c.newPlace(h, dest)
+		n = c.newPlace(dest)
 	}
 	p := c.places.at(n)
 	if p.empty() {
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -67,8 +67,8 @@
 	return p
 }
 
-func (x *index) add(i uint32, h uint64) {
-	p := x.heads.at(x.number(h))
+func (x *index) add(i uint32) {
+	p := x.heads.at(x.number(x.hash(i)))
 	*x.next(i), *p = *p, i
 	if x.n++; x.n > x.heads.n {
 		x.split()
