--- a/policy/inspect_test.go
+++ b/policy/inspect_test.go
@@ -18,7 +18,7 @@
 			g.sent = append([]time.Duration(nil), g.sent...)
 		}
 	}
-	for _, list := range []*[]*dest{&s.order, &s.active, &s.bare} {
+	for _, list := range []*[]*dest{&s.order, &s.active} {
 		if len(*list) == 0 {
 			*list = nil
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -759,6 +759,14 @@
 }
 
 // Turns were once kept for good when their rest outlasted their last message, and destinations always.
+// bares are the destinations without routes that a Sender still knows, in their order.
+func bares(s *Sender) (all []*dest) {
+	for d := s.bare.first; d != nil; d = d.bareAfter {
+		all = append(all, d)
+	}
+	return all
+}
+
 func TestNothingIsHeldForWhatHasGone(t *testing.T) {
 	set := settings()
 	set.Slots, set.MaxHeld = 50, 100
@@ -773,9 +781,9 @@
 	d.now += time.Minute
 	d.step(Event{Kind: Woken}, Event{Kind: ListChanges})
 	s := d.s
-	if n := len(s.turns) + len(s.dests) + len(s.order) + len(s.routes) + len(s.msgs) + len(s.active) + len(s.bare); n != 0 {
+	if n := len(s.turns) + len(s.dests) + len(s.order) + len(s.routes) + len(s.msgs) + len(s.active) + len(bares(s)); n != 0 {
 		t.Errorf("held: %d turns, %d destinations (%d in order), %d routes, %d messages, %d active, %d bare",
-			len(s.turns), len(s.dests), len(s.order), len(s.routes), len(s.msgs), len(s.active), len(s.bare))
+			len(s.turns), len(s.dests), len(s.order), len(s.routes), len(s.msgs), len(s.active), len(bares(s)))
 	}
 }
 
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -61,7 +61,18 @@
 	msgs := func(m **message) { s.codeMessage(c, m) }
 	archive.List(c, &s.order, func(d **dest) { s.codeDest(c, d) })
 	archive.List(c, &s.active, func(d **dest) { s.codeDest(c, d) })
-	archive.List(c, &s.bare, func(d **dest) { s.codeDest(c, d) })
+	var bare []*dest
+	for d := s.bare.first; d != nil; d = d.bareAfter {
+		bare = append(bare, d)
+	}
+	archive.List(c, &bare, func(d **dest) { s.codeDest(c, d) })
+	for _, d := range bare {
+		if c.Reading() && s.bare.has(d) {
+			c.Fail()
+		} else if c.Reading() {
+			s.bare.add(d)
+		}
+	}
 	archive.Map(c, s.msgs, func(id *uint32, m **message) { archive.Uint(c, id); msgs(m) })
 	for _, d := range s.active { // apart from the destinations, so that messages do not nest
 		archive.List(c, &d.queue, msgs)
--- a/policy/state.go
+++ b/policy/state.go
@@ -78,6 +78,8 @@
 	held   int           // messages not forgotten
 	at     int           // place among the active, from 1; 0: not active
 	bareAt time.Duration // when its last route went
+
+	bareBefore, bareAfter *dest // among those without routes
 }
 
 // call is one call out; messages of one destination may share it.
@@ -143,7 +145,7 @@
 	order    []*dest           // by number
 	active   []*dest           // with messages waiting
 	ready    []*dest           // scratch of dispatch
-	bare     []*dest           // without routes, until they are forgotten
+	bare     bareList          // destinations without routes, until they are forgotten
 	parked   []*turn           // in the order of their rests
 	msgs     map[uint32]*message
 	turns    map[string]*turn
@@ -209,24 +211,55 @@
 			s.touch(d)
 		}
 	}
+	for _, d := range changed {
+		if s.bare.has(d) && d.routed() {
+			s.bare.remove(d)
+			d.bareAt = 0
+		}
+	}
 	s.sweep()
 }
 
-// sweep forgets destinations that have had no route for a warm-up and hold no message.
+// sweep forgets destinations that have had no route for a warm-up and hold no message. It looks at those alone that are due.
 func (s *Sender) sweep() {
-	s.bare = slices.DeleteFunc(s.bare, func(d *dest) bool {
-		if d.routed() {
-			d.bareAt = 0
-			return true
-		}
-		if d.held > 0 || s.now < d.bareAt+s.set.WarmWithin {
-			return false
+	for d := s.bare.first; d != nil && s.now >= d.bareAt+s.set.WarmWithin; {
+		next := d.bareAfter
+		if d.held == 0 {
+			s.bare.remove(d)
+			delete(s.dests, d.id)
+			i := sort.Search(len(s.order), func(i int) bool { return s.order[i].id >= d.id })
+			s.order = slices.Delete(s.order, i, i+1)
 		}
-		delete(s.dests, d.id)
-		i := sort.Search(len(s.order), func(i int) bool { return s.order[i].id >= d.id })
-		s.order = slices.Delete(s.order, i, i+1)
-		return true
-	})
+		d = next
+	}
+}
+
+// bareList is the destinations without routes, the one whose last route went first in front: a list through them, as they come and go one by one.
+type bareList struct{ first, last *dest }
+
+func (l *bareList) has(d *dest) bool { return l.first == d || d.bareBefore != nil }
+
+func (l *bareList) add(d *dest) {
+	if d.bareBefore = l.last; l.last == nil {
+		l.first = d
+	} else {
+		l.last.bareAfter = d
+	}
+	l.last = d
+}
+
+func (l *bareList) remove(d *dest) {
+	if d.bareBefore == nil {
+		l.first = d.bareAfter
+	} else {
+		d.bareBefore.bareAfter = d.bareAfter
+	}
+	if d.bareAfter == nil {
+		l.last = d.bareBefore
+	} else {
+		d.bareAfter.bareBefore = d.bareBefore
+	}
+	d.bareBefore, d.bareAfter = nil, nil
 }
 
 // routed tells whether the destination has a route.
@@ -306,9 +339,9 @@
 	if g.separate {
 		g.dest.gates = slices.DeleteFunc(g.dest.gates, func(x *gate) bool { return x == g })
 	}
-	if d := g.dest; d.bareAt == 0 && !d.routed() {
+	if d := g.dest; !s.bare.has(d) && !d.routed() {
 		d.bareAt = s.now
-		s.bare = append(s.bare, d)
+		s.bare.add(d)
 	}
 }
 
