Discovery's list is read as it comes, kept in the catalog, and told in full only to small sites

Cause: a list over 1 MiB was cut off and never taken; each endpoint cost a raw copy, a map entry and its records in the module, the configuration's known list a tree of it all besides. Change: lists come by a decoder, one entry at a time, bounded by their entries and an entry's size. All stands in the catalog. Up to catalog.WholeMost hosts are told to the module by the same events as before; of longer lists, which come in slices between two steps, it hears of the destinations in use. A host that moves to another destination is told as gone there first: its route stayed with the old one and took nothing more. A second process of a long list begins from its own list and asks for the whole.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -50,8 +50,9 @@
 	Snapshot []byte        // policy.Sender.Snapshot
 	Terms    terms.Terms   // that hold
 	Version  int64         // of the list
+	Large    bool          // the list is too long to be told as a whole: what follows of it is what the module knows
 	Routes   []Route
-	Cells    []int // destinations that the list has named
+	Cells    []int // destinations that the list has named; of a long one none are told
 	LastID   uint32
 	Messages []Message
 	Attempts []Attempt // out
--- a/internal/relay/bundle_test.go
+++ b/internal/relay/bundle_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/catalog"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -39,7 +40,7 @@
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 				return true
 			})
-			r.routes["s-1"] = target{Listing: policy.Listing{Route: "s-1", Kind: 0, InService: true}, addr: addr}
+			r.catalog.Put(catalog.Endpoint{Listing: policy.Listing{Route: "s-1", Kind: 0, InService: true}, Addr: addr})
 			var ins []*handIn
 			for i, id := range order {
 				in := newHandIn(id, 7, left[id])
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -270,7 +270,7 @@
 	for restart := range 3 {
 		const dest = 8 // listed once, and without a host now: nothing is sent but what the test says
 		r := newTestRelay(t)
-		r.cells[dest] = true
+		r.catalog.Remember(dest)
 		in := newHandIn("m1", dest, 5*time.Second)
 		decide(r, in)
 		m := r.msgs[in.m.ID]
@@ -281,7 +281,7 @@
 		r.step([]any{withdrawal{m.ID}})
 		if restart == 1 {
 			r = restarted(t, r)
-			r.cells[dest] = true
+			r.catalog.Remember(dest)
 		}
 		if a := decide(r, newHandIn("m1", dest, 5*time.Second))[0]; a.status != http.StatusAccepted {
 			t.Fatalf("answer %+v", a)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -1,16 +1,19 @@
 package relay
 
 import (
+	"bufio"
 	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/catalog"
 	"onyxroad.dev/onyxroad/internal/operator"
 	"onyxroad.dev/onyxroad/internal/store"
 	"onyxroad.dev/onyxroad/internal/terms"
@@ -21,6 +24,9 @@
 // tickMost bounds the tick, so that no setting makes clients wait for their answers.
 const tickMost = 20 * time.Millisecond
 
+// readAhead is how much of a file is read at once, in bytes.
+const readAhead = 64 << 10
+
 // Config is all that a relay is told at its start.
 type Config struct {
 	Name        string
@@ -31,9 +37,10 @@
 	StateDir    string // the folder that outlasts the process
 	Seed        uint64
 	Limits      Limits
-	Known       List  // hosts as this relay last had them; may be old or empty
-	Unread      error // why Known could not be read; it is empty then, and discovery is asked
-	terms.Terms       // what stands in the settings and may change while the relay runs; Customers empty: the site has none
+	Known       List             // hosts as this relay last had them; may be old or empty
+	Long        *catalog.Catalog // what Known names, if that is too long to be told as a whole; else nil
+	Unread      error            // why Known could not be read; it is empty then, and discovery is asked
+	terms.Terms                  // what stands in the settings and may change while the relay runs; Customers empty: the site has none
 
 	Zones []string
 	Kinds []string
@@ -45,8 +52,11 @@
 	MayDuplicate   bool          // two attempts of a message may be out at once
 	Reports        []string      // fields of the hosts' load reports; empty: none are sent
 
-	Operator operator.File
-	Version  string // of the program
+	Operator        operator.File
+	Version         string // of the program
+	unreadable      int    // entries of Long
+	firstUnreadable entry  // the first of them
+
 	// JournalThrough is what stands between the journal and the files of its folder; nil: nothing.
 	JournalThrough func(store.FS) store.FS
 }
@@ -60,9 +70,9 @@
 }
 
 // ReloadConfig reads the file that ROUTER_CONFIG names. What stands in it goes before the other ROUTER_ variables:
-// these are as old as the process.
+// these are as old as the process. The list of hosts in it is looked at and not kept: discovery has a newer one.
 func ReloadConfig(getenv func(string) string) (Config, error) {
-	c, err := readConfig(getenv)
+	c, err := readConfig(getenv, false)
 	if err != nil {
 		return Config{}, err
 	}
@@ -73,12 +83,13 @@
 	return c, nil
 }
 
-func readConfig(getenv func(string) string) (Config, error) {
-	data, err := os.ReadFile(getenv("ROUTER_CONFIG"))
+func readConfig(getenv func(string) string, known bool) (Config, error) {
+	f, err := os.Open(getenv("ROUTER_CONFIG"))
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
-	c, err := parseConfig(data)
+	defer f.Close()
+	c, err := scanConfig(f, known)
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
@@ -88,7 +99,7 @@
 // LoadConfig reads the configuration of a start: the file that ROUTER_CONFIG names; the other ROUTER_ variables go
 // before it.
 func LoadConfig(getenv func(string) string) (Config, error) {
-	c, err := readConfig(getenv)
+	c, err := readConfig(getenv, true)
 	if err != nil {
 		return Config{}, err
 	}
@@ -106,7 +117,120 @@
 	return c, nil
 }
 
-func parseConfig(data []byte) (Config, error) {
+// scanConfig reads a configuration as it comes: its list of hosts may be longer than all that is kept of it. known tells
+// whether that is kept, or only looked at.
+func scanConfig(src io.ReadSeeker, known bool) (Config, error) {
+	rest, at, err := beside(src)
+	if err != nil {
+		return Config{}, err
+	}
+	c, err := parseRest(rest)
+	if err == nil && at >= 0 {
+		// Read last, wherever it stands: its zones and kinds are named by the settings.
+		if _, err = src.Seek(at, io.SeekStart); err == nil {
+			c.Unread = c.readKnown(src, known)
+		}
+	}
+	if err != nil {
+		return Config{}, err
+	}
+	c.setDefaults()
+	return c, nil
+}
+
+// beside returns a configuration without its list of hosts, for which true stands, and where that begins, just behind
+// its key; -1: there is none.
+func beside(src io.Reader) (rest []byte, known int64, err error) {
+	dec := json.NewDecoder(bufio.NewReaderSize(src, readAhead))
+	if t, err := dec.Token(); err != nil {
+		return nil, 0, err
+	} else if t != json.Delim('{') {
+		return nil, 0, errors.New("not an object")
+	}
+	known = -1
+	values := map[string]json.RawMessage{}
+	for dec.More() {
+		t, err := dec.Token()
+		if err != nil {
+			return nil, 0, unfinished(err)
+		}
+		key, _ := t.(string)
+		var value json.RawMessage
+		if !strings.EqualFold(key, "known") {
+			err = dec.Decode(&value)
+		} else {
+			at, first := dec.InputOffset(), json.Token(nil)
+			if first, err = skipValue(dec, func() {}); err == nil && first == nil {
+				known = -1
+				delete(values, key)
+				continue
+			}
+			known, value = at, json.RawMessage("true")
+		}
+		if err != nil {
+			return nil, 0, unfinished(err)
+		}
+		values[key] = value
+	}
+	if _, err := dec.Token(); err != nil {
+		return nil, 0, unfinished(err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, 0, errTrailing
+	}
+	rest, err = json.Marshal(values)
+	return rest, known, err
+}
+
+// readKnown reads the list of hosts of a configuration, from just behind its key.
+func (c *Config) readKnown(src io.Reader, keep bool) error {
+	from := bufio.NewReaderSize(src, readAhead)
+	if _, err := from.ReadSlice(':'); err != nil { // blanks at most stand before it
+		return fmt.Errorf("known: %w", err)
+	}
+	var listing func(*member) (policy.Listing, string, error)
+	if keep {
+		listing = c.listing
+	}
+	var head listHead
+	var short []entry
+	var long *catalog.Catalog
+	err := newListReader(&listSource{from: from}, listing).next(&head, func(e entry) error {
+		if long == nil {
+			if short = append(short, e); len(short) <= catalog.WholeMost {
+				return nil
+			}
+			long = catalog.New()
+			long.Begin()
+			for _, e := range short {
+				c.keepKnown(long, e)
+			}
+			short = nil
+			return nil
+		}
+		c.keepKnown(long, e)
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	c.Known, c.Long = List{Version: head.Version, Full: head.Full, Entries: short}, long
+	return nil
+}
+
+// keepKnown adds an entry to a long list. One that cannot be read is noted, the first of them with its text.
+func (c *Config) keepKnown(long *catalog.Catalog, e entry) {
+	if e.err == nil {
+		long.Put(e.Endpoint)
+		return
+	}
+	if c.unreadable++; c.unreadable == 1 {
+		c.firstUnreadable = e
+	}
+}
+
+// parseRest reads a configuration but for its list of hosts.
+func parseRest(data []byte) (Config, error) {
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -114,7 +238,6 @@
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Second    string          `json:"management"`
-		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
@@ -171,23 +294,14 @@
 	if own.Stats.How == "answers" {
 		c.Reports = own.Stats.Fields
 	}
-	if len(file.Known) > 0 && string(file.Known) != "null" {
-		if c.Known, err = parseList(file.Known); err != nil {
-			c.Unread = fmt.Errorf("known: %w", err)
-		}
-	}
-	c.setDefaults()
 	return c, nil
 }
 
-// shape is that of a whole file, but for the list of hosts in it.
+// shape is that of a whole file, in which true stands for the list of hosts.
 func shape(data []byte) terms.Shape {
 	var file map[string]any
 	if json.Unmarshal(data, &file) != nil {
-		return nil // parseConfig has read it
-	}
-	if file["known"] != nil {
-		file["known"] = true
+		return nil // parseRest has read it
 	}
 	values := map[string]string{}
 	flatten(values, "", file)
@@ -257,7 +371,7 @@
 type List struct {
 	Version int64
 	Full    bool
-	Entries []json.RawMessage // each is read by itself: one that cannot be read spoils no other
+	Entries []entry // each is read by itself: one that cannot be read spoils no other
 }
 
 // member is one entry of the list.
@@ -271,24 +385,8 @@
 	Weight float64 `json:"weight"`
 }
 
-func parseList(data []byte) (List, error) {
-	var l struct {
-		Version int64             `json:"version"`
-		Full    bool              `json:"full"`
-		Servers []json.RawMessage `json:"servers"`
-	}
-	if err := json.Unmarshal(data, &l); err != nil {
-		return List{}, err
-	}
-	return List{Version: l.Version, Full: l.Full, Entries: l.Servers}, nil
-}
-
-// listing reads one entry. Its id is returned also where the rest cannot be read.
-func (c *Config) listing(data json.RawMessage) (l policy.Listing, addr string, err error) {
-	var m member
-	if err := json.Unmarshal(data, &m); err != nil {
-		return policy.Listing{Route: m.ID}, "", err
-	}
+// listing is what an entry says. Its id is returned also where the rest cannot be used.
+func (c *Config) listing(m *member) (l policy.Listing, addr string, err error) {
 	l = policy.Listing{Route: m.ID, Zone: slices.Index(c.Zones, m.Zone), Kind: slices.Index(c.Kinds, m.Kind), Weight: m.Weight}
 	switch m.State {
 	case "ready":
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -19,19 +19,20 @@
 	},
 	"a bound of the relay's own, on what a peer may have of it": {
 		"relay.wireMost", "relay.idMost", "relay.keptFor", "relay.writeFor", "relay.lingerFor", "relay.lingerMost", "relay.headMost",
-		"relay.readRoom", "relay.watchLineMost", "relay.noticeMost", "relay.wholeFor", "relay.reportMost", "relay.informMost", "relay.fetchTimeout",
+		"relay.readRoom", "relay.entriesMost", "relay.entryMost", "relay.listFor", "relay.noticeMost", "relay.wholeFor", "relay.reportMost", "relay.informMost", "relay.fetchTimeout",
 	},
 	"a bound of the relay's own, on its own work": {
 		"relay.tickMost", "relay.eventRoom", "relay.batchMost", "relay.heldUpAfter", "relay.clockSlack", "relay.clockStart", "relay.roomPause",
 		"relay.retryFirst", "relay.retryMost", "relay.overlapFor", "relay.droppedFor", "relay.gaugesFor", "relay.standingEvery", "relay.standingShare",
-		"relay.besideJournal", "relay.besidePool", "relay.lockFor", "relay.lockPause", "relay.silentFor", "relay.spareFor", "relay.recentMost", "relay.troubleEvery", "policy.scanDepth",
+		"relay.besideJournal", "relay.besidePool", "relay.lockFor", "relay.lockPause", "relay.silentFor", "relay.spareFor", "relay.recentMost", "relay.troubleEvery",
+		"relay.readAhead", "relay.sliceMost", "relay.restMost", "relay.restEvery", "policy.scanDepth",
 		"policy.sendersMost", "policy.snapshotForm", "policy.endMargin",
 	},
 	"a share of what the settings tell": {
 		"relay.idleShare", "herd.graceShare", "policy.lapseShare", "policy.roomShare", "policy.gateShare", "policy.overShare", "policy.lateShare",
 	},
 	"at most, or at least: the settings go before it": {
-		"relay.longAgoRan", "policy.leastExpect", "policy.retryAdvice", "policy.RetryAdvice", "policy.leastLimit", "herd.pauseMost",
+		"relay.longAgoRan", "relay.usualWarm", "policy.leastExpect", "policy.retryAdvice", "policy.RetryAdvice", "policy.leastLimit", "herd.pauseMost",
 	},
 	"the design's, open by its page: lengths of skips, rules, factors of paces": {
 		"policy.skipFirst", "policy.skipMost", "policy.skipGrowth", "policy.skipJitter", "policy.longWait", "policy.shutRefusals", "policy.sparseShut",
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -1,8 +1,8 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -17,21 +17,24 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/herd"
+	"onyxroad.dev/onyxroad/policy"
 )
 
 const (
 	watchSilence  = 4500 * time.Millisecond // see watcher.silence
-	watchLineMost = 1 << 20
+	listFor       = 30 * time.Second        // a list comes whole within this, however long it is
 	retryFirst    = 50 * time.Millisecond
 	retryMost     = time.Second
 	noticeTimeout = time.Second
-	fetchTimeout  = time.Second
-	noticeMost    = 256 // lines in a request
+	fetchTimeout  = time.Second // a list that was asked for and does not go on for so long is not coming
+	noticeMost    = 256         // lines in a request
 )
 
 var (
 	errMoved   = errors.New("discovery has another address now")
-	errTooLong = errors.New("list too long")
+	errSilent  = errors.New("the watch has fallen silent")
+	errStalled = errors.New("the list does not go on")
+	errEndless = errors.New("the list does not end")
 )
 
 // agent is discovery's agent, which another configuration may put at another address.
@@ -83,6 +86,8 @@
 	agent   *agent
 	silence time.Duration // a watch with no line for so long is dead: one comes every 2 s
 	told    func(List)
+	long    parts // takes lists that are not told as a whole
+	listing func(*member) (policy.Listing, string, error)
 	herd    herd.Caller // one of all relays that follow the list
 	rng     *rand.Rand
 	known   bool // a list is known that serves meanwhile
@@ -90,7 +95,8 @@
 	version int64 // of the list as told
 	whole   bool  // changes alone won't do: the list is to be had whole
 
-	unread trouble // lines
+	unread   trouble // lines
+	oversize trouble // lists
 }
 
 // listCaller tells how a relay shares discovery with the others. Where lists are asked for, all call one service. Where they are
@@ -152,45 +158,53 @@
 }
 
 func (w *watcher) stream(ctx context.Context, addr string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if w.whole && w.fetch(ctx, addr) != nil {
 		w.version = 0 // the watch itself may give the whole list
 	}
-	silence := time.AfterFunc(w.silence, cancel)
+	silence := time.AfterFunc(w.silence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	res, err := w.get(ctx, fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", addr, w.version))
 	if err != nil {
-		return err
+		return ended(ctx, err)
 	}
 	defer res.Body.Close()
 	w.herd.Answered()
-	lines := bufio.NewScanner(res.Body)
-	lines.Buffer(nil, watchLineMost)
+	lives := func() { silence.Reset(w.silence) }
+	lists := newListReader(&listSource{from: res.Body, lines: lives}, w.listing)
 	fetched := int64(math.MinInt64) // changes up to this version are in the whole list that was fetched meanwhile
-	for lines.Scan() {
-		silence.Reset(w.silence)
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			l, err := parseList(line)
-			if err != nil {
-				// Asked for once more it would be as unreadable, for ever: the whole list makes up for it.
-				w.unread.came(w.log, "err", err)
-				w.whole = true
-			} else if l.Full || l.Version > fetched {
-				w.take(l)
+	for {
+		err := w.receive(lists, receipt{known: fetched, moves: lives, stop: cancel})
+		spoilt := unread(err)
+		switch {
+		case err == nil:
+		case spoilt:
+			// Asked for once more it would be as unreadable, for ever: the whole list makes up for it.
+			w.unread.came(w.log, "err", err)
+			w.whole = true
+		default:
+			w.whole = w.whole || errors.Is(err, errTooLong)
+			return ended(ctx, unfinished(err))
+		}
+		if w.whole {
+			silence.Stop() // nobody listens meanwhile
+			if w.fetch(ctx, addr) == nil {
+				fetched = w.version
 			}
+			lives()
 		}
-		if w.whole && w.fetch(ctx, addr) == nil {
-			fetched = w.version
+		if spoilt {
+			if err := lists.resume(); err != nil {
+				return ended(ctx, unfinished(err))
+			}
 		}
 	}
-	if err := lines.Err(); err != nil {
-		w.whole = w.whole || errors.Is(err, bufio.ErrTooLong)
-		return err
-	}
-	return io.ErrUnexpectedEOF
 }
 
+// ended is why a call ended: what ended its context, if that did.
+func ended(ctx context.Context, err error) error { return cmp.Or(context.Cause(ctx), err) }
+
 func (w *watcher) take(l List) {
 	w.version, w.whole = l.Version, w.whole && !l.Full
 	w.told(l)
@@ -198,26 +212,21 @@
 
 // fetch asks for the whole list.
 func (w *watcher) fetch(ctx context.Context, addr string) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stalled := time.AfterFunc(fetchTimeout, func() { cancel(errStalled) })
+	defer stalled.Stop()
 	res, err := w.get(ctx, fmt.Sprintf("http://%s/catalog/members", addr))
 	if err != nil {
-		return err
+		return ended(ctx, err)
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, watchLineMost+1))
-	if err != nil {
-		return err
-	}
-	if len(data) > watchLineMost {
-		return errTooLong
-	}
-	l, err := parseList(data)
+	moves := func() { stalled.Reset(fetchTimeout) }
+	lists := newListReader(&listSource{from: res.Body}, w.listing)
+	err = w.receive(lists, receipt{whole: true, known: math.MinInt64, moves: moves, stop: cancel})
 	if err != nil {
-		return err
+		return ended(ctx, unfinished(err))
 	}
-	l.Full = true
-	w.take(l)
 	return nil
 }
 
--- a/internal/relay/list_test.go
+++ b/internal/relay/list_test.go
@@ -28,14 +28,10 @@
 		{false, []string{gone, back}, true}, {false, []string{back, gone}, false}, {true, []string{gone, back}, true}, {true, []string{back, gone}, false},
 	} {
 		r := newTestRelay(t)
-		l := List{Version: 5, Full: c.full}
-		for _, e := range c.entries {
-			l.Entries = append(l.Entries, json.RawMessage(e))
-		}
-		r.step([]any{l})
-		known, ok := r.routes["s-1"]
+		r.step([]any{List{Version: 5, Full: c.full, Entries: entriesOf(r, c.entries...)}})
+		known, ok := r.catalog.Endpoint("s-1")
 		views, _ := r.sender.Views()
-		if ok != c.listed || len(views) != len(r.routes) || c.listed && (known.addr != "127.0.0.1:7" || !views[0].InService || views[0].Zone != 1) {
+		if ok != c.listed || len(views) != r.catalog.Endpoints() || c.listed && (known.Addr != "127.0.0.1:7" || !views[0].InService || views[0].Zone != 1) {
 			t.Errorf("%v, whole %v: listed %v %+v, in the module %+v", c.entries, c.full, ok, known, views)
 		}
 	}
@@ -78,7 +74,7 @@
 	defer func() { stop(); <-ended }()
 	w := watcher{
 		log: log, agent: newAgent(addr), silence: patience, version: version, told: func(l List) { lists <- l }, herd: herd.Caller{Clients: 1},
-		unread: trouble{what: "unreadable line of the watch"},
+		unread: trouble{what: "unreadable line of the watch"}, listing: newTestRelay(t).cfg.listing,
 	}
 	go func() { w.run(ctx); close(ended) }()
 	for !ok(told) {
@@ -109,7 +105,7 @@
 	}
 }
 
-// Lists come indented, with blanks ahead, with blank lines between, or over many lines, which the whole list makes up for.
+// Lists come indented, with blanks ahead, with blank lines between, or over many lines.
 func TestIndentedLists(t *testing.T) {
 	servers := `[{"id":"s-7","addr":"127.0.0.1:7","zone":"b","kind":"gateway","cell":7,"state":"ready","weight":50}]`
 	line := fmt.Sprintf(`{"version":6,"full":true,"servers":%s}`, servers)
@@ -126,9 +122,8 @@
 			told := hear(t, addr, slog.New(slog.NewTextHandler(&log, nil)), 4, func(told []List) bool {
 				return len(told) > 0 && told[len(told)-1].Version == 6 && len(told[len(told)-1].Entries) == 1
 			})
-			c := newTestRelay(t)
-			if entry, _, err := c.cfg.listing(told[len(told)-1].Entries[0]); err != nil || entry.Route != "s-7" {
-				t.Errorf("%+v, %v", entry, err)
+			if e := told[len(told)-1].Entries[0]; e.err != nil || e.Route != "s-7" {
+				t.Errorf("%+v", e)
 			}
 			if n := strings.Count(log.String(), "unreadable line"); n > 1 {
 				t.Errorf("logged %d times", n)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -33,6 +33,7 @@
 
 	mu     sync.Mutex
 	idle   map[peer][]*hostConn // the last used last
+	hosts  map[string]int       // that have idle connections: at so many addresses
 	open   int                  // connections, idle or not
 	closed bool
 }
@@ -53,6 +54,7 @@
 		idleFor:        time.Duration(idleShare * float64(cfg.KeepAlive)),
 		most:           max(8, cfg.Limits.Sockets*3/8-besidePool),
 		idle:           map[peer][]*hostConn{},
+		hosts:          map[string]int{},
 	}
 }
 
@@ -140,6 +142,9 @@
 		}
 	}
 	c.timer = time.AfterFunc(p.idleFor, dropIdle)
+	if len(p.idle[c.peer]) == 0 {
+		p.hosts[c.peer.route]++
+	}
 	p.idle[c.peer] = append(p.idle[c.peer], c)
 	c.watch(dropIdle)
 }
@@ -166,6 +171,9 @@
 	c.timer.Stop()
 	if p.idle[c.peer] = slices.Delete(list, i, i+1); len(list) == 1 {
 		delete(p.idle, c.peer)
+		if p.hosts[c.peer.route]--; p.hosts[c.peer.route] == 0 {
+			delete(p.hosts, c.peer.route)
+		}
 	}
 	return true
 }
@@ -188,6 +196,9 @@
 func (p *pool) closeIdle(route string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.hosts[route] == 0 {
+		return // a list may name a hundred thousand hosts that go
+	}
 	for to := range p.idle {
 		if to.route == route {
 			p.dropAll(to)
--- a/internal/relay/recent_test.go
+++ b/internal/relay/recent_test.go
@@ -31,7 +31,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newTestRelay(t)
-			r.cells[dest] = true
+			r.catalog.Remember(dest)
 			in := newHandIn("m1", dest, 5*time.Second)
 			decide(r, in)
 			m := r.msgs[in.m.ID]
--- a/internal/relay/recorder.go
+++ b/internal/relay/recorder.go
@@ -89,6 +89,9 @@
 
 // decide has the module take a step, and records it.
 func (r *Relay) decide(now time.Duration, events []policy.Event) []policy.Action {
+	if r.large.Load() {
+		events = r.rouse(now, events)
+	}
 	acts := r.sender.Step(now, events)
 	if r.fleet == nil {
 		r.rec.Step(now, events, acts)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,8 +109,10 @@
 	turn    int         // of terms: later ones make earlier ones void
 
 	upgrade
+	large atomic.Bool // the list is, or was, too long to be told to the module as a whole; set by the loop
 
 	// Owned by the loop.
+	holdings
 	terms    terms.Terms
 	turnNow  int
 	callCtx  context.Context
@@ -124,9 +126,7 @@
 	standing standingState
 	msgs     map[uint32]*message
 	traces   map[string]*message
-	routes   map[string]target
-	cells    map[int]bool // destinations that the list has named
-	left     []*message   // withdrawn, may have run; by deadline, more or less
+	left     []*message // withdrawn, may have run; by deadline, more or less
 	recent   recent
 	held     int // messages that the module has not done with
 	out      int // calls
@@ -140,12 +140,6 @@
 	stopping, noSends, idled bool
 }
 
-// target is what the relay keeps of a listed host.
-type target struct {
-	policy.Listing
-	addr string
-}
-
 // New returns a relay that has read what an earlier process left in the log.
 // What is recorded into the log goes to out.
 func New(cfg Config, log *slog.Logger, out io.Writer) (*Relay, error) {
@@ -157,12 +151,12 @@
 	r := &Relay{
 		cfg: cfg, log: log, logOut: out, rec: newRecording(cfg, log, out, started, sender, 0), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
-		started: started, sender: sender, calling: map[*call]struct{}{},
+		started: started, sender: sender, calling: map[*call]struct{}{}, holdings: holdings{unheld: trouble{what: "no room for all hosts"}},
 		full: trouble{what: "refusing new messages"}, unlogged: trouble{what: "log not written"}, unlisted: trouble{what: "unreadable entry of the list"},
-		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
-		cells: map[int]bool{}, settled: cfg.Terms, version: cfg.Known.Version,
+		msgs: map[uint32]*message{}, traces: map[string]*message{}, settled: cfg.Terms, version: cfg.Known.Version,
 	}
 	r.hold(cfg.Terms)
+	r.holdKnown()
 	if cfg.Unread != nil {
 		log.Warn("starting without a list of hosts", "err", cfg.Unread)
 	}
@@ -224,8 +218,11 @@
 	go r.finals.run(lead)
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
-		told: func(l List) { r.post(l) }, herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
-		known: r.listed.Load(), unread: trouble{what: "unreadable line of the watch"},
+		told: func(l List) { r.post(l) }, listing: r.cfg.listing,
+		long: parts{post: func(p *part) bool { return r.post(p) }, over: r.over, large: r.large.Load},
+		herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
+		known: r.listed.Load(), whole: r.askWhole,
+		unread: trouble{what: "unreadable line of the watch"}, oversize: trouble{what: "list not taken"},
 	}
 	go list.run(lead)
 
@@ -295,7 +292,7 @@
 	if len(r.cfg.Known.Entries) > 0 {
 		known := r.cfg.Known
 		known.Full = true
-		evs = append(evs, r.list(known))
+		evs = append(evs, r.list(known)...)
 	}
 	evs = append(evs, standing.Events(standing.Decode(found.Standing), r.journal.Stamp(time.Now()), r.terms.Settings.WarmWithin)...)
 	for _, w := range found.Messages {
@@ -387,17 +384,17 @@
 			r.drain()
 			return
 		case e := <-r.events:
-			batch = append(batch, e)
+			if batch = r.gather(batch, e); len(batch) == 0 && len(r.later) == 0 {
+				continue // a part of a long list of which the module need not hear
+			}
 		case <-timer.C:
 		}
-		if rest := r.cfg.Tick - time.Since(last); rest > 0 {
-			time.Sleep(rest)
-		}
+		batch = r.pause(batch, r.cfg.Tick-time.Since(last))
 	more:
 		for len(batch) < batchMost {
 			select {
 			case e := <-r.events:
-				batch = append(batch, e)
+				batch = r.gather(batch, e)
 			default:
 				break more
 			}
@@ -451,7 +448,11 @@
 		case cutOff:
 			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout, took: time.Since(e.a.sent)})
 		case List:
-			evs = append(evs, r.list(e))
+			evs = append(evs, r.list(e)...)
+		case *part:
+			r.takePart(e)
+			evs = append(evs, r.later...)
+			r.later = r.later[:0]
 		case clearance:
 			asked = append(asked, e)
 		case confirmed:
@@ -552,7 +553,7 @@
 			continue
 		}
 		switch {
-		case len(r.cells) > 0 && !r.cells[in.m.Dest]:
+		case r.named && !r.catalog.Named(in.m.Dest):
 			r.count(in.m, figures.Failed)
 			in.reply <- bad("no such destination: %d", in.m.Dest)
 			continue
@@ -743,56 +744,6 @@
 	}
 }
 
-// list takes a list of hosts, or changes to it. An entry that cannot be read is passed over; if it names a host
-// that is known, that host stays as it was.
-func (r *Relay) list(l List) policy.Event {
-	r.version = l.Version
-	e := policy.Event{Kind: policy.ListChanges}
-	if l.Full {
-		e.Kind = policy.ListWhole
-	}
-	routes := map[string]target{}
-	for _, raw := range l.Entries {
-		entry, addr, err := r.cfg.listing(raw)
-		if err != nil {
-			r.unlisted.came(r.log, "entry", string(raw), "err", err)
-			if known, ok := r.routes[entry.Route]; ok {
-				routes[entry.Route] = known
-				e.List = append(e.List, known.Listing)
-			}
-			continue
-		}
-		e.List = append(e.List, entry)
-		if entry.Gone {
-			delete(r.routes, entry.Route)
-			delete(routes, entry.Route) // it stood before in this very list
-			r.hosts.closeIdle(entry.Route)
-		} else {
-			if known, ok := r.routes[entry.Route]; ok && known.addr != addr {
-				r.hosts.closeIdle(entry.Route)
-			}
-			routes[entry.Route] = target{entry, addr}
-			r.cells[entry.Destination] = true
-		}
-	}
-	for id := range r.routes {
-		if _, ok := routes[id]; l.Full && !ok {
-			r.hosts.closeIdle(id)
-		}
-	}
-	if l.Full {
-		r.routes = routes
-	} else {
-		for id, t := range routes {
-			r.routes[id] = t
-		}
-	}
-	if len(r.routes) > 0 {
-		r.listed.Store(true)
-	}
-	return e
-}
-
 // carryOut does what the module has decided: first in the log, in one write, then on the sockets.
 func (r *Relay) carryOut(acts []policy.Action, waiting []*handIn) {
 	answers := make(map[uint32]answer, len(waiting))
@@ -854,7 +805,7 @@
 		r.unreadable(m, err)
 		return calls
 	}
-	t := r.routes[a.Route]
+	t, _ := r.catalog.Endpoint(a.Route)
 	most := 1
 	if t.Kind >= 0 && t.Kind < len(r.terms.Settings.Kinds) {
 		most = max(1, r.terms.Settings.Kinds[t.Kind].PerCall)
@@ -868,7 +819,7 @@
 		}
 	}
 	if c == nil {
-		c = &call{route: a.Route, addr: t.addr, zone: t.Zone, sent: time.Now()}
+		c = &call{route: a.Route, addr: t.Addr, zone: t.Zone, sent: time.Now()}
 		calls = append(calls, c)
 	}
 	until := r.started.Add(a.At)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,6 +21,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/bootclock"
+	"onyxroad.dev/onyxroad/internal/catalog"
 	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/internal/store"
 	"onyxroad.dev/onyxroad/internal/wire"
@@ -65,6 +67,30 @@
 	}
 }
 
+// parseConfig reads a configuration that is all there.
+func parseConfig(data []byte) (Config, error) { return scanConfig(bytes.NewReader(data), true) }
+
+// parseList reads a list that is all there.
+func parseList(c *Config, data []byte) (l List, err error) {
+	var head listHead
+	err = newListReader(&listSource{from: bytes.NewReader(data)}, c.listing).next(&head, func(e entry) error {
+		l.Entries = append(l.Entries, e)
+		return nil
+	})
+	l.Version, l.Full = head.Version, head.Full
+	return l, err
+}
+
+// entriesOf are entries as a relay reads them.
+func entriesOf(r *Relay, texts ...string) (entries []entry) {
+	for _, text := range texts {
+		var m member
+		err := json.Unmarshal([]byte(text), &m)
+		entries = append(entries, (&listReader{listing: r.cfg.listing}).entry(&m, err))
+	}
+	return entries
+}
+
 func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
 
 // newTestRelay is a relay whose loop is not running: the test takes its part.
@@ -231,14 +257,16 @@
 
 func TestUnreadableEntriesSpoilNoOther(t *testing.T) {
 	r := newTestRelay(t)
-	l, err := parseList([]byte(`{"version":2,"full":true,"servers":[7,{"id":"s-1","state":"asleep"},{"id":"s-8","zone":"x"},
+	l, err := parseList(&r.cfg, []byte(`{"version":2,"full":true,"servers":[7,{"id":"s-1","state":"asleep"},{"id":"s-8","zone":"x"},
 		{"id":"s-2","addr":"127.0.0.1:2","zone":"b","kind":"store","cell":3,"state":"ready","weight":5}]}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	e := r.list(l)
-	if len(r.routes) != 2 || r.routes["s-1"].addr != "127.0.0.1:1" || r.routes["s-2"].Zone != 1 || len(e.List) != 2 {
-		t.Errorf("routes %+v", r.routes)
+	one, _ := r.catalog.Endpoint("s-1")
+	two, _ := r.catalog.Endpoint("s-2")
+	if r.catalog.Endpoints() != 2 || one.Addr != "127.0.0.1:1" || two.Zone != 1 || len(e) != 1 || len(e[0].List) != 2 {
+		t.Errorf("hosts %+v, %+v, told %+v", one, two, e)
 	}
 }
 
@@ -350,7 +378,7 @@
 // Together the messages of a bundle may be larger than any body may.
 func TestABundleIsNoLargerThanABodyMayBe(t *testing.T) {
 	r := newTestRelay(t)
-	r.routes["s-1"] = target{Listing: policy.Listing{Route: "s-1", Kind: 0, InService: true}, addr: "127.0.0.1:1"}
+	r.catalog.Put(catalog.Endpoint{Listing: policy.Listing{Route: "s-1", Kind: 0, InService: true}, Addr: "127.0.0.1:1"})
 	var calls []*call
 	for i, size := range []int{20_000, 20_000, 20_000, 0, 64 << 10, 5} {
 		m := &message{Message: &journal.Message{Trace: fmt.Sprint("<", i, ">"), Key: "&&&&", Body: make([]byte, size)}}
@@ -421,14 +449,13 @@
 		f.Fatal(err)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		l, err := parseList(data)
+		l, err := parseList(&c, data)
 		if err != nil {
 			return
 		}
-		for _, raw := range l.Entries {
-			entry, addr, err := c.listing(raw)
-			if err == nil && (entry.Route == "" || !entry.Gone && (addr == "" || entry.Zone < 0 || entry.Kind < 0)) {
-				t.Errorf("%s passes as %+v at %q", raw, entry, addr)
+		for _, e := range l.Entries {
+			if e.err == nil && (e.Route == "" || !e.Gone && (e.Addr == "" || e.Zone < 0 || e.Kind < 0)) {
+				t.Errorf("of %s %+v passes", data, e)
 			}
 		}
 	})
@@ -589,9 +616,7 @@
 	r := newTestRelay(t)
 	up := make(chan struct{})
 	dialled, came := heldUp(t, r, up)
-	r.cfg.Known.Entries = []json.RawMessage{
-		json.RawMessage(`{"id":"s-9","addr":"127.0.0.1:1","zone":"a","kind":"platform","cell":9,"state":"ready","weight":50}`),
-	}
+	r.cfg.Known.Entries = entriesOf(r, `{"id":"s-9","addr":"127.0.0.1:1","zone":"a","kind":"platform","cell":9,"state":"ready","weight":50}`)
 	r.found = &journal.Recovery{Store: &store.Recovery{}}
 	for i, left := range []time.Duration{10 * time.Second, 500 * time.Millisecond, 10 * time.Second} {
 		m := &journal.Message{ID: uint32(i + 1), Trace: fmt.Sprint("m", i), Key: "k", Dest: 9, Deadline: time.Now().Add(left)}
--- a/internal/relay/retune.go
+++ b/internal/relay/retune.go
@@ -104,11 +104,11 @@
 // gauge brings the loop's own figures up to date. A host is avoided while it drains, is skipped, or told to wait.
 func (r *Relay) gauge() {
 	r.figures.Pending.Store(int64(r.held))
-	r.figures.Members.Store(int64(len(r.routes)))
+	r.figures.Members.Store(int64(r.catalog.Endpoints()))
 	views, _ := r.sender.Views()
-	avoided, now := int64(0), r.now()
+	avoided, now := int64(r.draining), r.now()
 	for _, v := range views {
-		if avoids(v, now) {
+		if v.InService && avoids(v, now) {
 			avoided++
 		}
 	}
--- /dev/null
+++ b/internal/relay/small_test.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// oldTarget and oldHosts are how the relay kept its list and told the module of it before it had a catalog: the model that small sites are held to.
+type oldTarget struct {
+	policy.Listing
+	addr string
+}
+
+type oldHosts struct {
+	cfg    Config
+	routes map[string]oldTarget
+}
+
+func (r *oldHosts) list(full bool, entries []string) policy.Event {
+	e := policy.Event{Kind: policy.ListChanges}
+	if full {
+		e.Kind = policy.ListWhole
+	}
+	routes := map[string]oldTarget{}
+	for _, raw := range entries {
+		var m member
+		decoded := json.Unmarshal([]byte(raw), &m)
+		entry, addr, err := r.cfg.listing(&m)
+		if decoded != nil || err != nil {
+			if known, ok := r.routes[entry.Route]; ok {
+				routes[entry.Route] = known
+				e.List = append(e.List, known.Listing)
+			}
+			continue
+		}
+		e.List = append(e.List, entry)
+		if entry.Gone {
+			delete(r.routes, entry.Route)
+			delete(routes, entry.Route)
+		} else {
+			routes[entry.Route] = oldTarget{entry, addr}
+		}
+	}
+	if full {
+		r.routes = routes
+	} else {
+		for id, t := range routes {
+			r.routes[id] = t
+		}
+	}
+	return e
+}
+
+// randomLists are lists of a small site: whole ones and changes, with hosts that drain, go, come back, move to other addresses, are named
+// twice or cannot be read. None moves to another destination: there the old relay never sent to it again.
+func randomLists(rng *rand.Rand) (lists []List, texts [][]string) {
+	for range 1 + rng.IntN(20) {
+		l := List{Version: rng.Int64N(50), Full: rng.IntN(4) == 0}
+		var entries []string
+		for range rng.IntN(30) {
+			k := rng.IntN(25)
+			text := fmt.Sprintf(`{"id":"s-%d","addr":"127.0.0.%d:1","zone":%q,"kind":%q,"cell":%d,"state":%q,"weight":%d}`, k, 1+rng.IntN(2),
+				[]string{"a", "b"}[rng.IntN(2)], []string{"platform", "gateway", "store"}[k%3], k/3, []string{"ready", "ready", "draining", "gone"}[rng.IntN(4)], rng.IntN(3)*25)
+			if rng.IntN(12) == 0 && !strings.Contains(strings.Join(entries, " "), fmt.Sprintf("\"s-%d\"", k)) {
+				text = fmt.Sprintf(`{"id":"s-%d","state":"asleep"}`, k)
+			}
+			entries = append(entries, text)
+		}
+		lists, texts = append(lists, l), append(texts, entries)
+	}
+	return lists, texts
+}
+
+// On a small site the module hears the same events as before there was a catalog, and the relay knows the same addresses.
+func TestSmallListsAreToldAsBefore(t *testing.T) {
+	r := newTestRelay(t)
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		r.holdings = holdings{}
+		r.holdKnown()
+		old := oldHosts{cfg: r.cfg, routes: map[string]oldTarget{}}
+		lists, texts := randomLists(rng)
+		for i, l := range lists {
+			l.Entries = entriesOf(r, texts[i]...)
+			want := old.list(l.Full, texts[i])
+			if got := r.list(l); len(got) != 1 || !reflect.DeepEqual(got[0], want) {
+				t.Fatalf("seed %d, list %d of %v: told\n%+v\nbefore\n%+v", seed, i, texts[i], got, want)
+			}
+			if r.catalog.Endpoints() != len(old.routes) {
+				t.Fatalf("seed %d, list %d: %d hosts, before %d", seed, i, r.catalog.Endpoints(), len(old.routes))
+			}
+			draining := 0
+			for id, want := range old.routes {
+				if got, ok := r.catalog.Endpoint(id); !ok || got.Listing != want.Listing || got.Addr != want.addr {
+					t.Fatalf("seed %d, list %d: %s is %+v, before %+v", seed, i, id, got, want)
+				}
+				if !want.InService {
+					draining++
+				}
+			}
+			if r.draining != draining {
+				t.Fatalf("seed %d, list %d: %d drain, want %d", seed, i, r.draining, draining)
+			}
+		}
+	}
+}
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/catalog"
 	"onyxroad.dev/onyxroad/internal/handover"
 	"onyxroad.dev/onyxroad/internal/journal"
 	"onyxroad.dev/onyxroad/internal/store"
@@ -137,22 +139,14 @@
 	cfg.Settings = r.terms.Settings
 	r.rec = newRecording(cfg, r.log, r.logOut, r.started, r.sender, now)
 	r.kept.Store(r.rec)
-	whole := policy.Event{Kind: policy.ListWhole}
-	for _, x := range s.Routes {
-		r.routes[x.Route] = target{x.Listing, x.Addr}
-		whole.List = append(whole.List, x.Listing)
-	}
-	r.version = s.Version
-	for _, cell := range s.Cells {
-		r.cells[cell] = true
-	}
-	r.listed.Store(len(r.routes) > 0)
+	whole := r.takeUpList(s)
 	evs := s.Later
 	if !known {
 		evs = []policy.Event{whole}
 	}
 	r.takeMessages(s)
 	r.takeAttempts(s)
+	r.takeUpAwake(s)
 	if !known {
 		for _, m := range r.inOrder() {
 			if m.ended {
@@ -168,6 +162,69 @@
 	r.carryOut(r.decide(r.now(), evs), nil)
 }
 
+// takeUpList takes up the list of the process before this one, and returns what the module there knew of it. Of a long list that is all
+// that goes over: for the rest this process begins from the list that it knows itself, as after a restart, and asks for
+// the whole at once.
+func (r *Relay) takeUpList(s *handover.State) policy.Event {
+	known := r.cfg.Known.Entries
+	if s.Large {
+		for i := range known {
+			r.entry(nil, &known[i])
+		}
+		r.holdsList()
+		r.askWhole = true
+	} else {
+		r.catalog, r.draining, r.named, r.version = catalog.New(), 0, len(s.Cells) > 0, s.Version
+		r.large.Store(false)
+	}
+	whole := policy.Event{Kind: policy.ListWhole}
+	for _, x := range s.Routes {
+		c := r.catalog.Put(catalog.Endpoint{Listing: x.Listing, Addr: x.Addr})
+		r.changed(&c)
+		whole.List = append(whole.List, x.Listing)
+	}
+	for _, cell := range s.Cells {
+		r.catalog.Remember(cell)
+	}
+	r.listed.Store(r.catalog.Endpoints() > 0)
+	return whole
+}
+
+// takeUpAwake has awake what the module knows of. Where the list is long, the process before knew better than this one's list
+// what a destination in use has.
+func (r *Relay) takeUpAwake(s *handover.State) {
+	if !s.Large {
+		if r.catalog.Endpoints() > catalog.WholeMost {
+			r.enlarge() // its module was told of all
+		}
+		return
+	}
+	r.large.Store(true)
+	r.awake = r.newAwake()
+	routes := make(map[string]bool, len(s.Routes))
+	for _, x := range s.Routes {
+		routes[x.Route] = true
+	}
+	wake := func(dest int) {
+		if !r.awake.Wake(dest, r.now()) {
+			return
+		}
+		r.of = r.catalog.Of(dest, r.of[:0])
+		for _, e := range r.of {
+			if !routes[e.Route] {
+				c := r.catalog.Put(catalog.Endpoint{Listing: departed(e)})
+				r.changed(&c)
+			}
+		}
+	}
+	for _, x := range s.Routes {
+		wake(x.Destination)
+	}
+	for _, m := range r.inOrder() {
+		wake(m.Dest)
+	}
+}
+
 // takeMessages takes up the messages of the log, with what the state says of them.
 func (r *Relay) takeMessages(s *handover.State) {
 	found := r.found
@@ -397,12 +454,27 @@
 func (r *Relay) state() *handover.State {
 	s := &handover.State{
 		Now: r.now(), At: time.Now(), WakeAt: r.wakeAt, Snapshot: r.sender.Snapshot(nil), Terms: r.terms, Version: r.version,
-		Cells: slices.Sorted(maps.Keys(r.cells)), LastID: r.lastID, Later: r.later,
+		Large: r.large.Load(), LastID: r.lastID, Later: r.later,
 	}
-	for _, id := range slices.Sorted(maps.Keys(r.routes)) {
-		t := r.routes[id]
-		s.Routes = append(s.Routes, handover.Route{Listing: t.Listing, Addr: t.addr})
+	if s.Large {
+		views, _ := r.sender.Views()
+		for _, v := range views {
+			if e, ok := r.catalog.Endpoint(v.Route); ok {
+				s.Routes = append(s.Routes, handover.Route{Listing: e.Listing, Addr: e.Addr})
+			}
+		}
+	} else {
+		cells := map[int]bool{}
+		for e := range r.catalog.All() {
+			s.Routes = append(s.Routes, handover.Route{Listing: e.Listing, Addr: e.Addr})
+			cells[e.Destination] = true
+		}
+		for cell := range r.catalog.Remembered() {
+			cells[cell] = true
+		}
+		s.Cells = slices.Sorted(maps.Keys(cells))
 	}
+	slices.SortFunc(s.Routes, func(a, b handover.Route) int { return strings.Compare(a.Route, b.Route) })
 	for _, m := range r.inOrder() {
 		x := handover.Message{ID: m.ID, Trace: m.Trace, Sends: m.sends, Ended: m.ended, Shared: m.shared}
 		if m.next != nil {
@@ -448,6 +520,8 @@
 		case remoteOutcome:
 			o := handover.Outcome(e)
 			r.send(handover.Frame{Outcome: &o})
+		case *part:
+			e.done <- true // nobody here goes by it any more
 		case clearance:
 			e.reply <- nil // nobody here can tell any more
 		case gauges:
