Hollow relays: many members of one process, measured in real or virtual time

In a bubble of testing/synctest more members fit than the cores could run. link and fleet take a transport from outside, and tell how many members are seen.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/hashicorp/memberlist"
+
 	"onyxroad.dev/onyxroad/internal/fleet/ledger"
 	"onyxroad.dev/onyxroad/internal/fleet/link"
 	"onyxroad.dev/onyxroad/internal/fleet/rights"
@@ -49,6 +51,8 @@
 	Clock   func() time.Duration // that of Step's now
 	Log     *slog.Logger
 	Nudge   func() // asks the loop for a step; must not wait
+	// Transport is what the link travels by; nil: sockets on Listen.
+	Transport memberlist.NodeAwareTransport
 }
 
 // Member is a relay's place in its fleet. Step is the loop's; the others may be called from any goroutine.
@@ -130,7 +134,7 @@
 func (m *Member) start() {
 	l, err := link.Start(link.Config{
 		Name: m.cfg.Name, Fleet: m.cfg.Label, Listen: m.cfg.Listen, Join: m.cfg.Join, Life: m.life, Log: m.cfg.Log, News: m.cfg.Nudge,
-		Raise: func(n uint64) error { return writeLife(m.cfg, n) },
+		Raise: func(n uint64) error { return writeLife(m.cfg, n) }, Transport: m.cfg.Transport,
 	})
 	if m.set(l, err); err != nil {
 		m.cfg.Log.Warn("fleet: not heard by others, and hearing none; serving alone", "err", err)
@@ -188,6 +192,14 @@
 	return rec, out.Events
 }
 
+// Alive is how many members are seen, this one among them; 0: the link is down.
+func (m *Member) Alive() int {
+	if l := m.up(); l != nil {
+		return l.Alive()
+	}
+	return 0
+}
+
 // Seam is the pure part. It must only be asked, by the loop.
 func (m *Member) Seam() *seam.Seam { return m.seam }
 
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -53,9 +53,11 @@
 	// News is called when something was heard, at most once until Heard is called. It must not wait.
 	News func()
 
-	transport memberlist.NodeAwareTransport // of tests; nil: sockets
-	now       func() time.Duration          // of tests
-	syncEvery time.Duration                 // of tests; 0: the usual
+	// Transport is what datagrams and streams travel by; nil: sockets on Listen. For many members in one process.
+	Transport memberlist.NodeAwareTransport
+
+	now       func() time.Duration // of tests
+	syncEvery time.Duration        // of tests; 0: the usual
 }
 
 // Link is one member's.
@@ -147,7 +149,7 @@
 	mc.Delegate, mc.Conflict, mc.Alive = (*delegate)(l), (*delegate)(l), (*delegate)(l)
 	// memberlist's own number of the delegate's form stays 0 for good: it keeps out whole members that are newer. The codec does better.
 	l.queue.RetransmitMult = gossip.Mult(len(cfg.Join))
-	inner := cfg.transport
+	inner := cfg.Transport
 	if inner == nil {
 		at, err := netip.ParseAddrPort(cfg.Listen)
 		if err != nil {
@@ -208,6 +210,9 @@
 // Addr is where the link listens.
 func (l *Link) Addr() string { return l.list.LocalNode().Address() }
 
+// Alive is how many members are seen, this one among them; of those suspected too.
+func (l *Link) Alive() int { return l.list.NumMembers() }
+
 // Tell has pages of this member told. It waits for nothing.
 func (l *Link) Tell(pages []ledger.Page) {
 	now := l.cfg.now()
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -95,7 +95,7 @@
 	for i := range n {
 		c := Config{
 			Name: linkName(i), Join: join, Life: ledger.Life{Incarnation: 1, Boot: uint32(i + 1)}, Log: slog.New(slog.DiscardHandler),
-			Raise: func(uint64) error { return nil }, transport: taps[i],
+			Raise: func(uint64) error { return nil }, Transport: taps[i],
 		}
 		if edit != nil {
 			edit(i, &c)
@@ -400,7 +400,7 @@
 	net := &network{}
 	links := mesh(t, net, n, nil)
 	eventually(t, "all are members", func() bool {
-		return !slices.ContainsFunc(links, func(l *Link) bool { return l.list.NumMembers() < n })
+		return !slices.ContainsFunc(links, func(l *Link) bool { return l.Alive() < n })
 	})
 	net.loss.Store(loss)
 	bytes := func() (sum uint64) {
--- /dev/null
+++ b/internal/hollow/backlog.go
@@ -0,0 +1,100 @@
+package hollow
+
+import (
+	"fmt"
+	"time"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+const (
+	backlogStep  = 8  // messages that come in one step: those of a tick at 1,600 a second
+	backlogSlots = 64 // calls out at once
+)
+
+// Backlog measures what the decision module spends on held messages, spread over destinations that are out of service: on taking the last tenth of them,
+// a step for eight; on a step in which nothing happens; on sending the first tenth of them once all are back in service; and on taking all up again in one
+// step, as after a restart. Hollow are the journal, the loop and all hosts, which answer at once.
+func Backlog(held, destinations int) (Reading, error) {
+	set := policy.Settings{Slots: backlogSlots, Classes: []policy.Class{{Effect: policy.Safe, Aim: 3 * time.Second, GiveUp: 24 * time.Hour, Value: 1}}, Kinds: []policy.Kind{{PerCall: 1}}}
+	list := make([]policy.Listing, 0, destinations)
+	for d := range destinations {
+		list = append(list, policy.Listing{Route: route(d), Destination: d, Weight: 1e6}) // no pace holds up what is measured
+	}
+	taken := func(i int) policy.Event {
+		return policy.Event{Kind: policy.Taken, ID: uint32(i + 1), Destination: i % destinations, Left: 8 * time.Hour}
+	}
+	before := heap()
+	s, err := policy.New(set, 1)
+	if err != nil {
+		return Reading{}, fmt.Errorf("hollow: %w", err)
+	}
+	now := time.Minute
+	s.Step(now, []policy.Event{{Kind: policy.ListWhole, List: list}})
+	values := map[string]float64{}
+	us := func(began time.Time, n int) float64 {
+		return float64(time.Since(began).Nanoseconds()) / 1000 / float64(max(1, n))
+	}
+	took := func(from, to int) float64 {
+		began := time.Now()
+		var evs []policy.Event
+		for i := from; i < to; {
+			evs = evs[:0]
+			for ; len(evs) < backlogStep && i < to; i++ {
+				evs = append(evs, taken(i))
+			}
+			now += 5 * time.Millisecond
+			s.Step(now, evs)
+		}
+		return us(began, to-from)
+	}
+	values["take_first_us"] = took(0, held/10)
+	took(held/10, held-held/10)
+	values["take_last_us"] = took(held-held/10, held)
+	after := heap()
+	values["memory_bytes_per_message"] = float64(after-min(before, after)) / float64(held)
+	began := time.Now()
+	for range 100 {
+		now += 5 * time.Millisecond
+		s.Step(now, nil)
+	}
+	values["idle_step_us"] = us(began, 100)
+
+	for i := range list {
+		list[i].InService = true
+	}
+	// Back in service, in as many steps as it takes.
+	now += time.Second
+	began = time.Now()
+	sent, evs := 0, []policy.Event{{Kind: policy.ListWhole, List: list}}
+	for step := 0; sent < held/10 && step < held; step++ {
+		acts := s.Step(now, evs)
+		evs = evs[:0]
+		for _, a := range acts {
+			if a.Kind == policy.Send {
+				sent++
+				evs = append(evs, policy.Event{Kind: policy.Finished, ID: a.ID, Route: a.Route, Outcome: policy.OK, Took: 5 * time.Millisecond, Ended: true})
+			}
+		}
+		now += 5 * time.Millisecond
+	}
+	values["send_us"], values["sent_share"] = us(began, sent), float64(sent)/float64(held)
+
+	if s, err = policy.New(set, 1); err != nil {
+		return Reading{}, fmt.Errorf("hollow: %w", err)
+	}
+	for i := range list {
+		list[i].InService = false
+	}
+	all := make([]policy.Event, 0, held+1)
+	all = append(all, policy.Event{Kind: policy.ListWhole, List: list})
+	for i := range held {
+		e := taken(i)
+		e.Resumed = &policy.Resumed{Attempts: 1}
+		all = append(all, e)
+	}
+	began = time.Now()
+	s.Step(time.Minute, all)
+	values["resume_us"] = us(began, held)
+	return Reading{held, values}, nil
+}
--- /dev/null
+++ b/internal/hollow/list.go
@@ -0,0 +1,48 @@
+package hollow
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/fleet/seam"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Seam measures what a list of destinations, two endpoints each, costs the seam of a member alone: its memory, the whole list, a change of one entry, and
+// steps in which nothing happens. Hollow are the link and all others.
+func Seam(destinations int, shares bool) Reading {
+	before := heap()
+	s := seam.New(seam.Settings{
+		Self: "a", Life: ledger.Life{Incarnation: 1, Boot: 1}, Members: []string{"a", "b"}, Kinds: []policy.Kind{{PerCall: 1}}, Rights: shares, Senders: 2,
+	})
+	now := time.Second
+	step := func(e ...policy.Event) float64 {
+		now += 250 * time.Millisecond
+		began := time.Now()
+		s.Step(now, seam.Input{Events: e})
+		return float64(time.Since(began).Nanoseconds()) / 1000
+	}
+	whole := policy.Event{Kind: policy.ListWhole, List: make([]policy.Listing, 0, 2*destinations)}
+	for d := range destinations {
+		for k := range 2 {
+			whole.List = append(whole.List, policy.Listing{Route: fmt.Sprintf("s-%06d-%d", d, k), Destination: d, Zone: k, Weight: 8.6, InService: true})
+		}
+	}
+	values := map[string]float64{"whole_list_us": step(whole)}
+	const changes = 11
+	var change, idle []float64
+	for i := range changes {
+		l := whole.List[i*len(whole.List)/changes]
+		l.Weight++
+		change = append(change, step(policy.Event{Kind: policy.ListChanges, List: []policy.Listing{l}}))
+		idle = append(idle, step())
+	}
+	values["change_us"], values["idle_step_us"] = median(change), median(idle)
+	whole.List = nil
+	after := heap()
+	values["memory_bytes"] = float64(after - min(before, after))
+	runtime.KeepAlive(s)
+	return Reading{destinations, values}
+}
--- /dev/null
+++ b/internal/hollow/rights.go
@@ -0,0 +1,160 @@
+package hollow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/fleet/codec"
+	"onyxroad.dev/onyxroad/internal/fleet/ledger"
+	"onyxroad.dev/onyxroad/internal/fleet/rights"
+)
+
+const (
+	rightsStep  = 50 * time.Millisecond // a relay under traffic steps more often: that is in the measure of whole members
+	renewEvery  = 600 * time.Millisecond
+	measured    = 4 // members, one after the other
+	stationsMax = 1 << 16
+)
+
+// Rights measures one member's part in sharing limits, in virtual time: its book (package rights) and codec are real, and what it tells and hears passes
+// through the codec. Hollow are all others: they acknowledge, say that they hold no loans of an earlier life, and each lends to it what it is the keeper of;
+// they ask for nothing. So what busy destinations add is not in it, nor what the link spends on datagrams. Compare Measure with Rights on.
+func Rights(members, destinations int, limit float64) (Reading, error) {
+	if members < 2 || destinations < 1 || members > stationsMax || destinations > stationsMax {
+		return Reading{}, fmt.Errorf("hollow: rights of %d members and %d destinations", members, destinations)
+	}
+	c, err := codec.New()
+	if err != nil {
+		return Reading{}, err
+	}
+	sum := map[string]float64{}
+	for k := range measured {
+		one, err := rightsOf(c, members, destinations, limit, k*members/measured)
+		if err != nil {
+			return Reading{}, err
+		}
+		for name, x := range one {
+			sum[name] += x / measured
+		}
+	}
+	return Reading{members, sum}, nil
+}
+
+// station is a hollow member as the real one knows it.
+type station struct {
+	life ledger.Life
+	seq  uint64
+	at   time.Duration // when it lends next
+}
+
+// post passes messages through the codec and counts them.
+type post struct {
+	codec            *codec.Codec
+	datagrams, bytes float64
+}
+
+func (p *post) pass(from string, boot uint32, now time.Duration, m rights.Message) (rights.Message, error) {
+	w := codec.Message{From: from, Boot: boot, Clock: now.Microseconds()}
+	w.SetRights(m)
+	data, err := p.codec.Encode(w)
+	if err != nil {
+		return m, err
+	}
+	p.datagrams++
+	p.bytes += float64(len(data))
+	r, err := p.codec.Decode(data)
+	if err != nil {
+		return m, err
+	}
+	return r.RightsMessage(), nil
+}
+
+func rightsOf(c *codec.Codec, members, destinations int, limit float64, self int) (map[string]float64, error) {
+	const settle, window = 6 * time.Second, 6 * time.Second
+	var names []string
+	stations := map[string]*station{}
+	rng := rand.New(rand.NewPCG(uint64(members), uint64(self)))
+	for i := range members {
+		names = append(names, memberName(i))
+		stations[memberName(i)] = &station{
+			life: ledger.Life{Incarnation: 1, Boot: uint32(i + 1)}, at: time.Duration(rng.Int64N(int64(renewEvery))),
+		}
+	}
+	me, life := names[self], stations[names[self]].life
+	limits := ledger.Limits{}
+	for d := range destinations {
+		limits[d] = map[string]float64{"": limit}
+	}
+	part := limit / float64(members)
+	before := heap()
+	b := rights.New(0, rights.Settings{Self: me, Life: life, Members: names, Senders: members})
+	b.SetLimits(0, limits)
+	sent, heard := &post{codec: c}, &post{codec: c}
+	values := map[string]float64{}
+	var spent time.Duration
+	var beganAt time.Time
+	for now := time.Duration(0); now < settle+window; now += rightsStep {
+		if now == settle {
+			values["start_datagrams_per_s"] = sent.datagrams / settle.Seconds()
+			*sent, *heard = post{codec: c}, post{codec: c}
+			spent = 0
+		}
+		beganAt = time.Now()
+		told, _ := b.Step(now)
+		spent += time.Since(beganAt)
+		var answers []rights.Message
+		for _, m := range told {
+			beganAt = time.Now()
+			got, err := sent.pass(me, life.Boot, now, m)
+			spent += time.Since(beganAt) // with the reading, which is another's: as much as the writing of an answer
+			if err != nil {
+				return nil, fmt.Errorf("hollow: %w", err)
+			}
+			if s := stations[m.Member]; got.Ping || got.New || len(got.Loans)+len(got.Asks) > 0 {
+				s.seq++
+				answers = append(answers, rights.Message{Member: m.Member, Life: s.life, Seq: s.seq, Seen: m.Seq, Of: life, None: got.New})
+			}
+		}
+		var mine []rights.Loan
+		for _, st := range b.Standings(now) {
+			if st.Keeper == me {
+				mine = append(mine, rights.Loan{Scope: rights.Scope{Dest: st.Dest}, Rate: (1 - rights.Kept) * part})
+			}
+		}
+		for _, name := range names {
+			if s := stations[name]; name != me && now >= s.at && len(mine) > 0 && now > rights.Lease+rights.Margin {
+				s.at = now + renewEvery
+				for rest := mine; len(rest) > 0; {
+					n := min(len(rest), 24)
+					s.seq++
+					answers = append(answers, rights.Message{Member: name, Life: s.life, Seq: s.seq, Of: life, Loans: rest[:n]})
+					rest = rest[n:]
+				}
+			}
+		}
+		for _, m := range answers {
+			beganAt = time.Now()
+			got, err := heard.pass(m.Member, m.Life.Boot, now, m)
+			if err != nil {
+				return nil, fmt.Errorf("hollow: %w", err)
+			}
+			b.Hear(now, got)
+			spent += time.Since(beganAt)
+		}
+	}
+	s := window.Seconds()
+	values["sent_datagrams_per_s"], values["sent_bytes_per_s"] = sent.datagrams/s, sent.bytes/s
+	values["heard_datagrams_per_s"], values["heard_bytes_per_s"] = heard.datagrams/s, heard.bytes/s
+	values["processor_ms_per_s"] = float64(spent.Microseconds()) / 1000 / s
+	after := heap()
+	values["memory_bytes"] = float64(after - min(before, after))
+	keeps, shared := 0, b.Standings(settle+window)
+	for _, st := range shared {
+		if st.Keeper == me {
+			keeps++
+		}
+	}
+	values["kept_destinations"], values["shared_destinations"] = float64(keeps), float64(len(shared))
+	return values, nil
+}
