Regions cut: each side's sight of the other told apart

A few members that hear nobody of many doubt themselves first (Lifeguard): three of 24 had not taken the other 21 for dead after 90 s, the 21 had the three. The measure told one share for both, and the test wanted 1 of it, which failed.

--- a/internal/hollow/faults.go
+++ b/internal/hollow/faults.go
@@ -18,20 +18,25 @@
 }
 
 // RegionsCut cuts the first members off from all others for so long, heals it, and measures until all are members of one fleet again, and what they send and
-// spend from the healing on.
+// spend from the healing on. On each side it tells the share of those that took all of the other side for dead by then: a few who hear nobody of many doubt
+// themselves first (Lifeguard), and take longer.
 func (f *Fleet) RegionsCut(region int, lasts time.Duration) Reading {
 	cut := func(from, to int) bool { return (from < region) != (to < region) }
 	f.net.cut.Store(&cut)
 	time.Sleep(lasts)
-	parted := 0.0
-	for i, m := range f.members {
-		if side := f.opt.Members - region; m.real.Alive() == side && i >= region || m.real.Alive() == region && i < region {
-			parted++
+	share := func(members []*member) float64 {
+		parted := 0.0
+		for _, m := range members {
+			if m.real.Alive() == len(members) {
+				parted++
+			}
 		}
+		return parted / float64(len(members))
 	}
+	small, large := share(f.members[:region]), share(f.members[region:])
 	f.net.cut.Store(nil)
 	values := f.until("healed", f.members, f.opt.Members)
-	values["parted_share"] = parted / float64(f.opt.Members)
+	values["parted_share_cut_off"], values["parted_share_others"] = small, large
 	return Reading{f.opt.Members, values}
 }
 
