Scale tests of the relay's process: large lists, backlogs and their restart

Nothing held the program at the operators' sizes. TestLargeCatalog starts a relay with n destinations of two endpoints, by discovery or as known, and tells time to ready, memory, processor time, health and when a change is obeyed; TestBacklog fills a relay whose hosts are down, kills it and wants all back. Short forms run at what this program carries (3,000 listed, 10,000 known; 2,000 messages), all sizes with -full.

A relay that forgets one message at the restart, and one that passes over changes, fail the tests.

--- /dev/null
+++ b/cmd/cherrytrestle/scale_test.go
@@ -0,0 +1,378 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io/fs"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var (
+	full     = flag.Bool("full", false, "scale tests at all their sizes, for some minutes and gigabytes")
+	sizes    = flag.String("sizes", "", "with -full: a JSON array of the sizes instead of the usual ones")
+	readings = flag.String("readings", "", "file that readings of the scale tests are added to, one JSON object a line")
+)
+
+// scale returns the sizes to measure: the short ones, or with -full the long ones.
+func scale(t *testing.T, short []int, long ...int) []int {
+	if !*full {
+		return short
+	}
+	if *sizes != "" {
+		var own []int
+		must(t, json.Unmarshal([]byte(*sizes), &own))
+		return own
+	}
+	return long
+}
+
+// tell logs a reading, and keeps it where one asked for that.
+func tell(t *testing.T, what string, n int, values map[string]float64) {
+	t.Helper()
+	text := fmt.Sprintf("%s, %d:", what, n)
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		text += fmt.Sprintf(" %s %.4g", name, values[name])
+	}
+	t.Log(text)
+	if *readings == "" {
+		return
+	}
+	line, err := json.Marshal(map[string]any{"what": what, "n": n, "values": values})
+	must(t, err)
+	f, err := os.OpenFile(*readings, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	must(t, err)
+	defer f.Close()
+	_, err = f.Write(append(line, '\n'))
+	must(t, err)
+}
+
+// catalogAgent is discovery's agent with a list that is written once, however large it is.
+type catalogAgent struct {
+	*httptest.Server
+	whole   []byte // is sent to who has another version
+	changes chan string
+}
+
+func newCatalogAgent(t *testing.T, version int, list []member) *catalogAgent {
+	t.Helper()
+	whole, err := json.Marshal(map[string]any{"version": version, "full": true, "servers": list})
+	must(t, err)
+	a := &catalogAgent{whole: append(whole, '\n'), changes: make(chan string, 16)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog/members", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("stream") == "" || r.URL.Query().Get("index") != strconv.Itoa(version) {
+			w.Write(a.whole)
+		}
+		if r.URL.Query().Get("stream") == "" {
+			return
+		}
+		w.(http.Flusher).Flush()
+		for {
+			select {
+			case line := <-a.changes:
+				fmt.Fprintln(w, line)
+			case <-time.After(500 * time.Millisecond):
+				fmt.Fprintln(w)
+			case <-r.Context().Done():
+				return
+			}
+			w.(http.Flusher).Flush()
+		}
+	})
+	mux.HandleFunc("POST /v2/finals", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	a.Server = httptest.NewServer(mux)
+	t.Cleanup(func() { a.CloseClientConnections(); a.Close() })
+	return a
+}
+
+// catalog lists destinations of two endpoints each, all at one address.
+func catalog(destinations int, addr string) (list []member) {
+	for d := range destinations {
+		for k := range 2 {
+			list = append(list, member{
+				"id": fmt.Sprintf("s-%06d-%d", d, k), "addr": addr, "zone": "ab"[k : k+1], "kind": "platform", "cell": d, "state": "ready", "weight": 8.6,
+			})
+		}
+	}
+	return list
+}
+
+// spentSoFar is the processor time that the process has used.
+func (r *relayProcess) spentSoFar() time.Duration {
+	r.t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.cmd.Process.Pid))
+	must(r.t, err)
+	_, rest, _ := bytes.Cut(data, []byte(") "))
+	fields := strings.Fields(string(rest)) // from the third on
+	sum := 0
+	for _, f := range fields[11:13] {
+		n, err := strconv.Atoi(f)
+		must(r.t, err)
+		sum += n
+	}
+	return time.Duration(sum) * 10 * time.Millisecond // the system's clock tick
+}
+
+// memory is what the process holds or held at the most, in MB: VmRSS or VmHWM.
+func (r *relayProcess) memory(which string) float64 {
+	r.t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
+	must(r.t, err)
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, which+":"); ok {
+			kb, err := strconv.Atoi(strings.Fields(value)[0])
+			must(r.t, err)
+			return float64(kb) * 1024 / 1e6
+		}
+	}
+	r.t.Fatalf("no %s", which)
+	return 0
+}
+
+// disk is what the files of the relay's folder hold, in MB.
+func (r *relayProcess) disk() (mb float64) {
+	err := filepath.WalkDir(filepath.Join(r.dir, "state"), func(_ string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() {
+			return err
+		}
+		info, err := e.Info()
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil
+		} else if err == nil {
+			mb += float64(info.Size()) / 1e6
+		}
+		return err
+	})
+	must(r.t, err)
+	return mb
+}
+
+// health asks for the relay's health without pause until stop is closed: when it was ready first, and the longest that an answer took or
+// that lay between two, once there was one.
+type health struct {
+	began   time.Time
+	stop    chan struct{}
+	done    sync.WaitGroup
+	ready   atomic.Int64 // nanoseconds since began; 0: not yet
+	longest atomic.Int64
+}
+
+func (r *relayProcess) followHealth() *health {
+	h := &health{began: time.Now(), stop: make(chan struct{})}
+	client := &http.Client{Timeout: 30 * time.Second}
+	h.done.Go(func() {
+		defer client.CloseIdleConnections()
+		var last time.Time
+		for {
+			select {
+			case <-h.stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+			res, err := client.Get("http://" + r.addr + "/_health")
+			if err != nil {
+				continue // it does not listen yet
+			}
+			res.Body.Close()
+			now := time.Now()
+			if !last.IsZero() {
+				h.longest.Store(max(h.longest.Load(), int64(now.Sub(last))))
+			}
+			last = now
+			if res.StatusCode == http.StatusOK {
+				h.ready.CompareAndSwap(0, int64(now.Sub(h.began)))
+			}
+		}
+	})
+	r.t.Cleanup(h.end)
+	return h
+}
+
+func (h *health) end() {
+	select {
+	case <-h.stop:
+	default:
+		close(h.stop)
+	}
+	h.done.Wait()
+}
+
+// untilReady waits for it for so long at most.
+func (h *health) untilReady(most time.Duration) bool {
+	for h.ready.Load() == 0 && time.Since(h.began) < most {
+		time.Sleep(2 * time.Millisecond)
+	}
+	return h.ready.Load() != 0
+}
+
+const (
+	catalogMemoryMost = 128 // MB, at the highest, at any size of the list
+	readyWithin       = 30 * time.Second
+)
+
+// A relay starts with a list of many destinations, by discovery or as it last had it, serves health meanwhile, and obeys a change of one entry.
+// Up to listedShort destinations it does so from discovery's list, and up to knownShort from its file: see issue 41 for the sizes that are wanted.
+func TestLargeCatalog(t *testing.T) {
+	const listedShort, knownShort = 3000, 10000
+	for _, c := range []struct {
+		how   string
+		short int
+	}{{"listed", listedShort}, {"known", knownShort}} {
+		for _, n := range scale(t, []int{c.short}, 1000, 10000, 50000, 140000) {
+			t.Run(fmt.Sprintf("%s, %d", c.how, n), func(t *testing.T) {
+				values := map[string]float64{}
+				defer func() { tell(t, "catalog "+c.how, n, values) }()
+				h := newHost(t, nil)
+				list := catalog(n, h.addr())
+				version, known := 2, []member(nil) // a relay's own file has version 1
+				if c.how == "known" {
+					version, known = 1, list
+				}
+				a := newCatalogAgent(t, version, list)
+				r := prepareRelay(t, known, nil)
+				list = nil
+				r.config = nil // as large as the list
+				r.launch(&platform{Server: a.Server})
+				follow := r.followHealth()
+				ready := follow.untilReady(readyWithin)
+				values["ready"], values["memory_most_mb"], values["memory_mb"] = 0, r.memory("VmHWM"), r.memory("VmRSS")
+				values["processor_s"] = r.spentSoFar().Seconds()
+				values["health_longest_ms"] = float64(follow.longest.Load()) / 1e6
+				if !ready {
+					t.Fatalf("not ready after %v", readyWithin)
+				}
+				values["ready"], values["ready_s"] = 1, time.Duration(follow.ready.Load()).Seconds()
+				// A destination more: from when it is told until a message to it is taken.
+				must(t, a.tell(3, catalog(n+1, h.addr())[2*n:]...))
+				told := time.Now()
+				to := func(q *http.Request) { q.Header.Set("Envelope", fmt.Sprintf("dest=%d", n)) }
+				for i := 0; ; i++ {
+					if status, _ := r.handIn(fmt.Sprint("m", i), 10*time.Second, to); status == http.StatusAccepted {
+						break
+					} else if time.Since(told) > patience {
+						t.Fatal("the change is not obeyed")
+					}
+				}
+				values["change_obeyed_ms"] = time.Since(told).Seconds() * 1000
+				eventually(t, "delivered", func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.calls > 0 })
+				follow.end()
+				values["memory_most_mb"], values["health_longest_all_ms"] = r.memory("VmHWM"), float64(follow.longest.Load())/1e6
+				if most := values["memory_most_mb"]; most > catalogMemoryMost {
+					t.Errorf("%.0f MB at the most, %d wanted", most, catalogMemoryMost)
+				}
+			})
+		}
+	}
+}
+
+func (a *catalogAgent) tell(version int, changes ...member) error {
+	line, err := json.Marshal(map[string]any{"version": version, "full": false, "servers": changes})
+	a.changes <- string(line)
+	return err
+}
+
+// hold hands in messages from first to last over so many connections, to destinations in turn, and returns how many were not taken.
+func (r *relayProcess) hold(first, last, destinations, connections int) (refused int64) {
+	var next, not atomic.Int64
+	next.Store(int64(first))
+	var clients sync.WaitGroup
+	transport := &http.Transport{MaxIdleConnsPerHost: connections}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: 30 * time.Second}
+	for range connections {
+		clients.Go(func() {
+			for i := next.Add(1) - 1; i < int64(last); i = next.Add(1) - 1 {
+				req := r.request(traceID(int(i)), 8*time.Hour, func(q *http.Request) { q.Header.Set("Envelope", fmt.Sprintf("dest=%d", i%int64(destinations))) })
+				res, err := client.Do(req)
+				if err != nil {
+					not.Add(1)
+					continue
+				}
+				if res.Body.Close(); res.StatusCode != http.StatusAccepted {
+					not.Add(1)
+				}
+			}
+		})
+	}
+	clients.Wait()
+	return not.Load()
+}
+
+// A relay holds many messages for hosts that are down, is killed and started again, and holds them all still. What a message costs as more are held is
+// told, and held to nothing here: the machine has other work.
+func TestBacklog(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		destinations int
+	}{{"one destination", 1}, {"100 destinations", 100}} {
+		for _, n := range scale(t, []int{2000}, 10000, 50000, 100000) {
+			t.Run(fmt.Sprintf("%s, %d", c.name, n), func(t *testing.T) { backlog(t, n, c.destinations) })
+		}
+	}
+}
+
+func backlog(t *testing.T, n, destinations int) {
+	values := map[string]float64{}
+	defer func() { tell(t, fmt.Sprintf("backlog for %d destinations", destinations), n, values) }()
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	addr := down.Addr().String()
+	must(t, down.Close())
+	list := catalog(destinations, addr)
+	a := newCatalogAgent(t, 1, list)
+	r := prepareRelay(t, list, func(set map[string]any) {
+		set["bounds"].(map[string]any)["open_cap"] = n + n/2
+		set["services"].([]map[string]any)[0]["give_up_ms"] = 24 * 3600 * 1000
+	})
+	r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192 + n/50, "sockets": 256, "disk_mb": 3 + n/500}
+	r.client.Timeout = 30 * time.Second
+	second := withSecond(t, r)
+	p := &platform{Server: a.Server}
+	r.start(p)
+	const parts = 10
+	refused, last := int64(0), r.spentSoFar()
+	for k := range parts {
+		began := time.Now()
+		first, end := k*n/parts, (k+1)*n/parts
+		refused += r.hold(first, end, destinations, 32)
+		now := r.spentSoFar()
+		if k == 0 || k == parts/2 || k == parts-1 {
+			values[fmt.Sprintf("processor_us_per_message_part_%02d", k+1)] = float64((now - last).Microseconds()) / float64(end-first)
+			values[fmt.Sprintf("accepted_per_s_part_%02d", k+1)] = float64(end-first) / time.Since(began).Seconds()
+		}
+		last = now
+	}
+	values["refused"], values["memory_mb"], values["memory_most_mb"], values["disk_mb"] = float64(refused), r.memory("VmRSS"), r.memory("VmHWM"), r.disk()
+	time.Sleep(2 * time.Second) // what it spends while they wait
+	values["processor_ms_per_s_waiting"] = float64((r.spentSoFar() - last).Milliseconds()) / 2
+	r.kill()
+	r.launch(p)
+	follow := r.followHealth()
+	if !follow.untilReady(2 * time.Minute) {
+		t.Fatal("not ready again after 2 minutes")
+	}
+	values["restart_ready_s"], values["restart_memory_most_mb"] = time.Duration(follow.ready.Load()).Seconds(), r.memory("VmHWM")
+	values["restart_processor_s"] = r.spentSoFar().Seconds()
+	follow.end()
+	if refused > 0 {
+		t.Errorf("%d of %d were not taken", refused, n)
+	}
+	if held := figure(t, second, "pending"); held != strconv.FormatInt(int64(n)-refused, 10) {
+		t.Errorf("%s of %d are held after the restart", held, int64(n)-refused)
+	}
+}
