A test asked a relay for its twin before its link was up: it panicked on a busy machine

fleet.Status embeds the link's, which is nil until the link is up; TestLivesOfARelay read through it. It now waits for a status, as its other looks do; what it wants is the same. Beside it a comment of a policy test is back at its test.

--- a/cmd/cherrytrestle/fleet_test.go
+++ b/cmd/cherrytrestle/fleet_test.go
@@ -374,5 +374,7 @@
 	twin.operator(0, "", map[string]string{"r1": g.listens[1], "r2": g.listens[2]})
 	twin.start(0)
 	twin.traffic()
-	eventually(t, "one of two under a name falls silent", func() bool { return g.status(0).Twin || twin.status(0).Twin })
+	// A relay whose link is not up yet has no status to tell.
+	silent := func(g *rig) bool { s := g.status(0); return s.Status != nil && s.Twin }
+	eventually(t, "one of two under a name falls silent", func() bool { return silent(g) || silent(twin) })
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -758,7 +758,6 @@
 	}
 }
 
-// Turns were once kept for good when their rest outlasted their last message, and destinations always.
 // bares are the destinations without routes that a Sender still knows, in their order.
 func bares(s *Sender) (all []*dest) {
 	for d := s.bare.first; d != nil; d = d.bareAfter {
@@ -767,6 +766,7 @@
 	return all
 }
 
+// Turns were once kept for good when their rest outlasted their last message, and destinations always.
 func TestNothingIsHeldForWhatHasGone(t *testing.T) {
 	set := settings()
 	set.Slots, set.MaxHeld = 50, 100
