--- a/cmd/cherrytrestle/bench_test.go
+++ b/cmd/cherrytrestle/bench_test.go
@@ -106,3 +106,35 @@
 	}
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkReady tells how long a process takes from its start to its first health answer, with the largest journal that its disk allows.
+func BenchmarkReady(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		diskMB float64
+		body   int
+		room   int
+	}{
+		{"small", 3, 0, 1 << 20}, {"small, room for few", 3, 0, 50}, {"large", 3, 60 << 10, 50}, {"small on 12 MB", 12, 0, 1 << 20},
+		{"small on 12 MB, room for half", 12, 0, 40_000},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			p, h := newPlatform(b), newHost(b, nil)
+			r := prepareRelay(b, []member{listed("s-1", h.addr(), "a", "gateway", "draining")}, func(settings map[string]any) {
+				settings["bounds"].(map[string]any)["open_cap"] = c.room
+			})
+			r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": c.diskMB}
+			r.writeConfig()
+			n := fill(b, r, c.diskMB, c.body)
+			var ready time.Duration
+			for range b.N {
+				began := time.Now()
+				r.start(p)
+				ready += time.Since(began)
+				r.kill()
+			}
+			b.ReportMetric(float64(ready.Microseconds())/1000/float64(b.N), "ms/ready")
+			b.ReportMetric(float64(n), "messages")
+		})
+	}
+}
--- a/cmd/cherrytrestle/floods_test.go
+++ b/cmd/cherrytrestle/floods_test.go
@@ -111,7 +111,7 @@
 }
 
 // fill writes messages into a relay's journal until it takes no more, and returns how many.
-func fill(t *testing.T, r *relayProcess, diskMB float64, body int) (taken int) {
+func fill(t testing.TB, r *relayProcess, diskMB float64, body int) (taken int) {
 	t.Helper()
 	j, _, err := journal.OpenFolder(filepath.Join(r.dir, "state"), journal.Options{Limit: int64(diskMB * 1e6)})
 	must(t, err)
--- a/policy/room_test.go
+++ b/policy/room_test.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -33,3 +35,36 @@
 		}
 	}
 }
+
+// A long queue stays where it is when its first message leaves: moved for each, as where all that a restart finds miss their aims, it takes
+// the square of its length. Whichever leave, the order stays.
+func TestALongQueueIsNotMovedForItsFirst(t *testing.T) {
+	s, err := New(Settings{Classes: []Class{{Effect: Safe, Aim: 3 * time.Second, GiveUp: 16 * time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var evs []Event
+	for i := range uint32(3 * scanDepth) {
+		evs = append(evs, Event{Kind: Taken, ID: i + 1, Destination: 5, Left: 9 * time.Second})
+	}
+	s.Step(time.Second, evs)
+	d := s.dests[5]
+	for range scanDepth {
+		second := &d.queue[1]
+		if s.unqueue(d.queue[0]); &d.queue[0] != second {
+			t.Fatal("the queue was moved")
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	left := slices.Clone(d.queue)
+	for len(left) > 0 {
+		i := rng.IntN(len(left))
+		if i%3 == 0 {
+			i = 0
+		}
+		s.unqueue(left[i])
+		if left = slices.Delete(left, i, i+1); !slices.Equal(d.queue, left) {
+			t.Fatalf("with %d left another order", len(left))
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -362,8 +362,15 @@
 	}
 	m.queued = false
 	d := m.dest
-	i := slices.Index(d.queue, m)
-	d.queue = slices.Delete(d.queue, i, i+1)
+	i := sort.Search(len(d.queue), func(i int) bool { return !before(d.queue[i], m) })
+	if len(d.queue) > scanDepth && i < len(d.queue)/2 {
+		// Most leave at the front. Guards against a long queue that is moved for each of its messages, as when all miss their aims.
+		copy(d.queue[1:i+1], d.queue[:i])
+		d.queue[0] = nil
+		d.queue = d.queue[1:]
+	} else {
+		d.queue = slices.Delete(d.queue, i, i+1)
+	}
 	if len(d.queue) == 0 {
 		last := s.active[len(s.active)-1]
 		s.active[d.at-1], last.at = last, d.at
