A test of SIGTERM at moments of a hand-over

Cause: an open row of docs/design/rare-moments.md.

Change: SIGTERM to the second process before it has taken over, at five moments after the first was told to end, and to both, with calls out and messages untried of two classes. Sound as it stands; no program line changes.

Fails on scratch edits: an end before the take-over that is an error; untried messages not taken up; outcomes of the first process taken for calls that never ran.

--- a/cmd/cherrytrestle/upgrade_test.go
+++ b/cmd/cherrytrestle/upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -267,3 +268,94 @@
 		})
 	}
 }
+
+// SIGTERM at any moment of a hand-over, to the second process or to both: each ends in order, and what was taken on, tried or not, goes on with the
+// next process and runs no more often than its class allows.
+func TestToldToEndInAHandOver(t *testing.T) {
+	for _, who := range []string{"second, before", "second", "both"} {
+		for _, after := range []time.Duration{0, 3 * time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond, 150 * time.Millisecond} {
+			t.Run(fmt.Sprint(who, " ", after), func(t *testing.T) {
+				t.Parallel()
+				const messages = 6
+				p := newPlatform(t)
+				h := newHost(t, func(_ http.ResponseWriter, _ *http.Request, ids []string) {
+					if ids[0][0] == 'o' {
+						time.Sleep(300 * time.Millisecond) // out in the hand-over
+					}
+				})
+				later := listed("s-2", h.addr(), "a", "gateway", "draining")
+				later["cell"] = 8
+				r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready"), later}, func(set map[string]any) {
+					withPayments(set)
+					set["extra"].(map[string]any)["call_slots"] = 40
+				})
+				held(t, r, p)
+				var taken []string
+				for i := range messages {
+					for _, dest := range []int{7, 8} { // out, and untried
+						id := fmt.Sprint(map[int]string{7: "o", 8: "u"}[dest], i)
+						pay := as([]string{"order", "pay"}[i%2])
+						status, _ := r.handIn(id, 12*time.Second, func(req *http.Request) { pay(req); req.Header.Set("Envelope", fmt.Sprint("dest=", dest)) })
+						if status != http.StatusAccepted {
+							t.Fatalf("%s: status %d", id, status)
+						}
+						taken = append(taken, id)
+					}
+				}
+				eventually(t, "a call out", func() bool { return h.count("o5") == 1 })
+				old := r.cmd
+				second := withSecond(t, r)
+				r.start(p)
+				if who != "second, before" {
+					isReady(t, second)
+					must(t, old.Process.Signal(syscall.SIGTERM))
+				}
+				time.Sleep(after)
+				began := time.Now()
+				ended := func(cmd *exec.Cmd) {
+					t.Helper()
+					err := cmd.Wait()
+					var exit *exec.ExitError
+					uncaught := errors.As(err, &exit) && exit.Sys().(syscall.WaitStatus).Signaled() // it had not come to catch the signal
+					if err != nil && !(uncaught && who == "second, before") {
+						t.Errorf("ended: %v", err)
+					}
+					if took := time.Since(began); took > 3700*time.Millisecond {
+						t.Errorf("ended after %v", took)
+					}
+				}
+				must(t, r.cmd.Process.Signal(syscall.SIGTERM))
+				if who == "both" {
+					must(t, old.Process.Signal(syscall.SIGTERM)) // once more
+				}
+				ended(r.cmd)
+				if r.cmd = old; who != "second, before" {
+					ended(old)
+					r.cmd = nil
+				}
+				r.client.CloseIdleConnections()
+				later["state"] = "ready"
+				if r.cmd == nil {
+					r.config["known"] = map[string]any{"version": 2, "full": true, "servers": []member{listed("s-1", h.addr(), "a", "gateway", "ready"), later}}
+					r.writeConfig()
+					r.start(p)
+				} else {
+					p.tell(false, later)
+				}
+				for _, id := range taken {
+					eventually(t, id+" tried", func() bool { return h.count(id) > 0 || p.final(id) != nil })
+					if h.count(id) == 0 {
+						t.Errorf("%s was never called for: %v", id, p.final(id))
+					}
+				}
+				r.take("m1", 10*time.Second)
+				eventually(t, "served on", func() bool { return h.count("m1") == 1 })
+				for i, id := range taken {
+					if n := h.count(id); n > 1 && i/2%2 == 1 {
+						t.Errorf("%s ran %d times", id, n)
+					}
+				}
+			})
+		}
+	}
+}
