--- /dev/null
+++ b/policy/bare_test.go
@@ -0,0 +1,185 @@
+package policy
+
+import (
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// plainBook is what a Sender knows of destinations, by the plain rule: at every list event all without routes are looked at.
+type plainBook struct {
+	warm   time.Duration
+	routes map[string]int // destinations
+	known  map[int]bool
+	bareAt map[int]time.Duration
+	bare   []int
+}
+
+func (b *plainBook) routed(dest int) bool {
+	for _, d := range b.routes {
+		if d == dest {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *plainBook) drop(now time.Duration, route string) {
+	d, is := b.routes[route]
+	delete(b.routes, route)
+	if is && b.bareAt[d] == 0 && !b.routed(d) {
+		b.bareAt[d] = now
+		b.bare = append(b.bare, d)
+	}
+}
+
+func (b *plainBook) list(now time.Duration, e Event, held map[int]int) {
+	if e.Kind == ListWhole {
+		byDestination := func(x, y string) int { return b.routes[x] - b.routes[y] }
+		for _, id := range slices.SortedFunc(maps.Keys(b.routes), byDestination) {
+			if !slices.ContainsFunc(e.List, func(l Listing) bool { return l.Route == id }) {
+				b.drop(now, id)
+			}
+		}
+	}
+	for _, l := range e.List {
+		if l.Gone {
+			b.drop(now, l.Route)
+		} else if _, is := b.routes[l.Route]; !is {
+			b.routes[l.Route] = l.Destination
+			b.known[l.Destination] = true
+		}
+	}
+	b.bare = slices.DeleteFunc(b.bare, func(d int) bool {
+		if b.routed(d) {
+			delete(b.bareAt, d)
+			return true
+		}
+		if held[d] > 0 || now < b.bareAt[d]+b.warm {
+			return false
+		}
+		delete(b.known, d)
+		delete(b.bareAt, d)
+		return true
+	})
+}
+
+// playBare plays random lists, changes, messages and pauses. After each step check is told of the list event, if there was one. It returns a sum of
+// all actions, to compare with another Sender's.
+func playBare(t *testing.T, seed uint64, check func(s *Sender, now time.Duration, e *Event, held map[int]int)) uint64 {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	set := settings()
+	set.Senders = []int{1, 300}[rng.IntN(2)]
+	s, err := New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, id := time.Minute, uint32(0)
+	sum := fnv.New64a()
+	var out []Event
+	listed := map[int]bool{}
+	entry := func(i int) Listing {
+		return Listing{Route: fmt.Sprint("r", i), Destination: i / 2, Kind: i / 2 % 3, Zone: i % 2, Weight: 20, InService: rng.IntN(9) > 0}
+	}
+	for range 1200 {
+		now += time.Duration(rng.IntN(4)*rng.IntN(4)*rng.IntN(400)) * ms
+		var evs []Event
+		var list *Event
+		switch n := rng.IntN(10); {
+		case n == 0: // some of a few destinations go and come, most wholly
+			e := Event{Kind: ListChanges}
+			for range 1 + rng.IntN(4) {
+				d := rng.IntN(12)
+				for i := 2 * d; i < 2*d+2; i++ {
+					l := entry(i)
+					l.Gone = listed[i] && rng.IntN(8) > 0
+					listed[i] = !l.Gone
+					e.List = append(e.List, l)
+				}
+			}
+			list = &e
+		case n == 1 && rng.IntN(4) == 0:
+			e := Event{Kind: ListWhole}
+			clear(listed)
+			for i := range 24 {
+				if listed[i] = rng.IntN(3) > 0; listed[i] {
+					e.List = append(e.List, entry(i))
+				}
+			}
+			list = &e
+		case n < 5:
+			id++
+			evs = append(evs, Event{Kind: Taken, ID: id, Destination: rng.IntN(12), Left: time.Duration(1+rng.IntN(20)) * time.Second})
+		case n < 8 && len(out) > 0:
+			i := rng.IntN(len(out))
+			e := out[i]
+			out = slices.Delete(out, i, i+1)
+			e.Outcome = []Outcome{OK, OK, Error, Full, Timeout, Reset}[rng.IntN(6)]
+			e.Ended, e.Took = e.Outcome == OK, 50*ms
+			evs = append(evs, e)
+		default:
+			evs = append(evs, Event{Kind: Woken})
+		}
+		held := map[int]int{}
+		for _, d := range s.order {
+			held[d.id] = d.held
+		}
+		if list != nil {
+			evs = append([]Event{*list}, evs...)
+		}
+		for _, a := range s.Step(now, evs) {
+			fmt.Fprintln(sum, now, a)
+			if a.Kind == Send {
+				n := 0
+				for _, x := range s.msgs[a.ID].out {
+					n = max(n, x.n)
+				}
+				out = append(out, Event{Kind: Finished, ID: a.ID, Attempt: n, Route: a.Route})
+			}
+		}
+		check(s, now, list, held)
+	}
+	return sum.Sum64()
+}
+
+// What a Sender still knows after every step is what the plain rule says.
+func TestSweepForgetsAsThePlainRule(t *testing.T) {
+	forgotten := 0
+	for seed := range uint64(30) {
+		b := plainBook{warm: settings().WarmWithin, routes: map[string]int{}, known: map[int]bool{}, bareAt: map[int]time.Duration{}}
+		sum := playBare(t, seed, func(s *Sender, now time.Duration, e *Event, held map[int]int) {
+			if t.Failed() {
+				return
+			}
+			if e != nil {
+				was := len(b.known)
+				b.list(now, *e, held)
+				forgotten += max(0, was-len(b.known))
+			}
+			for d := range s.dests {
+				if !b.known[d] && s.dests[d].held > 0 {
+					b.known[d] = true // taken for a destination that no list named
+				}
+			}
+			got, want := slices.Sorted(maps.Keys(s.dests)), slices.Sorted(maps.Keys(b.known))
+			if !slices.Equal(got, want) {
+				t.Errorf("seed %d, at %v: knows %v, by the plain rule %v", seed, now, got, want)
+			}
+			var bare []int
+			for _, d := range bares(s) {
+				bare = append(bare, d.id)
+			}
+			if !slices.Equal(bare, b.bare) {
+				t.Errorf("seed %d, at %v: without routes %v, by the plain rule %v", seed, now, bare, b.bare)
+			}
+		})
+		t.Logf("seed %d: the actions' sum is %x", seed, sum)
+	}
+	if forgotten < 100 {
+		t.Errorf("%d destinations forgotten: the plays show too little", forgotten)
+	}
+}
--- /dev/null
+++ b/policy/front_test.go
@@ -0,0 +1,250 @@
+package policy
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// front stands before a Sender as a relay with a long list does: it keeps the list, tells of a destination when it is first needed, and has it
+// forgotten once it may rest. It does so without waiting for a destination to be idle, which is harder on what is forgotten.
+type front struct {
+	t       *testing.T
+	forgets *forgetful
+	idle    time.Duration // least time without an event
+	s       *Sender
+	list    []Listing
+	awake   map[int]time.Duration
+	rests   int
+}
+
+func (f *front) step(s *Sender, now time.Duration, evs []Event) []Action {
+	if f.s != s {
+		f.s, f.list, f.awake = s, nil, map[int]time.Duration{}
+	}
+	var told []Event
+	for _, e := range evs {
+		switch e.Kind {
+		case ListWhole:
+			f.list = slices.Clone(e.List)
+			continue
+		case ListChanges:
+			e.List = slices.DeleteFunc(slices.Clone(e.List), f.change)
+		case Taken:
+			if _, is := f.awake[e.Destination]; !is {
+				told = append(told, f.all(e.Destination, false))
+			}
+			f.awake[e.Destination] = now
+		case Finished:
+			if i := f.find(e.Route); i >= 0 {
+				f.awake[f.list[i].Destination] = now
+			}
+		}
+		told = append(told, e)
+	}
+	acts := slices.Clone(s.Step(now, told))
+	for d := range 5 {
+		if at, is := f.awake[d]; is && now >= at+f.idle && f.forgets.resting(f.t, s, d) {
+			acts = append(acts, s.Step(now, []Event{f.all(d, true)})...)
+			delete(f.awake, d)
+			f.rests++
+		}
+	}
+	return acts
+}
+
+func (f *front) find(route string) int {
+	return slices.IndexFunc(f.list, func(l Listing) bool { return l.Route == route })
+}
+
+// change takes on an entry, and tells whether it is of a destination at rest.
+func (f *front) change(l Listing) bool {
+	i := f.find(l.Route)
+	switch {
+	case l.Gone && i >= 0:
+		f.list = slices.Delete(f.list, i, i+1)
+	case i >= 0:
+		f.list[i] = l
+	case !l.Gone:
+		f.list = append(f.list, l)
+	}
+	_, is := f.awake[l.Destination]
+	return !is
+}
+
+func (f *front) all(dest int, gone bool) Event {
+	e := Event{Kind: ListChanges}
+	for _, l := range f.list {
+		if l.Destination == dest {
+			l.Gone = gone
+			e.List = append(e.List, l)
+		}
+	}
+	return e
+}
+
+// playFront plays a world whose clients send less, so that destinations come to rest, and whose routes tell waits with whatever answer.
+func playFront(t *testing.T, seed uint64, every int, forgets *forgetful) (*world, *front) {
+	f := &front{t: t, forgets: forgets}
+	return play(t, seed, blind{every: every, step: f.step}), f
+}
+
+// A Sender behind a front keeps the six rules by the books of the property test.
+func TestSixRulesBehindAFront(t *testing.T) {
+	rests := 0
+	for seed := range uint64(40) {
+		w, f := playFront(t, seed, 20+int(seed%4)*20, nil)
+		rests += f.rests
+		for rule := 1; rule <= 6; rule++ {
+			if w.broken[rule] != "" {
+				t.Errorf("seed %d, rule %d: %s", seed, rule, w.broken[rule])
+			}
+		}
+	}
+	if rests < 40*10 {
+		t.Errorf("%d rests in 40 plays: they show too little", rests)
+	}
+}
+
+// forgetsPaces overlooks what a refusal, calls and failures left behind.
+func forgetsPaces(g *gate) {
+	g.tokens, g.tokensAt, g.halvedAt, g.pace, g.streak, g.tights = 1, 0, 0, 0, 0, 0
+}
+
+func TestAFrontThatForgetsWaitsBreaksTheirRule(t *testing.T) {
+	forgets := &forgetful{gate: func(g *gate) {
+		forgetsPaces(g)
+		g.wait = 0
+	}}
+	for seed := range uint64(60) {
+		if w, _ := playFront(t, seed, 80, forgets); w.broken[5] != "" {
+			t.Logf("seed %d: %s", seed, w.broken[5])
+			return
+		}
+	}
+	t.Error("no play of 60 broke it")
+}
+
+// burst hands n messages to destination 1 and counts the calls of the next span, each answered after 20 ms.
+func burst(step func(time.Duration, []Event) []Action, now *time.Duration, id *uint32, n int, o Outcome, span time.Duration) (calls int) {
+	var evs []Event
+	for range n {
+		*id++
+		evs = append(evs, Event{Kind: Taken, ID: *id, Destination: 1, Left: span - 500*ms})
+	}
+	attempts := map[uint32]int{}
+	for end := *now + span; *now < end; *now += 20 * ms {
+		acts := slices.Clone(step(*now, evs))
+		evs = nil
+		for _, a := range acts {
+			if a.Kind == Send {
+				calls++
+				evs = append(evs, Event{Kind: Finished, ID: a.ID, Attempt: attempts[a.ID], Route: a.Route, Outcome: o, Took: 20 * ms, Ended: o == OK})
+				attempts[a.ID]++
+			}
+		}
+	}
+	step(*now, evs)
+	return calls
+}
+
+// twoRoutes is a front before a fresh sender, with destination 1 of two routes.
+func twoRoutes(t *testing.T, seed uint64, senders int, forgets *forgetful, idle time.Duration) (f *front, step func(time.Duration, []Event) []Action) {
+	set := settings()
+	set.Senders, set.Slots, set.MaxHeld = senders, 20, 1000
+	s, err := New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f = &front{t: t, forgets: forgets, idle: idle}
+	step = func(now time.Duration, evs []Event) []Action { return f.step(s, now, evs) }
+	// Separate routes: of others the gate outlasts its routes for a warm-up, whatever is put to rest.
+	step(time.Minute, []Event{{Kind: ListWhole, List: []Listing{{Route: "a", Destination: 1, Kind: 1, Weight: 6, InService: true},
+		{Route: "b", Destination: 1, Kind: 1, Weight: 6, InService: true}}}})
+	return f, step
+}
+
+const never = 1000 * time.Hour
+
+// A destination that comes back from an outage takes no more calls, whether it may be put to rest meanwhile or not. A front that forgets outages
+// pours its backlog out.
+func TestRestsPushNoReturningDestinationOver(t *testing.T) {
+	play := func(forgets *forgetful, idle time.Duration) (calls, rests int) {
+		for seed := range uint64(20) {
+			f, step := twoRoutes(t, seed, 1, forgets, idle)
+			now, id := time.Minute, uint32(0)
+			burst(step, &now, &id, 5, Error, 4*time.Second)
+			burst(step, &now, &id, 1, OK, 8*time.Second)
+			was := f.rests
+			calls += burst(step, &now, &id, 30, OK, settings().OverloadWindow)
+			rests += was
+		}
+		return calls, rests
+	}
+	told, _ := play(nil, never)
+	fronted, _ := play(nil, 0)
+	forgot, rests := play(&forgetful{gate: func(g *gate) {
+		forgetsPaces(g)
+		g.coldLeft = -time.Hour
+		eachRoute(func(r *route) { r.skipUntil, r.down, r.cold = 0, false, false })(g)
+	}}, 0)
+	t.Logf("%d calls where all is told, %d behind a front, %d behind one that forgets outages, after %d rests", told, fronted, forgot, rests)
+	if fronted > told+told/20 {
+		t.Errorf("%d calls behind a front, %d where all is told", fronted, told)
+	}
+	if forgot < 2*told || rests == 0 {
+		t.Error("a front that forgets outages is not seen")
+	}
+}
+
+// Messages with rests between take no more calls of one of 3,000 senders than where nothing is ever put to rest, and those after a rest no more
+// than the first at a sender that has just started; where a call's worth is not waited for they do.
+func TestRestsAreNoWayAroundAPace(t *testing.T) {
+	const later = 20
+	const seeds = 60
+	fresh := 0 // calls of so many senders that have just started
+	for seed := range uint64(seeds * later) {
+		_, step := twoRoutes(t, seeds+seed, 3000, nil, never)
+		now, id := time.Minute, uint32(0)
+		fresh += burst(step, &now, &id, 1, OK, 3*time.Second)
+	}
+	play := func(forgets *forgetful, idle, pause time.Duration) (after, rests int) {
+		for seed := range uint64(seeds) {
+			f, step := twoRoutes(t, seed, 3000, forgets, idle)
+			now, id := time.Minute, uint32(0)
+			burst(step, &now, &id, 1, OK, 3*time.Second)
+			for range later {
+				now += pause
+				step(now, []Event{{Kind: Woken}})
+				after += burst(step, &now, &id, 1, OK, 3*time.Second)
+			}
+			rests += f.rests
+		}
+		return after, rests
+	}
+	warm := settings().WarmWithin
+	for _, pause := range []time.Duration{warm + 2*time.Second, 90 * time.Second, 600 * time.Second} {
+		told, _ := play(nil, never, pause)
+		fronted, rests := play(nil, warm, pause)
+		forgot, _ := play(&forgetful{gate: forgetsPaces}, warm, pause)
+		t.Logf("a message each %v: %d calls where all is told, %d with %d rests, %d where paces are forgotten; %d at fresh senders",
+			pause, told, fronted, rests, forgot, fresh)
+		if fronted > told+told/20 || fronted > fresh+fresh/20 || rests == 0 {
+			t.Errorf("a message each %v: %d calls behind a front, %d where all is told, %d at fresh senders, %d rests", pause, fronted, told, fresh, rests)
+		}
+		if pause < time.Minute && forgot < told+told/3 {
+			t.Error("rests that forget paces are not seen")
+		}
+	}
+}
+
+// What others may use of a limit is told once: such a destination stays awake.
+func TestRightsKeepADestinationAwake(t *testing.T) {
+	f, step := twoRoutes(t, 1, 300, nil, never)
+	if step(time.Minute, []Event{{Kind: Taken, ID: 1, Destination: 1, Left: time.Second}, {Kind: Withdrawn, ID: 1}}); !f.s.Resting(1) {
+		t.Fatal("an unused destination may not rest")
+	}
+	if step(time.Minute, []Event{{Kind: Rights, Destination: 1, Share: 0.2}}); f.s.Resting(1) {
+		t.Error("a destination whose limit is lent may rest")
+	}
+}
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -18,7 +19,9 @@
 	rule     int
 	settings func(*Settings)
 	event    func(*Event)
-	swap     func(*Sender) *Sender // after each step
+	swap     func(*Sender) *Sender                                    // after each step
+	step     func(s *Sender, now time.Duration, evs []Event) []Action // in place of the Sender's
+	every    int                                                      // clients send as often; 0: every fourth time, and waits are told with refusals alone
 }
 
 type trial struct {
@@ -67,6 +70,8 @@
 	broken   map[int]string
 	answered int
 	ends     [3]int // sends, refusals, failures
+	every    int
+	waitsToo bool // with other answers than refusals
 }
 
 func (w *world) fail(rule int, format string, args ...any) {
@@ -144,7 +149,7 @@
 	if quiet {
 		return evs
 	}
-	for w.rng.IntN(4) == 0 {
+	for w.rng.IntN(w.every) == 0 {
 		c := w.rng.IntN(len(w.set.Classes))
 		key := ""
 		if w.set.Classes[c].Ordered {
@@ -352,6 +357,8 @@
 		e.Outcome = []Outcome{Error, Reset, Cancelled, Moot}[w.rng.IntN(4)]
 	case n == 5:
 		took = time.Hour
+	case n < 12 && w.waitsToo:
+		e.Wait = time.Duration(200+w.rng.IntN(3000)) * time.Millisecond
 	}
 	if m.dest%3 == 2 && w.now >= w.outage[m.dest][0]-time.Second {
 		took = min(took, 300*time.Millisecond)
@@ -368,6 +375,11 @@
 func play(t *testing.T, seed uint64, b blind) *world {
 	t.Helper()
 	w := newWorld(seed)
+	w.every, w.waitsToo = cmp.Or(b.every, 4), b.every > 0
+	step := (*Sender).Step
+	if b.step != nil {
+		step = b.step
+	}
 	start := func() (*Sender, []Event) {
 		set := w.set
 		set.Classes = slices.Clone(set.Classes)
@@ -401,7 +413,7 @@
 			}
 		}
 		if len(evs) > 0 {
-			w.act(s.Step(w.now, evs))
+			w.act(step(s, w.now, evs))
 			if b.swap != nil {
 				s = b.swap(s)
 			}
--- a/policy/rest_test.go
+++ b/policy/rest_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"slices"
@@ -231,6 +232,7 @@
 // play runs a random stream, and says what a Resting would have had forgotten; how often something could be is counted.
 func (w *stream) play(f *forgetful, rested *int) (wrong string) {
 	look := func() {
+		was := w.s.Snapshot(nil)
 		for d := range 3 {
 			if wrong == "" && f.resting(w.t, w.s, d) {
 				*rested++
@@ -239,6 +241,9 @@
 				}
 			}
 		}
+		if !bytes.Equal(w.s.Snapshot(nil), was) {
+			w.t.Fatal("asking changed the sender")
+		}
 	}
 	w.t.Repeat(map[string]func(*rapid.T){
 		"take": func(t *rapid.T) {
