--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -87,3 +87,46 @@
 		})
 	}
 }
+
+// BenchmarkWakeAndRest is one destination of two routes that is told of and another that is put to rest, of so many told of; as many were put to rest
+// within the last warm-up.
+func BenchmarkWakeAndRest(b *testing.B) {
+	for _, awake := range []int{1000, 10000, 50000, 140000} {
+		b.Run(fmt.Sprintf("awake=%d", awake), func(b *testing.B) {
+			set := settings()
+			set.Senders = 400
+			s, err := New(set, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			entries := func(dest int, gone bool) Event {
+				dest = dest * 7919 % (4 * awake) // not in the order of their numbers
+				e := Event{Kind: ListChanges, List: make([]Listing, 2)}
+				for i := range e.List {
+					e.List[i] = Listing{Route: fmt.Sprint("ep-", dest, "-", i), Destination: dest, Kind: dest % 3, Weight: 20, InService: true, Gone: gone}
+				}
+				return e
+			}
+			now := time.Minute
+			turn := func(i int) {
+				now += set.WarmWithin / time.Duration(awake)
+				if id := i - awake; id >= 0 && s.Resting(id*7919%(4*awake)) {
+					s.Step(now, []Event{entries(id, true)})
+				}
+				s.Step(now, []Event{entries(i, false)})
+			}
+			i := 0
+			for ; i < 3*awake; i++ {
+				turn(i)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				turn(i)
+				i++
+			}
+			if n := len(s.routes); n < 2*awake || n > 2*awake+4 {
+				b.Fatalf("%d routes", n)
+			}
+		})
+	}
+}
