--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -85,6 +85,7 @@
 	log     *slog.Logger
 	agent   *agent
 	silence time.Duration // a watch with no line for so long is dead: one comes every 2 s
+	within  time.Duration // a list comes whole within this; 0: whenever
 	told    func(List)
 	long    parts // takes lists that are not told as a whole
 	listing func(*member) (policy.Listing, string, error)
--- /dev/null
+++ b/internal/relay/large_test.go
@@ -0,0 +1,139 @@
+package relay
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/catalog"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// tellLong has the loop's part take a list as a long one comes, with a step after every few slices.
+func tellLong(r *Relay, full bool, version int64, entries []entry) {
+	give := func(p *part) bool {
+		p.done = make(chan bool, 1)
+		if p.stage == listOpens {
+			r.step([]any{p})
+		} else {
+			r.gather(nil, p)
+		}
+		return <-p.done
+	}
+	give(&part{stage: listOpens})
+	for some := range slices.Chunk(entries, 7) {
+		give(&part{stage: listSlice, entries: some})
+		if len(some)%2 == 0 {
+			r.step(nil)
+		}
+	}
+	for full && !give(&part{stage: listSweep}) {
+	}
+	give(&part{stage: listCloses, version: version})
+	r.step(nil)
+}
+
+// ofModule is what a module knows of the list, by destination and route.
+func ofModule(r *Relay) map[int][]policy.Listing {
+	known := map[int][]policy.Listing{}
+	views, _ := r.sender.Views()
+	for _, v := range views {
+		known[v.Destination] = append(known[v.Destination], v.Listing)
+	}
+	return byRoute(known)
+}
+
+// ofAwake is what it must know: all that the catalog has of the destinations that are awake.
+func ofAwake(r *Relay) map[int][]policy.Listing {
+	known := map[int][]policy.Listing{}
+	for e := range r.catalog.All() {
+		if r.awake.Has(e.Destination) {
+			known[e.Destination] = append(known[e.Destination], e.Listing)
+		}
+	}
+	return byRoute(known)
+}
+
+func byRoute(known map[int][]policy.Listing) map[int][]policy.Listing {
+	for _, ls := range known {
+		slices.SortFunc(ls, func(a, b policy.Listing) int { return cmp.Compare(a.Route, b.Route) })
+	}
+	return known
+}
+
+func sameListings(a, b map[int][]policy.Listing) bool {
+	return maps.EqualFunc(a, b, func(x, y []policy.Listing) bool { return slices.Equal(x, y) })
+}
+
+// Whatever lists, changes and messages come, and whichever destinations are put to rest: the module knows of those that are awake all that
+// the list says, and of the others nothing. The list itself is that of a relay which keeps all in a map.
+func TestTheModuleKnowsWhatIsAwake(t *testing.T) {
+	const dests, hosts, restFor = 12, 40, 40 * time.Millisecond
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 11))
+		r := newTestRelay(t)
+		r.enlarge()
+		r.awake = catalog.NewWorkingSet(restFor)
+		r.awake.Wake(7, r.now())
+		model := map[string]entry{}
+		for e := range r.catalog.All() {
+			model[e.Route] = entry{Endpoint: e}
+		}
+		for step := range 60 {
+			switch rng.IntN(4) {
+			case 0, 1:
+				full := rng.IntN(3) == 0
+				var entries []entry
+				named := map[string]bool{}
+				for range rng.IntN(hosts) {
+					k := rng.IntN(hosts)
+					e := entry{Endpoint: catalog.Endpoint{Addr: fmt.Sprintf("127.0.0.1:%d", 1+rng.IntN(2))}}
+					e.Listing = policy.Listing{Route: fmt.Sprint("h-", k), Destination: 100 + rng.IntN(dests), Kind: 1, Zone: k % 2, Weight: 50, InService: rng.IntN(3) > 0}
+					if rng.IntN(6) == 0 {
+						e.Endpoint = catalog.Endpoint{Listing: policy.Listing{Route: e.Route, Gone: true}}
+					}
+					entries, named[e.Route] = append(entries, e), true
+					if e.Gone {
+						delete(model, e.Route)
+					} else {
+						model[e.Route] = e
+					}
+				}
+				if full {
+					maps.DeleteFunc(model, func(id string, _ entry) bool { return !named[id] })
+				}
+				tellLong(r, full, int64(step), entries)
+			case 2:
+				for range rng.IntN(4) {
+					in := newHandIn(fmt.Sprint(seed, "-", step, "-", rng.Uint64()), 100+rng.IntN(dests), time.Duration(1+rng.IntN(30))*time.Millisecond)
+					r.step([]any{in})
+					<-in.reply
+				}
+			case 3:
+				for range rng.IntN(3) {
+					select {
+					case e := <-r.events:
+						r.step(r.gather(nil, e))
+					case <-time.After(20 * time.Millisecond):
+						r.step(nil)
+					}
+				}
+			}
+			if got, want := ofModule(r), ofAwake(r); !sameListings(got, want) {
+				t.Fatalf("seed %d, step %d: the module knows\n%v\nawake\n%v", seed, step, got, want)
+			}
+			if r.catalog.Endpoints() != len(model) {
+				t.Fatalf("seed %d, step %d: %d hosts, want %d", seed, step, r.catalog.Endpoints(), len(model))
+			}
+			for id, want := range model {
+				if got, ok := r.catalog.Endpoint(id); !ok || got != want.Endpoint {
+					t.Fatalf("seed %d, step %d: %s is %+v, want %+v", seed, step, id, got, want.Endpoint)
+				}
+			}
+		}
+	}
+}
--- a/internal/relay/parts.go
+++ b/internal/relay/parts.go
@@ -76,8 +76,8 @@
 	var entries, spare []entry
 	var read int
 	var long, passed bool // passed: it is read and not told
-	lists.begun = func() func() bool {
-		return time.AfterFunc(listFor, func() { how.stop(errEndless) }).Stop
+	if lists.begun = nil; w.within > 0 {
+		lists.begun = func() func() bool { return time.AfterFunc(w.within, func() { how.stop(errEndless) }).Stop }
 	}
 	err := lists.next(&head, func(e entry) error {
 		if read++; read%sliceMost == 0 {
--- /dev/null
+++ b/internal/relay/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package relay
+
+// longList is how many entries the tests have a long list of: the race detector makes reading them some ten times slower.
+const longList = 20_000
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -216,15 +216,7 @@
 	defer func() { stopRecording(); <-recorded }()
 	go r.loop(work)
 	go r.finals.run(lead)
-	list := watcher{
-		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
-		told: func(l List) { r.post(l) }, listing: r.cfg.listing,
-		long: parts{post: func(p *part) bool { return r.post(p) }, over: r.over, large: r.large.Load},
-		herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
-		known: r.listed.Load(), whole: r.askWhole,
-		unread: trouble{what: "unreadable line of the watch"}, oversize: trouble{what: "list not taken"},
-	}
-	go list.run(lead)
+	go r.newWatcher().run(lead)
 
 	accepting := make(chan struct{})
 	go func() { defer close(accepting); r.clients.run(listener) }()
@@ -249,6 +241,17 @@
 	return r.closeLog()
 }
 
+// newWatcher is what follows discovery's list for the loop.
+func (r *Relay) newWatcher() *watcher {
+	return &watcher{
+		log: r.log, agent: r.agent, silence: watchSilence, within: listFor, version: r.version, whole: r.askWhole, known: r.listed.Load(),
+		told: func(l List) { r.post(l) }, listing: r.cfg.listing,
+		long: parts{post: func(p *part) bool { return r.post(p) }, over: r.over, large: r.large.Load},
+		herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
+		unread: trouble{what: "unreadable line of the watch"}, oversize: trouble{what: "list not taken"},
+	}
+}
+
 // shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
 // once more on a new connection, which is still taken; what was read is answered, and running calls may finish.
 func (r *Relay) shutDown(listener net.Listener) {
