The test of lent limits names the route: its routes stand apart, and the event told nobody

TestRightsKeepADestinationAwake failed: rights of a separate route name it. It fails without the line of Resting that it is about, shown by a scratch edit.

--- a/policy/front_test.go
+++ b/policy/front_test.go
@@ -244,7 +244,7 @@
 	if step(time.Minute, []Event{{Kind: Taken, ID: 1, Destination: 1, Left: time.Second}, {Kind: Withdrawn, ID: 1}}); !f.s.Resting(1) {
 		t.Fatal("an unused destination may not rest")
 	}
-	if step(time.Minute, []Event{{Kind: Rights, Destination: 1, Share: 0.2}}); f.s.Resting(1) {
+	if step(time.Minute, []Event{{Kind: Rights, Destination: 1, Route: "a", Share: 0.2}}); f.s.Resting(1) {
 		t.Error("a destination whose limit is lent may rest")
 	}
 }
