Idle clients at a relay of forty descriptors, too

Cause: the test of idle clients knew one limit, of 96 descriptors; the shares of small ones have a floor.

Change: a row of 40.

--- a/cmd/cherrytrestle/crowd_test.go
+++ b/cmd/cherrytrestle/crowd_test.go
@@ -53,16 +53,17 @@
 // Idle clients fill the descriptors that the machine gives while discovery is down. The health answer, a new connection to a host, and the call to
 // discovery that finds it back still get theirs.
 func TestIdleClientsLeaveDescriptorsForTheOthers(t *testing.T) {
-	const sockets = 96
 	for _, c := range []struct {
-		name  string
-		first func(net.Conn)
+		sockets int
+		name    string
+		first   func(net.Conn)
 	}{
-		{"silent", func(net.Conn) {}},
-		{"resting after a request", func(conn net.Conn) { io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n") }},
-		{"half a request", func(conn net.Conn) { io.WriteString(conn, "POST /order HTTP/1.1\r\nHost: x\r\nContent-Le") }},
+		{40, "silent", func(net.Conn) {}},
+		{96, "silent", func(net.Conn) {}},
+		{96, "resting after a request", func(conn net.Conn) { io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n") }},
+		{96, "half a request", func(conn net.Conn) { io.WriteString(conn, "POST /order HTTP/1.1\r\nHost: x\r\nContent-Le") }},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(fmt.Sprint(c.name, " ", c.sockets), func(t *testing.T) {
 			t.Parallel()
 			one, two := newHost(t, nil), newHost(t, nil)
 			var down atomic.Bool
@@ -82,12 +83,12 @@
 			t.Cleanup(func() { agent.CloseClientConnections(); agent.Close() })
 			p := &platform{Server: agent}
 			r := prepareRelay(t, []member{listed("s-1", one.addr(), "a", "gateway", "ready")}, nil)
-			r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets, "disk_mb": 3}
+			r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": c.sockets, "disk_mb": 3}
 			r.writeConfig()
 			r.start(p)
-			r.bound(sockets)
+			r.bound(uint64(c.sockets))
 			ctx, leave := context.WithCancel(context.Background())
-			wait := crowd(ctx, r.addr, 3*sockets, c.first)
+			wait := crowd(ctx, r.addr, 3*c.sockets, c.first)
 			defer wait()
 			defer leave()
 			time.Sleep(500 * time.Millisecond) // the crowd comes
@@ -124,7 +125,7 @@
 				eventually(t, id+" delivered", func() bool { return one.count(id)+two.count(id) > 0 })
 				return two.count(id) > 0
 			})
-			if t.Logf("%d descriptors of %d", most, sockets); most < sockets/5 {
+			if t.Logf("%d descriptors of %d", most, c.sockets); most < c.sockets/5 {
 				t.Errorf("%d descriptors: the crowd is none", most)
 			}
 		})
