A process that hands over tells what has ended of late

Cause: ids that have just ended were remembered by their process alone. Handed in once more behind an upgrade, as after an answer that was lost with its connection, a message that was delivered ran again.

Change: the state of a hand-over holds them, with the answer and until when; 4096 at most, in a field that older processes leave out and pass over.

Result: TestAnUpgradeRemembersWhatHasEnded passes; without the line that takes them up the message, of a class that may not be repeated, runs twice. The other tests of upgrades, hand-overs and of the relay pass.

--- a/cmd/cherrytrestle/upgrade_test.go
+++ b/cmd/cherrytrestle/upgrade_test.go
@@ -225,6 +225,33 @@
 	}
 }
 
+// A message that the first process has delivered and forgotten is handed in once more at the second: it does not run again.
+func TestAnUpgradeRemembersWhatHasEnded(t *testing.T) {
+	p, h := newPlatform(t), newHost(t, nil)
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, withPayments)
+	held(t, r, p)
+	take := func() {
+		t.Helper()
+		if status, _ := r.handIn("m1", 10*time.Second, as("pay")); status != http.StatusAccepted {
+			t.Fatalf("status %d", status)
+		}
+	}
+	take()
+	eventually(t, "delivered", func() bool { return h.count("m1") == 1 })
+	time.Sleep(50 * time.Millisecond) // the answer must be read: nothing else shows it
+	ended, _ := r.upgrade(p)
+	if err := <-ended; err != nil {
+		t.Errorf("the old process: %v", err)
+	}
+	r.client.CloseIdleConnections()
+	take()
+	r.take("m2", 10*time.Second)
+	eventually(t, "the one behind it", func() bool { return h.count("m2") == 1 })
+	if n := h.count("m1"); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
 // The first process dies in the middle of it, or the second before it has taken over: what was out may have run, nothing is
 // lost, and the one that remains serves on.
 func TestUpgradesThatDie(t *testing.T) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -57,6 +57,14 @@
 	Messages []Message
 	Attempts []Attempt // out
 	Later    []policy.Event
+	Ended    []Ended `json:",omitempty"` // in that order
+}
+
+// Ended is a message of which nothing is owed, and what its client is told if it hands it in once more until then.
+type Ended struct {
+	Trace  string
+	Status int
+	Until  time.Time
 }
 
 // Route is a listed host.
--- a/internal/relay/recent.go
+++ b/internal/relay/recent.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/handover"
 )
 
 // recentMost bounds how many ended messages are remembered: of a thousand a second, those of four seconds.
 const recentMost = 4096
 
-// recent are the messages of this process that have ended and of which nothing is owed any more, for as long as they had time. A client
+// recent are the messages of this process, and of one that handed over to it, that have ended and of which nothing is owed any more, for as long as they had time. A client
 // whose answer was lost with its connection hands its message in once more under the same id, and that may be after its delivery.
 type recent struct {
 	ended map[string]ending
@@ -34,13 +36,32 @@
 	default:
 		e.answer = finalAnswer(*m.Final)
 	}
+	r.keep(m.Trace, e)
+}
+
+func (r *recent) keep(trace string, e ending) {
 	if r.ended == nil {
 		r.ended = map[string]ending{}
 	}
-	if _, known := r.ended[m.Trace]; !known {
-		r.order = append(r.order, m.Trace)
+	if _, known := r.ended[trace]; !known {
+		r.order = append(r.order, trace)
+	}
+	r.ended[trace] = e
+}
+
+// told is what the next process should know of them, and hear takes it there.
+func (r *recent) told() (ended []handover.Ended) {
+	for _, trace := range r.order {
+		e := r.ended[trace]
+		ended = append(ended, handover.Ended{Trace: trace, Status: e.answer.status, Until: e.until})
+	}
+	return ended
+}
+
+func (r *recent) hear(ended []handover.Ended) {
+	for _, e := range ended {
+		r.keep(e.Trace, ending{answer{status: e.Status}, e.Until})
 	}
-	r.ended[m.Trace] = e
 }
 
 // again is the answer to a hand-in under the id of a message that has ended; false if none is remembered.
--- a/internal/relay/upgrade.go
+++ b/internal/relay/upgrade.go
@@ -230,6 +230,7 @@
 	found := r.found
 	r.found = nil
 	r.lastID = s.LastID
+	r.recent.hear(s.Ended)
 	told := make(map[uint32]*handover.Message, len(s.Messages))
 	for i := range s.Messages {
 		told[s.Messages[i].ID] = &s.Messages[i]
@@ -482,6 +483,7 @@
 		}
 		s.Messages = append(s.Messages, x)
 	}
+	s.Ended = r.recent.told()
 	out := func(a *attempt) {
 		s.Attempts = append(s.Attempts, handover.Attempt{ID: a.m.ID, N: a.n, Route: a.route, Zone: a.zone, Sent: a.sent, Over: a.over})
 	}
