Each thing that binds keeps a destination awake by itself; room of texts counted to the byte

A table of what binds and for how long. The catalog's live bytes are compared with its texts: one that never gives up the text of a changed entry passed before, and fails now.

--- a/internal/catalog/lists_test.go
+++ b/internal/catalog/lists_test.go
@@ -119,8 +119,13 @@
 	check := func(after string) {
 		t.Helper()
 		r := c.room()
-		if r.texts > 2*r.live+4*chunkSize || r.destinations > early.destinations || r.rest > early.rest {
-			t.Errorf("after %s: %+v bytes; after five lists %+v", after, r, early)
+		live := 0
+		for i := range c.slots.n - 1 {
+			_, n := skipText(c.text.from(c.slots.at(uint32(i + 1)).text))
+			live += n
+		}
+		if r.live != live || r.texts > 2*r.live+4*chunkSize || r.destinations > early.destinations || r.rest > early.rest {
+			t.Errorf("after %s: %+v bytes, %d of texts in use; after five lists %+v", after, r, live, early)
 		}
 	}
 	for round := range 50 {
@@ -157,6 +162,12 @@
 		c.Put(Endpoint{policy.Listing{Route: *old, Destination: -i%(n/3) - 1}, "127.0.0.1:80"})
 	}
 	check("changes")
+	for i := range n {
+		c.Put(Endpoint{policy.Listing{Route: ids[i], Destination: -i%(n/3) - 1, Weight: float64(i)}, "127.0.0.1:80"})
+		c.Put(Endpoint{Listing: policy.Listing{Route: "short-lived", Destination: -1}})
+		c.Put(Endpoint{Listing: policy.Listing{Route: "short-lived", Gone: true}})
+	}
+	check("changes in place, and of one that comes and goes")
 	if got := len(slices.Collect(c.Remembered())); got > n {
 		t.Errorf("%d destinations without endpoints are remembered", got)
 	}
--- a/policy/front_test.go
+++ b/policy/front_test.go
@@ -238,13 +238,62 @@
 	}
 }
 
+// Each thing that binds keeps a destination awake by itself, for as long as it binds.
+func TestWhatKeepsADestinationAwake(t *testing.T) {
+	const now = time.Minute
+	warm := settings().WarmWithin
+	for _, c := range []struct {
+		name string
+		set  func(d *dest, g *gate, r *route)
+		span time.Duration // it binds so long; never: until an event ends it
+	}{
+		{"nothing", func(*dest, *gate, *route) {}, 0},
+		{"one failure, and a reset", func(_ *dest, g *gate, r *route) { g.streak, r.streak, r.recent, r.lost, g.tights = 1, 1, 1, true, 1 }, 0},
+		{"a pace of its start", func(_ *dest, g *gate, _ *route) { g.pace, g.tokens, g.tokensAt = 1, 1, now }, 0},
+		{"a warm-up that is over", func(_ *dest, _ *gate, r *route) { r.cold, r.back, r.okAt = true, now-warm, now }, 0},
+		{"a message", func(d *dest, _ *gate, _ *route) { d.held = 1 }, never},
+		{"a call", func(_ *dest, _ *gate, r *route) { r.calls = []*call{{r: r}} }, never},
+		{"a call of a route that has gone", func(_ *dest, g *gate, _ *route) { g.out = 1 }, never},
+		{"a told wait", func(_ *dest, g *gate, _ *route) { g.wait = now + 5*time.Second }, 5 * time.Second},
+		{"a skip", func(_ *dest, _ *gate, r *route) { r.skipUntil = now + 300*ms }, 300 * ms},
+		{"an outage", func(_ *dest, _ *gate, r *route) { r.down, r.okAt = true, 1 }, never},
+		{"a doubt", func(_ *dest, _ *gate, r *route) { r.cold, r.okAt = true, 1 }, never},
+		{"a warm-up", func(_ *dest, _ *gate, r *route) { r.cold, r.back, r.okAt = true, now, now }, warm},
+		{"a sibling's doubt, taken on at the next look", func(_ *dest, g *gate, r *route) { r.cold, r.back, r.okAt, g.routes[1].okAt = true, now-warm, now, 0 }, never},
+		{"a doubt that left the list", func(_ *dest, g *gate, _ *route) { g.coldLeft = now }, warm},
+		{"failures over routes", func(_ *dest, g *gate, _ *route) { g.streak = streakDoubt }, never},
+		{"connections that failed", func(_ *dest, g *gate, _ *route) { g.tights = tightMost }, never},
+		{"a lent limit", func(_ *dest, g *gate, _ *route) { g.shared, g.share = true, 0.2 }, never},
+		{"a call not yet earned back", func(_ *dest, g *gate, _ *route) { g.pace, g.tokens, g.tokensAt = 0.5, 0, now }, 2 * time.Second},
+		{"a refusal of late", func(_ *dest, g *gate, _ *route) { g.pace, g.ceiling, g.halvedAt, g.tokens = 9, 10, now, 1 }, calmSpan},
+		{"a pace cut to a quarter", func(_ *dest, g *gate, _ *route) { g.pace, g.ceiling, g.halvedAt, g.tokens = 2.5, 10, now, 1 }, 46900 * ms}, // ln 4 / ln 1.03 s
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			desk := newDesk(t, settings(), Listing{Route: "a", Destination: 1, Weight: 6}, Listing{Route: "b", Destination: 1, Weight: 6})
+			s, d := desk.s, desk.s.dests[1]
+			g := d.gates[0]
+			g.routes[1].okAt = 1
+			c.set(d, g, g.routes[0])
+			for _, after := range []time.Duration{0, 300*ms - 1, 2*time.Second - 1, 5*time.Second - 1, warm - 1, calmSpan - 1, 46890 * ms, 46900 * ms, 24 * time.Hour} {
+				s.now = now + after
+				if got, want := s.Resting(1), after >= c.span; got != want {
+					t.Errorf("after %v it may rest: %t", after, got)
+				}
+			}
+			if !s.Resting(2) {
+				t.Error("one that is not known binds")
+			}
+		})
+	}
+}
+
 // What others may use of a limit is told once: such a destination stays awake.
 func TestRightsKeepADestinationAwake(t *testing.T) {
 	f, step := twoRoutes(t, 1, 300, nil, never)
 	if step(time.Minute, []Event{{Kind: Taken, ID: 1, Destination: 1, Left: time.Second}, {Kind: Withdrawn, ID: 1}}); !f.s.Resting(1) {
 		t.Fatal("an unused destination may not rest")
 	}
-	if step(time.Minute, []Event{{Kind: Rights, Destination: 1, Share: 0.2}}); f.s.Resting(1) {
+	if step(time.Minute, []Event{{Kind: Rights, Destination: 1, Route: "a", Share: 0.2}}); f.s.Resting(1) {
 		t.Error("a destination whose limit is lent may rest")
 	}
 }
