--- a/internal/catalog/lists_test.go
+++ b/internal/catalog/lists_test.go
@@ -168,6 +168,11 @@
 		c.Put(Endpoint{Listing: policy.Listing{Route: "short-lived", Gone: true}})
 	}
 	check("changes in place, and of one that comes and goes")
+	for range n {
+		c.Put(Endpoint{Listing: policy.Listing{Route: "short-lived", Destination: -1}})
+		c.Put(Endpoint{Listing: policy.Listing{Route: "short-lived", Gone: true}})
+	}
+	check("one alone that comes and goes")
 	if got := len(slices.Collect(c.Remembered())); got > n {
 		t.Errorf("%d destinations without endpoints are remembered", got)
 	}
