--- /dev/null
+++ b/cmd/cherrytrestle/longlist_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// restingMembers are hosts at which nobody answers, two of each destination from a number on.
+func restingMembers(n, from int) []member {
+	members := make([]member, 0, 2*n)
+	for i := range 2 * n {
+		m := listed(fmt.Sprint("rest-", from, "-", i), fmt.Sprintf("127.9.%d.%d:1", i>>8&255, i&255), "a", "gateway", "ready")
+		m["cell"] = from + i/2
+		members = append(members, m)
+	}
+	return members
+}
+
+// A relay ends, in order or not, in the middle of a whole list that would take away the host which holds a message up and the host of another
+// destination. What the list has said by then does not matter to the next process, which goes on from what it knows itself: each message
+// that was taken on is delivered, once.
+func TestAnEndInTheMiddleOfALongList(t *testing.T) {
+	const dests = 3000
+	for name, signal := range map[string]syscall.Signal{"SIGTERM": syscall.SIGTERM, "SIGKILL": syscall.SIGKILL} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPlatform(t)
+			h := newHost(t, func(w http.ResponseWriter, _ *http.Request, _ []string) { w.WriteHeader(http.StatusOK) })
+			live := func(state string) []member { return append(restingMembers(dests, 1000), listed("s-1", h.addr(), "a", "gateway", state)) }
+			r := newRelay(t, p, live("draining"), nil)
+			r.take("waits", 12*time.Second)
+			whole := fmt.Appendf(nil, `{"version":50,"full":true,"servers":[`)
+			for i, m := range restingMembers(dests, 100_000) {
+				if i > 0 {
+					whole = append(whole, ',')
+				}
+				whole = fmt.Appendf(whole, `{"id":%q,"addr":%q,"zone":"a","kind":"gateway","cell":%d,"state":"ready"}`, m["id"], m["addr"], m["cell"])
+			}
+			p.lines <- string(bytes.TrimRight(whole, "}")) // and a line's end, and never more
+			eventually(t, "the list is being applied", func() bool {
+				res, err := r.client.Do(r.request("probe", 50*time.Millisecond, func(req *http.Request) { req.Header.Set("Envelope", "dest=100001") }))
+				if err == nil {
+					res.Body.Close()
+				}
+				return err == nil && res.StatusCode != http.StatusBadRequest
+			})
+			r.take("after", 12*time.Second)
+			must(t, r.cmd.Process.Signal(signal))
+			r.cmd.Wait()
+			r.config["known"] = map[string]any{"version": 2, "full": true, "servers": live("ready")}
+			r.writeConfig()
+			r.start(p)
+			for _, id := range []string{"waits", "after"} {
+				eventually(t, id+" is delivered", func() bool { return h.count(id) > 0 })
+			}
+			time.Sleep(100 * time.Millisecond)
+			for _, id := range []string{"waits", "after"} {
+				if n := h.count(id); n != 1 || p.final(id) != nil {
+					t.Errorf("%s: %d times, notice %v", id, n, p.final(id))
+				}
+			}
+		})
+	}
+}
