--- a/cmd/cherrytrestle/scale_test.go
+++ b/cmd/cherrytrestle/scale_test.go
@@ -345,6 +345,7 @@
 	a := newCatalogAgent(t, 1, list)
 	r := prepareRelay(t, list, func(set map[string]any) {
 		set["bounds"].(map[string]any)["open_cap"] = n + n/2
+		set["bounds"].(map[string]any)["send_cap"] = 0 // none ends for its attempts
 		set["services"].([]map[string]any)[0]["give_up_ms"] = 24 * 3600 * 1000
 	})
 	r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192 + n/50, "sockets": 256, "disk_mb": 3 + n/500}
