A returning host gets what it bears: doubt covers its limit, earlier answers begin no ramp

Observed in virtual time, 100 to 200 drawn returns for each of 1, 2, 6, 7, 20 and 30 relays: what came in a window passed N + 2 root N + 2 by up to 2.49 times, all from relays that had been told.

Causes, each shown by a play traced by relay, and the lines: - The rule "shut" doubted one route of a limit (`skip` -> `doubt(r)`), though the wait holds for its gate: at its end the siblings were free. An answer now counts where its call was sent after the last that failed at once (`failSent`).

--- a/policy/inspect.go
+++ b/policy/inspect.go
@@ -125,8 +125,7 @@
 	for _, d := range s.order {
 		for _, g := range d.gates {
 			for _, r := range g.routes {
-				views = append(views, View{r.Listing, g.pace, g.ceiling, s.limit(g), s.part(g), g.wait, g.halvedAt, r.skipUntil,
-					r.back, r.mean, r.down, r.cold, s.alive(r), len(r.calls), g.out, len(d.queue)})
+				views = append(views, View{r.Listing, g.pace, g.ceiling, s.limit(g), s.part(g), g.wait, g.halvedAt, r.skipUntil, r.back, r.mean, r.down, r.cold, s.alive(r), len(r.calls), g.out, len(d.queue)})
 			}
 		}
 	}
--- a/policy/many.go
+++ b/policy/many.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -23,10 +24,7 @@
 
 // takes is what a gate takes from all, on the low side; where nothing tells, as often what it took from this sender as there are such.
 func (s *Sender) takes(g *gate) float64 {
-	if l := s.limit(g); l > 0 {
-		return max(leastLimit, l)
-	}
-	return max(leastLimit, s.rate(g)*float64(s.set.Senders))
+	return max(leastLimit, cmp.Or(s.limit(g), s.rate(g)*float64(s.set.Senders)))
 }
 
 // many tells whether a gate's told limit is shared by more senders than see it filled.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,7 +84,7 @@
 	{"shut", func(s *Sender, r *route, o sample) bool {
 		run := r.refusals >= shutRefusals && s.now-r.refusedAt >= shutSpan
 		return o.outcome == Full && (o.wait > longWait || run)
-	}, true, nil},
+	}, true, (*Sender).doubtAll},
 	{"full", func(_ *Sender, _ *route, o sample) bool { return o.outcome == Full }, false, (*Sender).halve},
 	{"trial failed", func(_ *Sender, r *route, _ sample) bool { return r.down }, true, nil},
 	// A full table refuses at once and may take the next: a short rest, idle connections closed.
@@ -383,6 +383,7 @@
 			r.refusedAt = s.now
 		}
 		r.refusals++
+		r.gate.failSent = max(r.gate.failSent, o.sent)
 		s.hint(r)
 	default:
 		r.lost = r.lost || o.outcome == Reset
@@ -412,6 +413,7 @@
 		// An outage answers no call or fails most at once: time-outs between answers are losses, not that.
 		if o.outcome == Error || o.outcome == ConnectFailed {
 			r.recent = r.recent<<1 | 1
+			r.gate.failSent = max(r.gate.failSent, o.sent)
 		}
 		if r.streak >= streakDoubt || bits.OnesCount8(r.recent) >= recentDoubt {
 			s.doubt(r)
@@ -420,9 +422,7 @@
 		}
 		// Failures in a row over all routes of a gate tell of an outage of them all.
 		if r.gate.streak++; r.gate.streak >= streakSkip {
-			for _, x := range r.gate.routes {
-				s.doubt(x)
-			}
+			s.doubtAll(r, o)
 		}
 	}
 	// A call cut off early, for lack of time left, may cast doubt on its route but skips none.
@@ -451,7 +451,14 @@
 		g.credit, g.coldAt = s.rng.Float64(), s.now
 		g.got, g.gotAt = s.rate(g), s.now
 	}
-	r.cold, r.slight, r.back, r.run = true, false, 0, 0
+	r.cold, r.slight, r.back, r.run, r.failSent = true, false, 0, 0, r.gate.failSent
+}
+
+// doubtAll does so with all routes that share the limit of one.
+func (s *Sender) doubtAll(r *route, _ sample) {
+	for _, x := range r.gate.routes {
+		s.doubt(x)
+	}
 }
 
 // skip enters a route in the skip table. Failures of calls sent before the skip began add nothing.
@@ -496,8 +503,9 @@
 		}
 	}
 	s.count(g)
-	if r.run++; r.cold && r.back == 0 {
-		r.back, r.cold = s.now, !r.slight
+	// What was sent before a call that failed at once tells of no return.
+	if r.run++; r.cold && r.back == 0 && sent > r.failSent {
+		r.back, r.cold = s.now, !r.slight || s.part(r.gate)*s.set.WarmWithin.Seconds() > 1
 	}
 	s.creep(g)
 }
@@ -555,9 +563,6 @@
 			long = d
 		}
 	}
-	if long == nil {
-		return
-	}
 	for i := len(long.queue) - 1; i >= 0; i-- {
 		if m := long.queue[i]; s.mayDrop(m) {
 			s.refuse(m)
@@ -776,7 +781,6 @@
 }
 
 // release refuses what waits for nothing: messages of a destination that opens only after their deadlines.
-// The client may come again elsewhere, to a sender that was told less.
 func (s *Sender) release(d *dest) {
 	for i := len(d.queue) - 1; i >= 0; i-- {
 		if m := d.queue[i]; d.opens < math.MaxInt64 && d.opens >= m.deadline && s.mayDrop(m) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -793,3 +793,58 @@
 		t.Error("a message for another destination had the closed one looked at again")
 	}
 }
+
+// A told wait that means shut, at one route, puts all routes of its limit in doubt: at its end none of them is free.
+func TestAShutDestinationIsDoubtedWhole(t *testing.T) {
+	set := settings()
+	set.WarmWithin = 20 * time.Second
+	d := newDesk(t, set, Listing{Route: "a", Weight: 8}, Listing{Route: "b", Weight: 8})
+	d.s.learn(d.s.routes["a"], sample{outcome: Full, wait: 2 * longWait, sent: d.s.now}, 0)
+	for _, name := range []string{"a", "b"} {
+		if !d.s.routes[name].cold {
+			t.Errorf("route %s is not in doubt", name)
+		}
+	}
+}
+
+// The answer to a call that was sent before one that failed at once begins no warm-up; that to a later call does, and to any after a loss.
+func TestAnswersToEarlierCallsBeginNoWarmUp(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome Outcome
+		sent    time.Duration // of the answered call, after the failed ones
+		begins  bool
+	}{{"error", Error, -time.Second, false}, {"error", Error, time.Second, true}, {"refused connection", ConnectFailed, -time.Second, false}, {"lost", Reset, -time.Second, true}} {
+		d := newDesk(t, settings(), Listing{Route: "a", Weight: 8})
+		r, failed := d.s.routes["a"], d.s.now+time.Minute
+		d.s.now = failed
+		for range streakDoubt {
+			d.s.learn(r, sample{outcome: c.outcome, sent: failed}, 0)
+		}
+		if d.s.now += 2 * time.Second; !r.cold {
+			t.Fatalf("%s: not in doubt", c.name)
+		}
+		if d.s.delivered(r, failed+c.sent, time.Second); (r.back > 0) != c.begins {
+			t.Errorf("%s, an answer to a call sent %v after it: warm-up began %v", c.name, c.sent, r.back > 0)
+		}
+	}
+}
+
+// One delivery clears the slight doubt of a sender whose part is under a call in a warm-up; of others it begins the warm-up.
+func TestSlightDoubtOfThinPartsAlone(t *testing.T) {
+	for _, c := range []struct {
+		limit float64
+		cold  bool
+	}{{2, false}, {40, true}} {
+		set := settings()
+		set.Senders, set.WarmWithin, set.OverloadWindow = 300, 20*time.Second, 3*time.Second
+		d := newDesk(t, set, Listing{Route: "a", Weight: c.limit})
+		r := d.s.routes["a"]
+		d.s.now += time.Minute
+		d.s.learn(r, sample{outcome: Error, sent: d.s.now}, 0)
+		d.s.now += time.Second
+		if d.s.delivered(r, d.s.now, time.Second); r.cold != c.cold {
+			t.Errorf("limit %v: in doubt after a delivery %v", c.limit, r.cold)
+		}
+	}
+}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -12,7 +12,7 @@
 // The state of a Sender as bytes, for recordings that begin in mid-life: one description for both directions.
 
 // snapshotForm is raised with every change of what follows: one of another form is refused.
-const snapshotForm = 6
+const snapshotForm = 7
 
 // Snapshot appends the Sender's state, between two steps, to buf. Equal states give equal bytes.
 func (s *Sender) Snapshot(buf []byte) []byte {
@@ -95,7 +95,7 @@
 		c.Bools(&g.separate, &g.shared)
 		c.Ints(&g.kind, &g.out, &g.streak, &g.tights, &g.rights)
 		c.Floats(&g.pace, &g.ceiling, &g.tokens, &g.credit, &g.limit, &g.got, &g.share)
-		c.Times(&g.wait, &g.halvedAt, &g.creptAt, &g.tokensAt, &g.coldAt, &g.coldLeft, &g.gotAt, &g.rightsEnd, &g.askedAt)
+		c.Times(&g.wait, &g.halvedAt, &g.creptAt, &g.tokensAt, &g.coldAt, &g.coldLeft, &g.failSent, &g.gotAt, &g.rightsEnd, &g.askedAt)
 		archive.List(c, &g.sent, func(at *time.Duration) { c.Times(at) })
 	})
 }
@@ -105,7 +105,7 @@
 	c.Ints(&r.Destination, &r.Kind, &r.Zone, &r.run, &r.streak, &r.refusals)
 	c.Floats(&r.Weight)
 	c.Bools(&r.InService, &r.Gone, &r.down, &r.cold, &r.slight, &r.lost)
-	c.Times(&r.skipUntil, &r.skipLen, &r.back, &r.refusedAt, &r.okAt, &r.okSent, &r.mean, &r.dev)
+	c.Times(&r.skipUntil, &r.skipLen, &r.failSent, &r.back, &r.refusedAt, &r.okAt, &r.okSent, &r.mean, &r.dev)
 	archive.Uint(c, &r.lot)
 	archive.Uint(c, &r.recent)
 	s.codeGate(c, &r.gate)
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,7 @@
 	sent     []time.Duration // sends of the last second
 	credit   float64         // calls that routes in doubt may take now, as of coldAt; one at most
 	coldAt   time.Duration
+	failSent time.Duration // latest send of a call that failed at once
 	coldLeft time.Duration // when a route in doubt last left the list; long ago if none
 	limit    float64       // reported, calls a second
 	got      float64       // own deliveries a second, in the mean, as of gotAt
@@ -56,7 +57,8 @@
 	cold      bool          // may be in an outage or coming back from one
 	lost      bool          // an answer was, and none came since
 	slight    bool          // on one failure alone: one delivery clears it
-	back      time.Duration // first delivery since the last failure while cold; 0: none yet
+	failSent  time.Duration // gate's, as of the last doubt
+	back      time.Duration // first delivery of a call sent since then, while cold; 0: none yet
 	run       int           // deliveries in a row since the last doubt
 	streak    int           // failures in a row
 	recent    uint8         // last 8 deliveries, errors and failed connections, a bit set for a failure
