--- a/policy/policy.go
+++ b/policy/policy.go
@@ -557,7 +557,9 @@
 	if s.set.MaxHeld <= 0 || s.held <= int(roomShare*float64(s.set.MaxHeld)) {
 		return
 	}
-	long := slices.MaxFunc(s.active, func(a, b *dest) int { return cmp.Or(len(a.queue)-len(b.queue), b.id-a.id) })
+	long := slices.MaxFunc(s.active, func(a, b *dest) int {
+		return cmp.Or(len(a.queue)-len(b.queue), b.id-a.id)
+	})
 	for i := len(long.queue) - 1; i >= max(0, len(long.queue)-scanDepth); i-- {
 		if m := long.queue[i]; s.mayDrop(m) {
 			s.refuse(m)
@@ -587,7 +589,8 @@
 		if c.ok {
 			o = OK
 		}
-		short := (o == Timeout || o == ConnectFailed) && c.cut < c.sent+min(leastExpect, cmp.Or(m.class.Aim, leastExpect))
+		due := c.sent + min(leastExpect, cmp.Or(m.class.Aim, leastExpect))
+		short := (o == Timeout || o == ConnectFailed) && c.cut < due
 		s.learn(r, sample{outcome: o, wait: e.Wait, sent: c.sent, short: short}, e.Took)
 	}
 	s.touch(m.dest)
