Emulator: one list for all relays, and modules that are told of what there is work for

Each relay kept a map of all endpoints and its module was told of all of them: 1.2 KB for each pair of relay and destination, with traffic or without. Changes of the list are numbered now; what a relay holds of an entry follows from the last change that it heard. Lists of more than catalog.WholeMost entries are told by destination, as the relay will. Places of a destination, relays and endpoints are found by name without a search, plans of troubles in time that grows with the world, connections of a host without a look at all relays.

--- /dev/null
+++ b/cmd/emulate/faults.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/cli"
+	"onyxroad.dev/onyxroad/internal/emulate"
+	"onyxroad.dev/onyxroad/internal/judge"
+	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/internal/scenario"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+type faultsCommand struct {
+	Fault        string        `arg:"" enum:"changes,outages,zone,restarts" help:"changes: of the list, spread over the length. outages: destinations down together, a tenth of them back in one instant. zone: one of 19 zones of relays gone at once. restarts: a twentieth of the relays within a minute."`
+	Relays       []int         `help:"Numbers of relays: one world for each." default:"40"`
+	Destinations int           `help:"Destinations, of two endpoints each." default:"2500"`
+	Count        int           `help:"Of changes or outages." default:"60"`
+	Rate         float64       `help:"Messages a second, of all clients." default:"200"`
+	Length       time.Duration `help:"Virtual time." default:"1m"`
+	Away         time.Duration `help:"zone: how long its relays are gone." default:"15s"`
+	Mutant       string        `help:"Play it with a relay that has this wrong about it." placeholder:"NAME"`
+	Seed         uint64        `default:"1"`
+}
+
+// The parts of a fault's day.
+const (
+	replaceSteps = 3 // changes that replace an endpoint: a new one is listed, the old one drains, and is gone
+	zones        = 19
+	backShare    = 10 // one in so many is back
+	restartShare = 0.05
+	restartSpan  = time.Minute
+	sendsWithin  = time.Second // that may still leave for an endpoint after its drain was heard
+)
+
+// file is the world of a fault, and when it begins and ends.
+func (c *faultsCommand) file(relays int) (f scenario.File, begin, end time.Duration) {
+	d := func(x time.Duration) scenario.Duration { return scenario.Duration(x) }
+	f = scaleScenario(relays, c.Destinations, c.Rate, c.Length)
+	begin, end = c.Length/3, c.Length*2/3
+	switch c.Fault {
+	case "changes":
+		begin, end = 0, c.Length
+		endpoints := c.Destinations * f.Destinations[0].Endpoints
+		share := math.Nextafter(float64(c.Count/replaceSteps)/float64(endpoints), 0) // rounded up to the count by the plan
+		f.Troubles = []scenario.Trouble{{Kind: scenario.Draining, At: d(time.Second), For: d(c.Length - 10*time.Second), Share: share, Replace: true, Batch: 1}}
+	case "outages":
+		var down []int
+		for i := range c.Count {
+			down = append(down, 1+i*c.Destinations/c.Count)
+		}
+		back := (c.Count + backShare - 1) / backShare
+		f.Troubles = []scenario.Trouble{
+			{Kind: scenario.Death, At: d(begin), For: d(end - begin), Destinations: down[:back]},
+			{Kind: scenario.Death, At: d(begin), For: d(c.Length - begin), Destinations: down[back:]},
+		}
+	case "zone":
+		f.Zones = nil
+		for i := range zones {
+			f.Zones = append(f.Zones, fmt.Sprintf("z%d", i+1))
+		}
+		f.Destinations[0].Zones = nil
+		end = begin + c.Away
+		f.Troubles = []scenario.Trouble{{Kind: scenario.Kill, At: d(begin), Zone: "z1"}}
+	case "restarts":
+		end = begin + min(restartSpan, c.Length/3)
+		count := math.Ceil(restartShare * float64(relays))
+		f.Troubles = []scenario.Trouble{{Kind: scenario.Term, At: d(begin), Share: restartShare, Stagger: d(time.Duration(float64(end-begin) / count))}}
+	}
+	f.SetDefaults()
+	return f, begin, end
+}
+
+// Run plays the fault in a world for each number of relays.
+func (c *faultsCommand) Run(ctx context.Context, s *cli.Streams) error {
+	wrong, err := mutant(c.Mutant)
+	if err != nil {
+		return err
+	}
+	held := true
+	for _, n := range c.Relays {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		f, begin, end := c.file(n)
+		if err := f.CheckFor(scenario.EmulatorBounds); err != nil {
+			return err
+		}
+		watch := &faultWatch{relays: n, begin: begin, end: end, plan: f.DrawWorld(c.Seed)}
+		watch.init()
+		opts := watch.options()
+		opts.Wrong = wrong
+		if c.Fault == "zone" {
+			opts.StartAfter = c.Away
+		}
+		began := time.Now()
+		if watch.w, err = emulate.New(watch.plan, opts); err != nil {
+			return err
+		}
+		peak, stop := watchMemory()
+		err := watch.w.Play()
+		if stop(); err != nil {
+			return err
+		}
+		took := time.Since(began)
+		fmt.Fprintf(s.Out, "%s: %d relays, %d destinations, %v of virtual time, %d messages in %.1f s, %.0f a second; peak %.0f MB\n", c.Fault, n, c.Destinations, c.Length,
+			watch.w.Offered, took.Seconds(), float64(watch.w.Offered)/took.Seconds(), float64(peak.Load())/1e6)
+		held = watch.tell(s) && held
+	}
+	if !held {
+		return exit(exitBroken)
+	}
+	return nil
+}
+
+// faultWatch measures a fault as it is played.
+type faultWatch struct {
+	w          *emulate.World
+	plan       scenario.Plan
+	relays     int
+	begin, end time.Duration
+
+	changes map[heardChange]*spread
+	order   []heardChange
+	drained map[string][]time.Duration // by route: when each relay heard that it takes nothing new; 0: it has not
+	late    int                        // sends after that and sendsWithin
+
+	dest   map[string]int              // of a route
+	out    map[int][2]time.Duration    // destinations that are down, from and to
+	spent  int                         // sends to them
+	by     map[int]int                 // by relay
+	found  map[[2]int]struct{}         // pairs of relay and destination that spent some
+	back   struct{ asked, served int } // messages for those that came back, since
+	killed int
+}
+
+type heardChange struct{ route, state string }
+
+// spread is how a change has come to the relays.
+type spread struct {
+	told, last time.Duration
+	heard      int
+}
+
+func (x *faultWatch) init() {
+	x.changes, x.drained = map[heardChange]*spread{}, map[string][]time.Duration{}
+	x.dest, x.out, x.by, x.found = map[string]int{}, map[int][2]time.Duration{}, map[int]int{}, map[[2]int]struct{}{}
+	for _, e := range x.plan.Endpoints {
+		x.dest[e.ID] = e.Dest
+	}
+	places := map[string]int{}
+	for _, p := range x.plan.Places {
+		places[p.Name] = p.Dest
+	}
+	for _, step := range x.plan.Steps {
+		switch state := map[scenario.Op]string{scenario.OpList: record.StateReady, scenario.OpDrain: record.StateDraining, scenario.OpGone: record.StateGone}[step.Op]; {
+		case state != "":
+			c := heardChange{step.Target, state}
+			x.changes[c] = &spread{told: step.At}
+			x.order = append(x.order, c)
+		case step.Op == scenario.OpDown:
+			x.out[places[step.Target]] = [2]time.Duration{step.At, math.MaxInt64}
+		case step.Op == scenario.OpBack:
+			d := places[step.Target]
+			x.out[d] = [2]time.Duration{x.out[d][0], step.At}
+		case step.Op == scenario.OpKill || step.Op == scenario.OpTerm:
+			x.killed++
+		}
+	}
+}
+
+func (x *faultWatch) options() emulate.Options {
+	return emulate.Options{
+		ZoneLatency: 2 * time.Millisecond,
+		Heard: func(relay int, route, state string) {
+			s := x.changes[heardChange{route, state}]
+			s.heard++
+			if s.last = x.w.Now(); state == record.StateReady {
+				return
+			}
+			if x.drained[route] == nil {
+				x.drained[route] = make([]time.Duration, x.relays)
+			}
+			if x.drained[route][relay] == 0 {
+				x.drained[route][relay] = x.w.Now()
+			}
+		},
+		Stepped: func(relay int, _ time.Duration, _ []policy.Event, acts []policy.Action) {
+			if x.w == nil {
+				return // its relays have begun; nothing was handed in yet
+			}
+			now := x.w.Now()
+			for _, a := range acts {
+				if a.Kind != policy.Send {
+					continue
+				}
+				if at := x.drained[a.Route]; at != nil && at[relay] > 0 && now > at[relay]+sendsWithin+judge.Slack {
+					x.late++
+				}
+				d := x.dest[a.Route]
+				if out, ok := x.out[d]; ok && now >= out[0] && now < out[1] {
+					x.spent++
+					x.by[relay]++
+					x.found[[2]int{relay, d}] = struct{}{}
+				}
+			}
+		},
+		Asked: func(_, dest int) {
+			if x.returned(dest, x.w.Now()) {
+				x.back.asked++
+			}
+		},
+		Delivered: func(dest int, asked, _ time.Duration) {
+			if x.returned(dest, asked) {
+				x.back.served++
+			}
+		},
+	}
+}
+
+// returned tells whether a destination that was down is back in the world's length.
+func (x *faultWatch) returned(dest int, at time.Duration) bool {
+	out, ok := x.out[dest]
+	return ok && out[1] < x.plan.File.Length.D() && at >= out[1]
+}
+
+// tell prints what was measured; false if a rule was broken or a relay does not have a change.
+func (x *faultWatch) tell(s *cli.Streams) bool {
+	share := func(from, to time.Duration) float64 { return x.w.Between(from, to) }
+	fmt.Fprintf(s.Out, "  worth served: before %.4f, meanwhile %.4f, after %.4f; destinations pushed over: %d\n", share(0, x.begin), share(x.begin, x.end),
+		share(x.end, x.plan.File.Length.D()), x.w.Fell)
+	held := x.w.Fell == 0
+	if len(x.order) > 0 {
+		var all []time.Duration
+		missing := 0
+		for _, c := range x.order {
+			s := x.changes[c]
+			if s.heard != x.relays {
+				missing++
+				continue
+			}
+			all = append(all, s.last-s.told)
+		}
+		slices.Sort(all)
+		at := func(share float64) time.Duration {
+			if len(all) == 0 {
+				return 0
+			}
+			return all[int(share*float64(len(all)-1))].Round(time.Millisecond)
+		}
+		fmt.Fprintf(s.Out, "  %d changes; %d that some relay does not have; the last relay has one after %v in the median, %v at most\n", len(x.order), missing, at(0.5), at(1))
+		fmt.Fprintf(s.Out, "  sends more than %v after the relay had heard that an endpoint takes nothing new: %d\n", sendsWithin, x.late)
+		held = held && missing == 0 && x.late == 0
+	}
+	if len(x.out) > 0 {
+		most := 0
+		for _, n := range x.by {
+			most = max(most, n)
+		}
+		fmt.Fprintf(s.Out, "  %d destinations down: %d calls to them, %.2f a destination, %.2f a relay (%d at most); %d pairs of relay and destination made one\n", len(x.out), x.spent,
+			float64(x.spent)/float64(len(x.out)), float64(x.spent)/float64(x.relays), most, len(x.found))
+		fmt.Fprintf(s.Out, "  of %d messages asked for after the return of theirs %d were served: %.4f\n", x.back.asked, x.back.served, float64(x.back.served)/float64(max(1, x.back.asked)))
+	}
+	if x.killed > 0 {
+		fmt.Fprintf(s.Out, "  %d relays ended\n", x.killed)
+	}
+	return held
+}
--- a/cmd/emulate/main.go
+++ b/cmd/emulate/main.go
@@ -8,6 +8,7 @@
 //	emulate check [flags]                plays tiny worlds through all orders of events, up to a bound
 //	emulate power [flags]                which scenarios and worlds tell a broken relay from a sound one
 //	emulate scale [flags]                how service and cost go with the number of relays
+//	emulate faults [flags] FAULT         what a fault costs in a large world, and when all relays know
 //
 // It exits with 0 if all went well and no rule was broken, 1 if one was, 2 if the command itself failed, 3 if a judged run
 // proves nothing.
@@ -21,8 +22,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"runtime"
-	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -62,6 +61,7 @@
 	Check      checkCommand      `cmd:"" help:"Play tiny worlds through all orders of events, up to a bound."`
 	Power      powerCommand      `cmd:"" help:"Tell which scenarios and worlds convict which broken relays."`
 	Scale      scaleCommand      `cmd:"" help:"Tell how service and cost go with the number of relays."`
+	Faults     faultsCommand     `cmd:"" help:"Play a fault in a large world, and measure what it costs."`
 }
 
 func command(ctx context.Context, args []string, stdout, stderr io.Writer) int {
@@ -333,48 +333,3 @@
 	_, err = fmt.Fprintf(s.Out, "page: %s\n", c.Out)
 	return err
 }
-
-type scaleCommand struct {
-	Relays       []int         `help:"Numbers of relays." default:"1,2,10,100"`
-	Destinations int           `help:"Destinations." default:"100"`
-	Rate         float64       `help:"Messages a second, of all clients." default:"200"`
-	Length       time.Duration `help:"Virtual time." default:"1m"`
-	Seed         uint64        `default:"1"`
-}
-
-// Run plays one world for each number of relays, with the destinations and the load as they are.
-func (c *scaleCommand) Run(ctx context.Context, s *cli.Streams) error {
-	fmt.Fprintf(s.Out, "%7s %12s %9s %9s %10s %9s %9s %8s %8s %6s %9s %12s %9s\n", "relays", "destinations", "messages", "service", "worst 10 s", "p99 s", "refused", "full",
-		"calls", "fell", "seconds", "messages/s", "MB")
-	for _, n := range c.Relays {
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		f := scaleScenario(n, c.Destinations, c.Rate, c.Length)
-		if err := f.CheckFor(scenario.EmulatorBounds); err != nil {
-			return err
-		}
-		before := heap()
-		began := time.Now()
-		w, err := emulate.New(f.DrawWorld(c.Seed), emulate.Options{ZoneLatency: 2 * time.Millisecond})
-		if err != nil {
-			return err
-		}
-		if err := w.Play(); err != nil {
-			return err
-		}
-		took := time.Since(began)
-		m := experiment.Measure(&w.Measures)
-		fmt.Fprintf(s.Out, "%7d %12d %9d %9.4f %10.4f %9.3f %9.4f %8.4f %8.3f %6d %9.1f %12.0f %9.0f\n", n, c.Destinations, w.Offered, m["service"], m["worst_10s"], m["late_p99"],
-			m["refused"], m["calls_full"], m["calls"], w.Fell, took.Seconds(), float64(w.Offered)/took.Seconds(), float64(heap()-before)/1e6)
-		runtime.KeepAlive(w)
-	}
-	return nil
-}
-
-func heap() int64 {
-	debug.FreeOSMemory()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
--- a/internal/emulate/call.go
+++ b/internal/emulate/call.go
@@ -73,8 +73,7 @@
 func (r *relay) pool(h *host) *pool {
 	p := r.pools[h]
 	if p == nil {
-		p = &pool{life: h.life}
-		r.pools[h] = p
+		p = r.addPool(h)
 	}
 	if p.life != h.life { // all its connections were reset, which the relay has seen
 		p.life, p.idle = h.life, p.idle[:0]
@@ -106,8 +105,8 @@
 // connections is how many a host has: those of calls that were written to it, and the idle ones of all relays.
 func (w *World) connections(h *host) int {
 	n := len(h.calls)
-	for _, r := range w.relays {
-		if p := r.pools[h]; p != nil && p.life == h.life {
+	for p := range h.pools {
+		if p.life == h.life {
 			n += p.open(w.Now() - w.keep())
 		}
 	}
@@ -179,6 +178,9 @@
 		c.in(2*c.latency(), func() { c.r.callEnded(c, result{outcome: policy.Reset, took: 2 * c.latency()}) })
 		return
 	}
+	if h.calls == nil {
+		h.calls = map[*call]struct{}{}
+	}
 	h.calls[c] = struct{}{}
 	life := h.life
 	w.After(c.latency(), func() {
@@ -380,6 +382,9 @@
 // attemptEnded takes the outcome of an attempt: in the journal, and for the module.
 func (r *relay) attemptEnded(c *call, a *attempt, res result) {
 	m := a.m
+	if r.large() {
+		r.working.Touch(c.host.Dest, r.now())
+	}
 	ok := res.outcome == policy.OK
 	if a.over { // cut off before; a delivery still ends the message
 		if ok {
--- a/internal/emulate/client.go
+++ b/internal/emulate/client.go
@@ -41,6 +41,9 @@
 	a.Relay %= len(w.relays)
 	x := &ask{at: w.Now(), class: a.Class, cust: a.Customer, dest: a.Dest, over: w.shares.Over(a.Customer, w.Now())}
 	w.asked(x)
+	if w.opts.Asked != nil {
+		w.opts.Asked(a.Relay, a.Dest)
+	}
 	if a.ID == "" && w.opts.Record {
 		w.ids++
 		a.ID = fmt.Sprintf("m%d", w.ids)
--- a/internal/emulate/measures.go
+++ b/internal/emulate/measures.go
@@ -28,6 +28,7 @@
 	Fell        int // places pushed over
 	Steps       int // of modules
 	Events      int // told to them
+	Woken       int // destinations that modules were told of when there was work for them
 
 	classes []record.Class
 	worth   []float64 // asked for, in each second
--- a/internal/emulate/relay.go
+++ b/internal/emulate/relay.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/catalog"
 	"onyxroad.dev/onyxroad/internal/record"
 	"onyxroad.dev/onyxroad/internal/scenario"
 	"onyxroad.dev/onyxroad/internal/standing"
@@ -18,7 +19,7 @@
 	frontNotices  = 300 * time.Millisecond  // from SIGTERM until clients make no new connections
 	sendFor       = 2200 * time.Millisecond // no new calls after this
 	endBy         = 3300 * time.Millisecond
-	startAfter    = 600 * time.Millisecond // from the end of a process to the next
+	startAfter    = 600 * time.Millisecond // from the end of a process to the next, unless Options say otherwise
 	readyAfter    = 60 * time.Millisecond  // from its start until it serves
 	standingEvery = 250 * time.Millisecond
 	keepShare     = 0.8 // of the hosts' keep-alive: how long the relay keeps an idle connection
@@ -38,40 +39,43 @@
 	seed   uint64
 	module Module
 
-	life     int  // of its process: what was planned for an earlier one does nothing
-	up       bool // the process runs
-	takes    bool // messages
-	noSends  bool
-	ending   bool
-	epoch    time.Duration // the module's time 0
-	pending  []policy.Event
-	later    []policy.Event // buffer
-	ins      []*handIn
-	asked    []*call // that ask whether they may still leave
-	last     time.Duration
-	planned  bool
-	tick     func() // steps, if the process is still the same
-	wakeAt   time.Duration
-	msgs     map[uint32]*message
-	lastID   uint32
-	held     int
-	calling  map[*call]struct{}
-	pools    map[*host]*pool
-	stood    []standing.Record // as the journal has it
-	standsAt time.Duration
-	journal  journal
-	clocks   clocks
-	frozen   bool // the process is stopped
+	life      int  // of its process: what was planned for an earlier one does nothing
+	up        bool // the process runs
+	takes     bool // messages
+	noSends   bool
+	ending    bool
+	epoch     time.Duration // the module's time 0
+	pending   []policy.Event
+	later     []policy.Event // buffer
+	ins       []*handIn
+	asked     []*call // that ask whether they may still leave
+	last      time.Duration
+	planned   bool
+	tick      func() // steps, if the process is still the same
+	wakeAt    time.Duration
+	msgs      map[uint32]*message
+	lastID    uint32
+	held      int
+	calling   map[*call]struct{}
+	pools     map[*host]*pool
+	poolsMost int               // pools that may be kept before those without connections are forgotten
+	stood     []standing.Record // as the journal has it
+	standsAt  time.Duration
+	journal   journal
+	clocks    clocks
+	frozen    bool // the process is stopped
 
 	fleet       *fleetMember // nil: relays tell each other nothing
 	incarnation uint64       // of its lives in the fleet, which outlasts the process
 
 	// Discovery's agent, and what waits for the process.
-	view    map[string]policy.Listing
+	heard   int                 // changes of the list
+	entries int                 // that the list has for it
+	working *catalog.WorkingSet // of what its module is told of; nil: of all
 	due     time.Duration
 	late    time.Duration
 	hushed  bool
-	unsaid  []func()
+	unsaid  []*change
 	waiting []*try
 }
 
@@ -123,22 +127,15 @@
 func newRelay(w *World, n int) (*relay, error) {
 	r := &relay{
 		w: w, n: n, name: scenario.RelayName(n + 1), zone: n % len(w.plan.File.Zones), wrong: w.opts.Wrong, seed: w.plan.Seed*1000 + uint64(n),
-		msgs: map[uint32]*message{}, view: map[string]policy.Listing{},
+		msgs: map[uint32]*message{}, entries: w.entries,
 	}
-	r.dies = slices.ContainsFunc(w.plan.Steps, func(s scenario.Step) bool {
-		return (s.Op == scenario.OpTerm || s.Op == scenario.OpKill) && s.Target == r.name
-	})
+	r.dies = w.dying[r.name]
 	r.undoes = r.wrong.lag() > 0 || w.opts.Machines && w.opts.Sync != SyncAlways
 	r.set = Settings(w.plan.File)
 	if w.opts.Settings != nil {
 		w.opts.Settings(&r.set)
 	}
 	r.wrong.settings(&r.set)
-	for _, e := range w.plan.Endpoints {
-		if !e.Later {
-			r.view[e.ID] = w.listing(e, record.StateReady)
-		}
-	}
 	_, err := policy.New(r.set, r.seed)
 	return r, err
 }
@@ -155,14 +152,6 @@
 	return module
 }
 
-func (w *World) listing(e scenario.Endpoint, state string) policy.Listing {
-	return policy.Listing{
-		Route: e.ID, Destination: e.Dest, Zone: slices.Index(w.plan.File.Zones, e.Zone), Weight: e.Weight,
-		Kind:      slices.IndexFunc(w.plan.File.Kinds, func(k scenario.Kind) bool { return k.Name == e.Kind }),
-		InService: state == record.StateReady, Gone: state == record.StateGone,
-	}
-}
-
 // now is the module's time.
 func (r *relay) now() time.Duration { return r.w.Now() - r.epoch }
 
@@ -191,7 +180,8 @@
 			r.step()
 		}
 	}
-	r.calling, r.pools = map[*call]struct{}{}, map[*host]*pool{}
+	r.calling = map[*call]struct{}{}
+	r.dropPools()
 	r.module = r.wrong.module(r.decides(r.seed+uint64(r.life)<<32), r)
 	if r.frozen = false; w.fleet != nil {
 		r.fleet = w.fleet.join(r)
@@ -215,11 +205,17 @@
 
 // resume tells the module of the list, of how hosts stood, and of the messages that the journal holds, in one step.
 func (r *relay) resume() {
-	whole := policy.Event{Kind: policy.ListWhole}
-	for _, id := range slices.Sorted(maps.Keys(r.view)) {
-		whole.List = append(whole.List, r.view[id])
+	var evs []policy.Event
+	if r.working = nil; r.entries > r.w.opts.WholeMost {
+		r.working = catalog.NewWorkingSet(r.set.WarmWithin)
+		for _, x := range r.stood {
+			if h := r.w.hosts[x.Route]; h != nil {
+				evs = r.wake(evs, h.Dest)
+			}
+		}
+	} else {
+		evs = append(evs, policy.Event{Kind: policy.ListWhole, List: r.w.whole(r.heard)})
 	}
-	evs := []policy.Event{whole}
 	evs = append(evs, standing.Events(r.stood, r.wall(), r.set.WarmWithin)...)
 	r.wrong.restored(r)
 	r.held = 0
@@ -237,7 +233,7 @@
 			if len(m.mayRun) > 0 {
 				e.Resumed.Ran, e.Resumed.RanZone, e.Resumed.RanAgo = true, m.mayRun[0].zone, r.clocks.ago(m.mayRun[0], r.w.Now())
 			}
-			evs = append(evs, e)
+			evs = append(r.wake(evs, m.dest), e)
 		}
 	}
 	r.pending = evs
@@ -287,7 +283,7 @@
 	r.pending, r.ins, r.asked = r.later[:0], nil, nil
 	ins = r.accept(ins)
 	for _, in := range ins {
-		evs = append(evs, r.taken(in.m))
+		evs = append(r.wake(evs, in.m.dest), r.taken(in.m))
 	}
 	var acts []policy.Action
 	if !r.noSends {
@@ -312,6 +308,7 @@
 			r.callEnded(c, result{outcome: policy.Moot})
 		}
 	}
+	r.rest()
 	r.keepStanding()
 	r.idle()
 }
@@ -400,7 +397,7 @@
 			})
 		case policy.CloseIdle:
 			if h := w.hosts[a.Route]; h != nil {
-				delete(r.pools, h)
+				r.dropPool(h)
 			}
 		}
 	}
@@ -439,7 +436,7 @@
 	w := r.w
 	h := w.hosts[a.Route]
 	most := 1
-	if k := r.view[a.Route].Kind; k >= 0 && k < len(r.set.Kinds) {
+	if k := r.kindOf(h); k >= 0 && k < len(r.set.Kinds) {
 		most = max(1, r.set.Kinds[k].PerCall)
 	}
 	var c *call
@@ -594,46 +591,13 @@
 	for _, c := range r.sortedCalls() {
 		c.closed()
 	}
-	w.After(startAfter, r.start)
+	w.After(w.opts.StartAfter, r.start)
 }
 
 func (r *relay) sortedCalls() []*call {
 	return slices.SortedFunc(maps.Keys(r.calling), func(a, b *call) int { return int(int64(a.num) - int64(b.num)) })
 }
 
-// Discovery's agent.
-
-// news is a change of the list that has come to the relay's agent.
-func (r *relay) news(h *host, state string) {
-	if r.hushed {
-		r.unsaid = append(r.unsaid, func() { r.news(h, state) })
-		return
-	}
-	l := r.w.listing(h.Endpoint, state)
-	if l.Gone {
-		delete(r.view, h.ID)
-		delete(r.pools, h)
-	} else {
-		r.view[h.ID] = l
-	}
-	if !r.up {
-		return // the next process begins with it
-	}
-	r.w.see(record.Event{Kind: record.Told, Relay: r.name, Host: h.ID, State: state, Dest: h.Dest})
-	r.tell(policy.Event{Kind: policy.ListChanges, List: []policy.Listing{l}})
-}
-
-func (r *relay) hush(on bool) {
-	if r.hushed = on; on {
-		return
-	}
-	unsaid := r.unsaid
-	r.unsaid = nil
-	for _, say := range unsaid {
-		say()
-	}
-}
-
 // journal is what of a relay's memory outlasts it. All of it does, but for what a death undoes.
 type journal struct{ undo []undone }
 
