--- a/cmd/emulate/faults.go
+++ b/cmd/emulate/faults.go
@@ -22,7 +22,9 @@
 	Count        int           `help:"Of changes or outages." default:"60"`
 	Rate         float64       `help:"Messages a second, of all clients." default:"200"`
 	Length       time.Duration `help:"Virtual time." default:"1m"`
+	Struck       float64       `help:"outages: messages a second for each destination struck, beside the others." default:"3"`
 	Away         time.Duration `help:"zone: how long its relays are gone." default:"15s"`
+	Judged       bool          `help:"Judge it by the six rules, too: takes room for the record."`
 	Mutant       string        `help:"Play it with a relay that has this wrong about it." placeholder:"NAME"`
 	Seed         uint64        `default:"1"`
 }
@@ -41,6 +43,7 @@
 func (c *faultsCommand) file(relays int) (f scenario.File, begin, end time.Duration) {
 	d := func(x time.Duration) scenario.Duration { return scenario.Duration(x) }
 	f = scaleScenario(relays, c.Destinations, c.Rate, c.Length)
+	f.Kinds[0] = scenario.Kind{Name: "store", Pace: d(500 * time.Millisecond), Spread: 0.5, Slots: 5} // ten calls a second an endpoint
 	begin, end = c.Length/3, c.Length*2/3
 	switch c.Fault {
 	case "changes":
@@ -58,6 +61,7 @@
 			{Kind: scenario.Death, At: d(begin), For: d(end - begin), Destinations: down[:back]},
 			{Kind: scenario.Death, At: d(begin), For: d(c.Length - begin), Destinations: down[back:]},
 		}
+		f.Traffic = append(f.Traffic, scenario.Traffic{Rate: c.Struck * float64(c.Count), Destinations: down})
 	case "zone":
 		f.Zones = nil
 		for i := range zones {
@@ -86,30 +90,11 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		f, begin, end := c.file(n)
-		if err := f.CheckFor(scenario.EmulatorBounds); err != nil {
+		ok, err := c.play(s, n, func(o *emulate.Options) { o.Wrong = wrong })
+		if err != nil {
 			return err
 		}
-		watch := &faultWatch{relays: n, begin: begin, end: end, plan: f.DrawWorld(c.Seed)}
-		watch.init()
-		opts := watch.options()
-		opts.Wrong = wrong
-		if c.Fault == "zone" {
-			opts.StartAfter = c.Away
-		}
-		began := time.Now()
-		if watch.w, err = emulate.New(watch.plan, opts); err != nil {
-			return err
-		}
-		peak, stop := watchMemory()
-		err := watch.w.Play()
-		if stop(); err != nil {
-			return err
-		}
-		took := time.Since(began)
-		fmt.Fprintf(s.Out, "%s: %d relays, %d destinations, %v of virtual time, %d messages in %.1f s, %.0f a second; peak %.0f MB\n", c.Fault, n, c.Destinations, c.Length,
-			watch.w.Offered, took.Seconds(), float64(watch.w.Offered)/took.Seconds(), float64(peak.Load())/1e6)
-		held = watch.tell(s) && held
+		held = held && ok
 	}
 	if !held {
 		return exit(exitBroken)
@@ -117,6 +102,44 @@
 	return nil
 }
 
+// play plays the fault with so many relays, and tells whether all held.
+func (c *faultsCommand) play(s *cli.Streams, relays int, change func(*emulate.Options)) (held bool, err error) {
+	f, begin, end := c.file(relays)
+	if err := f.CheckFor(scenario.EmulatorBounds); err != nil {
+		return false, err
+	}
+	x := newFaultWatch(f.DrawWorld(c.Seed), begin, end)
+	opts := x.options()
+	if c.Fault == "zone" {
+		opts.StartAfter = c.Away
+	}
+	opts.Record = c.Judged
+	change(&opts)
+	peak, stop := watchMemory()
+	defer stop()
+	began := time.Now()
+	if x.w, err = emulate.New(x.plan, opts); err != nil {
+		return false, err
+	}
+	if err := x.w.Play(); err != nil {
+		return false, err
+	}
+	took := time.Since(began)
+	stop()
+	fmt.Fprintf(s.Out, "%s: %d relays, %d destinations, %v of virtual time, %d messages in %.1f s, %.0f a second; peak %.0f MB\n", c.Fault, relays, c.Destinations, c.Length,
+		x.w.Offered, took.Seconds(), float64(x.w.Offered)/took.Seconds(), float64(peak.Load())/1e6)
+	held = x.tell(s)
+	if c.Judged {
+		v := judge.Judge(x.w.Result())
+		for _, f := range v.Findings {
+			fmt.Fprintf(s.Out, "  %s: %s, %d cases, %d breaks\n", f.Rule, f.State, f.Exercised, f.Count)
+			held = held && f.State != judge.Broken
+		}
+		held = held && len(v.Faults) == 0
+	}
+	return held, nil
+}
+
 // faultWatch measures a fault as it is played.
 type faultWatch struct {
 	w          *emulate.World
@@ -129,13 +152,13 @@
 	drained map[string][]time.Duration // by route: when each relay heard that it takes nothing new; 0: it has not
 	late    int                        // sends after that and sendsWithin
 
-	dest   map[string]int              // of a route
-	out    map[int][2]time.Duration    // destinations that are down, from and to
-	spent  int                         // sends to them
-	by     map[int]int                 // by relay
-	found  map[[2]int]struct{}         // pairs of relay and destination that spent some
-	back   struct{ asked, served int } // messages for those that came back, since
-	killed int
+	dest  map[string]int              // of a route
+	out   map[int][2]time.Duration    // destinations that are down, from and to
+	spent int                         // sends to them
+	by    map[int]int                 // by relay
+	found map[[2]int]struct{}         // pairs of relay and destination that spent some
+	back  struct{ asked, served int } // messages for those that came back, since
+	ended int                         // relays
 }
 
 type heardChange struct{ route, state string }
@@ -146,9 +169,12 @@
 	heard      int
 }
 
-func (x *faultWatch) init() {
-	x.changes, x.drained = map[heardChange]*spread{}, map[string][]time.Duration{}
-	x.dest, x.out, x.by, x.found = map[string]int{}, map[int][2]time.Duration{}, map[int]int{}, map[[2]int]struct{}{}
+func newFaultWatch(plan scenario.Plan, begin, end time.Duration) *faultWatch {
+	x := &faultWatch{
+		plan: plan, relays: plan.File.Relays, begin: begin, end: end,
+		changes: map[heardChange]*spread{}, drained: map[string][]time.Duration{},
+		dest: map[string]int{}, out: map[int][2]time.Duration{}, by: map[int]int{}, found: map[[2]int]struct{}{},
+	}
 	for _, e := range x.plan.Endpoints {
 		x.dest[e.ID] = e.Dest
 	}
@@ -168,9 +194,10 @@
 			d := places[step.Target]
 			x.out[d] = [2]time.Duration{x.out[d][0], step.At}
 		case step.Op == scenario.OpKill || step.Op == scenario.OpTerm:
-			x.killed++
+			x.ended++
 		}
 	}
+	return x
 }
 
 func (x *faultWatch) options() emulate.Options {
@@ -233,6 +260,8 @@
 	share := func(from, to time.Duration) float64 { return x.w.Between(from, to) }
 	fmt.Fprintf(s.Out, "  worth served: before %.4f, meanwhile %.4f, after %.4f; destinations pushed over: %d\n", share(0, x.begin), share(x.begin, x.end),
 		share(x.end, x.plan.File.Length.D()), x.w.Fell)
+	fmt.Fprintf(s.Out, "  calls %d: refused %d, failed %d; not opened %d; hand-ins refused %d, unanswered %d; deferred %d, failed %d\n", x.w.Calls, x.w.CallsFull, x.w.CallsFailed,
+		x.w.NotOpened, x.w.Refused, x.w.Unanswered, x.w.Deferred, x.w.Failed)
 	held := x.w.Fell == 0
 	if len(x.order) > 0 {
 		var all []time.Duration
@@ -265,8 +294,8 @@
 			float64(x.spent)/float64(len(x.out)), float64(x.spent)/float64(x.relays), most, len(x.found))
 		fmt.Fprintf(s.Out, "  of %d messages asked for after the return of theirs %d were served: %.4f\n", x.back.asked, x.back.served, float64(x.back.served)/float64(max(1, x.back.asked)))
 	}
-	if x.killed > 0 {
-		fmt.Fprintf(s.Out, "  %d relays ended\n", x.killed)
+	if x.ended > 0 {
+		fmt.Fprintf(s.Out, "  %d relays ended\n", x.ended)
 	}
 	return held
 }
--- a/cmd/emulate/main_test.go
+++ b/cmd/emulate/main_test.go
@@ -6,6 +6,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/cli"
+	"onyxroad.dev/onyxroad/internal/emulate"
 )
 
 func do(t *testing.T, args ...string) (status int, out string) {
@@ -49,6 +53,18 @@
 		{"power --no-check --seeds 1 --scenarios half-draining --mutants drains-ignored,news-3s-late", exitHeld, "0 wrong verdicts"},
 		{"power --no-check --seeds 1 --scenarios quiet-day --mutants drains-ignored", exitBroken, "NOT CONVICTED"},
 		{"scale --relays 1,3 --destinations 5 --rate 20 --length 5s", exitHeld, "service"},
+		{"scale --worlds 3x10,2x3000 --rate 20 --length 5s", exitHeld, "B/pair"},
+		{"scale --worlds 3", exitFailed, "RELAYSxDESTINATIONS"},
+		{"scale --worlds 1x600000", exitFailed, "1200000 endpoints, 1000000 at most"},
+		{"scale --worlds 5001x10", exitFailed, "relays must be 1 to 5000"},
+		{"faults changes", exitHeld, "60 changes; 0 that some relay does not have"},
+		{"faults changes --mutant drains-ignored", exitBroken, "takes nothing new: "},
+		{"faults outages --relays 4,40", exitHeld, "pushed over: 0"},
+		{"faults outages --mutant budget-for-itself", exitBroken, "pushed over: "},
+		{"faults zone --judged", exitHeld, "3 relays ended"},
+		{"faults zone --judged --mutant restart-forgets-sends", exitBroken, "no effect happens twice: BROKEN"},
+		{"faults restarts --judged", exitHeld, "2 relays ended"},
+		{"faults restarts --judged --mutant journal-not-restored", exitBroken, "no message is lost: BROKEN"},
 		{"--help", exitHeld, "experiment"},
 	} {
 		if status, out := do(t, strings.Fields(c.args)...); status != c.status || !strings.Contains(out, c.says) {
@@ -56,3 +72,20 @@
 		}
 	}
 }
+
+// A change of the list that one relay of forty does not hear within the world's time is told.
+func TestAChangeThatOneRelayDoesNotHave(t *testing.T) {
+	var out bytes.Buffer
+	c := faultsCommand{Fault: "changes", Destinations: 2500, Count: 60, Rate: 20, Length: 30 * time.Second, Seed: 1}
+	held, err := c.play(&cli.Streams{Out: &out}, 40, func(o *emulate.Options) {
+		o.ListDelay = func(relay int) time.Duration {
+			if relay == 7 {
+				return time.Hour
+			}
+			return time.Second
+		}
+	})
+	if err != nil || held || !strings.Contains(out.String(), "60 that some relay does not have") {
+		t.Errorf("held %v, %v:\n%s", held, err, out.String())
+	}
+}
--- /dev/null
+++ b/internal/emulate/working_test.go
@@ -0,0 +1,100 @@
+package emulate
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/judge"
+	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/internal/scenario"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Of a pair of relay and destination without traffic nothing is kept. A module that is told all keeps its part.
+func TestPairsWithoutTrafficCostNothing(t *testing.T) {
+	held := func(relays, destinations, whole int) float64 {
+		f := loaded(t, "quiet-day")
+		f.Relays, f.Troubles = relays, nil
+		f.Destinations = []scenario.Destination{{Kind: f.Destinations[0].Kind, Rate: f.Destinations[0].Rate, Weight: 1, Count: destinations, Endpoints: 2, Zones: f.Zones}}
+		heap := func() float64 {
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			return float64(m.HeapAlloc)
+		}
+		before := heap()
+		w, err := New(f.DrawWorld(1), Options{WholeMost: whole})
+		if err != nil {
+			t.Fatal(err)
+		}
+		bytes := heap() - before
+		runtime.KeepAlive(w)
+		return bytes
+	}
+	const least, most = 3000, 6000
+	for _, c := range []struct {
+		relays, whole int
+		free          bool
+	}{{200, 0, true}, {20, 1_000_000, false}} {
+		more := held(c.relays, most, c.whole) - held(c.relays, least, c.whole) - held(1, most, c.whole) + held(1, least, c.whole)
+		if perPair := more / float64(c.relays-1) / (most - least); (perPair < 1) != c.free {
+			t.Errorf("%d relays, lists told whole up to %d entries: %.2f bytes a pair", c.relays, c.whole, perPair)
+		}
+	}
+}
+
+// Modules that are told of what there is work for keep the rules on all that the kit ships, serve as those that are told all, and
+// one that does not heed drains is convicted.
+func TestWorkingSetsKeepTheRules(t *testing.T) {
+	for _, name := range scenario.Shipped() {
+		f := loaded(t, name)
+		whole, working := played(t, f.Draw(1), Options{}), played(t, f.Draw(1), Options{Record: true, WholeMost: 1})
+		if rules := broken(judged(t, working)); len(rules) > 0 {
+			t.Errorf("%s: broken: %v", name, rules)
+		}
+		if a, b := whole.Whole(), working.Whole(); b < a-0.02 || working.Woken == 0 {
+			t.Errorf("%s: served %.4f, told all %.4f; %d woken", name, b, a, working.Woken)
+		}
+	}
+	v := judged(t, played(t, loaded(t, "half-draining").Draw(1), Options{Record: true, WholeMost: 1, Wrong: MutantNamed("drains-ignored")}))
+	if v.Finding(judge.Drain).State != judge.Broken {
+		t.Errorf("drains ignored: %+v", v.Finding(judge.Drain))
+	}
+}
+
+// careless lets go of what it must remember.
+type careless struct{ *policy.Sender }
+
+func (careless) Resting(int) bool { return true }
+
+// A destination that told to wait is not forgotten while it lasts, however long it is idle; a module that lets go of it is convicted.
+func TestAWaitOutlastsRest(t *testing.T) {
+	const s = scenario.Duration(time.Second)
+	for _, forgets := range []bool{false, true} {
+		opts := Options{Record: true, WholeMost: 1}
+		if forgets {
+			opts.Module = func(set policy.Settings, seed uint64) Module {
+				x, err := policy.New(set, seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return careless{x}
+			}
+		}
+		w := play(t, 1, 1, 20, 200, scenario.Kind{Pace: s / 10, Slots: 20, TellsWait: 1}, scenario.Destination{Count: 40}, opts)
+		shut := w.Places(1)[0].Name
+		w.At(10*time.Second, func() { w.Outage(shut, scenario.OpShut, 0, 60*time.Second) })
+		w.At(70*time.Second, func() { w.Back(shut) })
+		for _, at := range []time.Duration{12, 66, 72} {
+			w.At(at*time.Second, func() { w.Offer(scenario.Arrival{Dest: 1}) })
+		}
+		n := 0
+		w.Every(0, 80*time.Second, 1, func() { n++; w.Offer(scenario.Arrival{Dest: 2 + n%39}) })
+		w.run(t, 100*time.Second)
+		w.see(record.Event{Kind: record.End})
+		if f := judged(t, w.World).Finding(judge.Wait); (f.State == judge.Broken) != forgets || f.Exercised == 0 {
+			t.Errorf("forgets %v: %+v", forgets, f)
+		}
+	}
+}
