--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,7 @@
 	batchMost = 512 // events in a step
 
 	clockSlack = 10 * time.Millisecond // what two readings of a clock that is slewed may differ by
-	longAgoRan = 24 * time.Hour        // past every window in which repeats are dropped
+	longAgoRan = 24 * time.Hour        // past the usual windows in which repeats are dropped
 
 	// clockStart keeps the module's clock away from 0, which it takes for never.
 	clockStart = time.Second
@@ -109,8 +109,10 @@
 	turn    int         // of terms: later ones make earlier ones void
 
 	upgrade
+	large atomic.Bool // the list is, or was, too long to be told to the module as a whole; set by the loop
 
 	// Owned by the loop.
+	holdings
 	terms    terms.Terms
 	turnNow  int
 	callCtx  context.Context
@@ -124,25 +126,20 @@
 	standing standingState
 	msgs     map[uint32]*message
 	traces   map[string]*message
-	routes   map[string]target
-	cells    map[int]bool // destinations that the list has named
-	left     []*message   // withdrawn, may have run; by deadline, more or less
-	held     int          // messages that the module has not done with
-	out      int          // calls
+	left     []*message // withdrawn, may have run; by deadline, more or less
+	recent   recent
+	held     int // messages that the module has not done with
+	out      int // calls
 	lastID   uint32
 	wakeAt   time.Time      // zero: none asked for
 	later    []policy.Event // for the next step
-	full     bool           // the log took no new work last
+	full     trouble        // the log takes no new work
+	unlogged trouble        // nor the sends of calls
+	unlisted trouble        // entries of the list cannot be read
 
 	stopping, noSends, idled bool
 }
 
-// target is what the relay keeps of a listed host.
-type target struct {
-	policy.Listing
-	addr string
-}
-
 // New returns a relay that has read what an earlier process left in the log.
 // What is recorded into the log goes to out.
 func New(cfg Config, log *slog.Logger, out io.Writer) (*Relay, error) {
@@ -154,17 +151,18 @@
 	r := &Relay{
 		cfg: cfg, log: log, logOut: out, rec: newRecording(cfg, log, out, started, sender, 0), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
-		started: started, sender: sender, calling: map[*call]struct{}{},
-		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
-		cells: map[int]bool{}, settled: cfg.Terms, version: cfg.Known.Version,
+		started: started, sender: sender, calling: map[*call]struct{}{}, holdings: holdings{unheld: trouble{what: "no room for all hosts"}},
+		full: trouble{what: "refusing new messages"}, unlogged: trouble{what: "log not written"}, unlisted: trouble{what: "unreadable entry of the list"},
+		msgs: map[uint32]*message{}, traces: map[string]*message{}, settled: cfg.Terms, version: cfg.Known.Version,
 	}
 	r.hold(cfg.Terms)
+	r.holdKnown()
 	if cfg.Unread != nil {
 		log.Warn("starting without a list of hosts", "err", cfg.Unread)
 	}
 	// Clients hold a third of the descriptors with their requests; more is for those that are slow to leave.
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
-	r.hosts = newHosts(cfg, func(n int) { r.figures.Upstream.Add(int64(n)) })
+	r.hosts = newHosts(cfg, log, func(n int) { r.figures.Upstream.Add(int64(n)) })
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
 	r.joinFleet()
 	r.kept.Store(r.rec)
@@ -218,12 +216,7 @@
 	defer func() { stopRecording(); <-recorded }()
 	go r.loop(work)
 	go r.finals.run(lead)
-	list := watcher{
-		log: r.log, agent: r.agent, silence: watchSilence, version: r.version,
-		told: func(l List) { r.post(l) }, herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
-		known: r.listed.Load(),
-	}
-	go list.run(lead)
+	go r.newWatcher().run(lead)
 
 	accepting := make(chan struct{})
 	go func() { defer close(accepting); r.clients.run(listener) }()
@@ -248,6 +241,17 @@
 	return r.closeLog()
 }
 
+// newWatcher is what follows discovery's list for the loop.
+func (r *Relay) newWatcher() *watcher {
+	return &watcher{
+		log: r.log, agent: r.agent, silence: watchSilence, within: listFor, version: r.version, whole: r.askWhole, known: r.listed.Load(),
+		told: func(l List) { r.post(l) }, listing: r.cfg.listing,
+		long: parts{post: func(p *part) bool { return r.post(p) }, over: r.over, large: r.large.Load},
+		herd: listCaller(r.cfg), rng: rand.New(rand.NewPCG(r.cfg.Seed, 0x68657264)),
+		unread: trouble{what: "unreadable line of the watch"}, oversize: trouble{what: "list not taken"},
+	}
+}
+
 // shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
 // once more on a new connection, which is still taken; what was read is answered, and running calls may finish.
 func (r *Relay) shutDown(listener net.Listener) {
@@ -291,7 +295,7 @@
 	if len(r.cfg.Known.Entries) > 0 {
 		known := r.cfg.Known
 		known.Full = true
-		evs = append(evs, r.list(known))
+		evs = append(evs, r.list(known)...)
 	}
 	evs = append(evs, standing.Events(standing.Decode(found.Standing), r.journal.Stamp(time.Now()), r.terms.Settings.WarmWithin)...)
 	for _, w := range found.Messages {
@@ -332,6 +336,14 @@
 	r.carryOut(r.decide(r.now(), evs), nil)
 }
 
+// classOf is a message's class, if the settings still name it.
+func (r *Relay) classOf(m *journal.Message) (class policy.Class, known bool) {
+	if known = m.Class >= 0 && m.Class < len(r.terms.Settings.Classes); known {
+		class = r.terms.Settings.Classes[m.Class]
+	}
+	return class, known
+}
+
 // resumed tells the module of a message of an earlier process, in the module's own time.
 func (r *Relay) resumed(m *message) policy.Event {
 	e := r.taken(m)
@@ -341,7 +353,8 @@
 		e.Resumed.Ran, e.Resumed.RanZone = true, first.Zone
 		if e.Resumed.RanAgo = time.Since(first.At); first.Undated || e.Resumed.RanAgo < -clockSlack {
 			// The clock was set, or may have been: nobody can tell how long its host still drops a repeat.
-			e.Resumed.RanAgo = longAgoRan
+			class, _ := r.classOf(m.Message)
+			e.Resumed.RanAgo = max(longAgoRan, class.Window)
 		}
 		e.Resumed.RanAgo = max(0, e.Resumed.RanAgo)
 	}
@@ -350,8 +363,8 @@
 
 func (r *Relay) taken(m *message) policy.Event {
 	left := time.Until(m.Deadline)
-	if m.Class >= 0 && m.Class < len(r.terms.Settings.Classes) {
-		left = min(left, longest(r.terms.Settings.Classes[m.Class])) // a clock that was set back gives no more time
+	if class, known := r.classOf(m.Message); known {
+		left = min(left, longest(class)) // a clock that was set back gives no more time
 	}
 	return policy.Event{
 		Kind: policy.Taken, ID: m.ID, Key: m.Order, Class: m.Class, Customer: m.Customer, Destination: m.Dest, Left: left,
@@ -374,17 +387,17 @@
 			r.drain()
 			return
 		case e := <-r.events:
-			batch = append(batch, e)
+			if batch = r.gather(batch, e); len(batch) == 0 && len(r.later) == 0 {
+				continue // a part of a long list of which the module need not hear
+			}
 		case <-timer.C:
 		}
-		if rest := r.cfg.Tick - time.Since(last); rest > 0 {
-			time.Sleep(rest)
-		}
+		batch = r.pause(batch, r.cfg.Tick-time.Since(last))
 	more:
 		for len(batch) < batchMost {
 			select {
 			case e := <-r.events:
-				batch = append(batch, e)
+				batch = r.gather(batch, e)
 			default:
 				break more
 			}
@@ -438,7 +451,11 @@
 		case cutOff:
 			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout, took: time.Since(e.a.sent)})
 		case List:
-			evs = append(evs, r.list(e))
+			evs = append(evs, r.list(e)...)
+		case *part:
+			r.takePart(e)
+			evs = append(evs, r.later...)
+			r.later = r.later[:0]
 		case clearance:
 			asked = append(asked, e)
 		case confirmed:
@@ -515,6 +532,7 @@
 // others have their answers.
 func (r *Relay) accept(ins []*handIn) (waiting []*handIn) {
 	var ms []*journal.Message
+	now := time.Now()
 	for _, in := range ins {
 		if in.m.Service != "" {
 			// The terms may have changed since the door read them.
@@ -533,8 +551,12 @@
 			in.reply <- r.again(old)
 			continue
 		}
+		if a, ended := r.recent.again(in.m.Trace, now); old == nil && ended {
+			in.reply <- a
+			continue
+		}
 		switch {
-		case len(r.cells) > 0 && !r.cells[in.m.Dest]:
+		case r.named && !r.catalog.Named(in.m.Dest):
 			r.count(in.m, figures.Failed)
 			in.reply <- bad("no such destination: %d", in.m.Dest)
 			continue
@@ -565,14 +587,10 @@
 		in.as.fresh = false
 	}
 	if err == nil {
-		r.full = false
 		return waiting
 	}
 	// A full disk is no reason to die: what is held goes on, new work is refused.
-	if !r.full {
-		r.log.Warn("refusing new messages", "err", err)
-	}
-	r.full = true
+	r.full.came(r.log, "err", err)
 	for _, in := range waiting {
 		if m := in.as; m.Message == in.m {
 			r.held--
@@ -651,6 +669,7 @@
 // they go on as others, which know all that these did.
 func (r *Relay) forget() {
 	now := time.Now()
+	r.recent.forget(now)
 	r.left = slices.DeleteFunc(r.left, func(m *message) bool {
 		if m.next == nil && len(m.MayRun) > 0 && now.Before(m.Deadline) {
 			return false
@@ -723,59 +742,11 @@
 		delete(r.msgs, m.ID)
 		if r.traces[m.Trace] == m {
 			delete(r.traces, m.Trace)
+			r.recent.add(m)
 		}
 	}
 }
 
-// list takes a list of hosts, or changes to it. An entry that cannot be read is passed over; if it names a host
-// that is known, that host stays as it was.
-func (r *Relay) list(l List) policy.Event {
-	r.version = l.Version
-	e := policy.Event{Kind: policy.ListChanges}
-	if l.Full {
-		e.Kind = policy.ListWhole
-	}
-	routes := map[string]target{}
-	for _, raw := range l.Entries {
-		entry, addr, err := r.cfg.listing(raw)
-		if err != nil {
-			r.log.Warn("unreadable entry of the list", "entry", string(raw), "err", err)
-			if known, ok := r.routes[entry.Route]; ok {
-				routes[entry.Route] = known
-				e.List = append(e.List, known.Listing)
-			}
-			continue
-		}
-		e.List = append(e.List, entry)
-		if entry.Gone {
-			delete(r.routes, entry.Route)
-			r.hosts.closeIdle(entry.Route)
-		} else {
-			if known, ok := r.routes[entry.Route]; ok && known.addr != addr {
-				r.hosts.closeIdle(entry.Route)
-			}
-			routes[entry.Route] = target{entry, addr}
-			r.cells[entry.Destination] = true
-		}
-	}
-	for id := range r.routes {
-		if _, ok := routes[id]; l.Full && !ok {
-			r.hosts.closeIdle(id)
-		}
-	}
-	if l.Full {
-		r.routes = routes
-	} else {
-		for id, t := range routes {
-			r.routes[id] = t
-		}
-	}
-	if len(r.routes) > 0 {
-		r.listed.Store(true)
-	}
-	return e
-}
-
 // carryOut does what the module has decided: first in the log, in one write, then on the sockets.
 func (r *Relay) carryOut(acts []policy.Action, waiting []*handIn) {
 	answers := make(map[uint32]answer, len(waiting))
@@ -814,7 +785,7 @@
 		}
 	}
 	if err := r.record(calls); err != nil {
-		r.log.Warn("log not written", "calls", len(calls), "err", err)
+		r.unlogged.came(r.log, "calls", len(calls), "err", err)
 		// A send that is not in the log must not leave: after a restart it would be made again.
 		r.giveBack(calls)
 		calls = nil
@@ -837,7 +808,7 @@
 		r.unreadable(m, err)
 		return calls
 	}
-	t := r.routes[a.Route]
+	t, _ := r.catalog.Endpoint(a.Route)
 	most := 1
 	if t.Kind >= 0 && t.Kind < len(r.terms.Settings.Kinds) {
 		most = max(1, r.terms.Settings.Kinds[t.Kind].PerCall)
@@ -851,7 +822,7 @@
 		}
 	}
 	if c == nil {
-		c = &call{route: a.Route, addr: t.addr, zone: t.Zone, sent: time.Now()}
+		c = &call{route: a.Route, addr: t.Addr, zone: t.Zone, sent: time.Now()}
 		calls = append(calls, c)
 	}
 	until := r.started.Add(a.At)
