Emulator: destinations wake and rest in a step as in the relay

Changes of the list first, then what wakes in one event, then the rest, and destinations put to rest at the end; looked at each second while any are awake.

--- a/internal/emulate/call.go
+++ b/internal/emulate/call.go
@@ -382,9 +382,6 @@
 // attemptEnded takes the outcome of an attempt: in the journal, and for the module.
 func (r *relay) attemptEnded(c *call, a *attempt, res result) {
 	m := a.m
-	if r.large() {
-		r.working.Touch(c.host.Dest, r.now())
-	}
 	ok := res.outcome == policy.OK
 	if a.over { // cut off before; a delivery still ends the message
 		if ok {
--- a/internal/emulate/list.go
+++ b/internal/emulate/list.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// listed are a destination's entries after so many changes, in the order in which they were first listed.
-func (w *World) listed(dest, changes int) (all []policy.Listing) {
+// listed appends a destination's entries after so many changes, in the order in which they were first listed.
+func (w *World) listed(all []policy.Listing, dest, changes int) []policy.Listing {
 	var hosts []*host
 	for _, p := range w.Places(dest) {
 		for _, h := range p.hosts {
--- a/internal/emulate/relay.go
+++ b/internal/emulate/relay.go
@@ -72,6 +72,8 @@
 	heard   int                 // changes of the list
 	entries int                 // that the list has for it
 	working *catalog.WorkingSet // of what its module is told of; nil: of all
+	restAt  time.Duration       // destinations are looked at again then, to be put to rest
+	roused  []policy.Event      // buffer
 	due     time.Duration
 	late    time.Duration
 	hushed  bool
@@ -207,12 +209,7 @@
 func (r *relay) resume() {
 	var evs []policy.Event
 	if r.working = nil; r.entries > r.w.opts.WholeMost {
-		r.working = catalog.NewWorkingSet(r.set.WarmWithin)
-		for _, x := range r.stood {
-			if h := r.w.hosts[x.Route]; h != nil {
-				evs = r.wake(evs, h.Dest)
-			}
-		}
+		r.newWorking()
 	} else {
 		evs = append(evs, policy.Event{Kind: policy.ListWhole, List: r.w.whole(r.heard)})
 	}
@@ -233,7 +230,7 @@
 			if len(m.mayRun) > 0 {
 				e.Resumed.Ran, e.Resumed.RanZone, e.Resumed.RanAgo = true, m.mayRun[0].zone, r.clocks.ago(m.mayRun[0], r.w.Now())
 			}
-			evs = append(r.wake(evs, m.dest), e)
+			evs = append(evs, e)
 		}
 	}
 	r.pending = evs
@@ -283,10 +280,12 @@
 	r.pending, r.ins, r.asked = r.later[:0], nil, nil
 	ins = r.accept(ins)
 	for _, in := range ins {
-		evs = append(r.wake(evs, in.m.dest), r.taken(in.m))
+		evs = append(evs, r.taken(in.m))
 	}
 	var acts []policy.Action
+	buffer := evs
 	if !r.noSends {
+		evs = r.rouse(evs)
 		acts = r.module.Step(r.now(), evs)
 		w.Steps++
 		w.Events += len(evs)
@@ -297,7 +296,7 @@
 			r.fleet.step(evs, acts)
 		}
 	}
-	r.later = evs[:0]
+	r.later = buffer[:0]
 	r.carryOut(acts, ins)
 	for _, c := range asked {
 		r.clear(c)
@@ -308,7 +307,6 @@
 			r.callEnded(c, result{outcome: policy.Moot})
 		}
 	}
-	r.rest()
 	r.keepStanding()
 	r.idle()
 }
--- a/internal/emulate/working.go
+++ b/internal/emulate/working.go
@@ -1,8 +1,10 @@
 package emulate
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"onyxroad.dev/onyxroad/internal/catalog"
 	"onyxroad.dev/onyxroad/policy"
@@ -11,17 +13,27 @@
 // A list of up to Options.WholeMost entries is told to a module whole. Of a larger one it is told of a destination when there is work
 // for it, and has it taken away again once the module says that nothing is lost by that: as package relay does it.
 
-// restMost is how many destinations a relay looks at in a step, to put them to rest.
-const restMost = 16
+// The figures of package relay: how many destinations a step looks at that may be put to rest, and how often that is looked at while
+// nothing else happens.
+const (
+	restMost  = 128
+	restEvery = time.Second
+	usualWarm = 30 * time.Second // where settings tell no time to warm up
+)
 
 // rester is a module that tells whether a destination may be taken away from it: nothing that it knows of it would be missed.
 type rester interface{ Resting(dest int) bool }
 
 func (r *relay) large() bool { return r.working != nil }
 
+// newWorking begins a working set: the module knows nothing of a list that is large.
+func (r *relay) newWorking() {
+	r.working, r.restAt = catalog.NewWorkingSet(cmp.Or(r.set.WarmWithin, usualWarm)), 0
+}
+
 // becomeLarge is a list that has grown beyond what is told whole. It stays large until the process ends.
 func (r *relay) becomeLarge() {
-	r.working = catalog.NewWorkingSet(r.set.WarmWithin)
+	r.newWorking()
 	for _, l := range r.w.whole(r.heard) {
 		r.working.Wake(l.Destination, r.now())
 	}
@@ -30,38 +42,78 @@
 	}
 }
 
-// wake puts a destination's entries before what its module is told of it next, if it was at rest.
-func (r *relay) wake(evs []policy.Event, dest int) []policy.Event {
+// rouse has the module told of destinations at rest before what concerns them, and of changes of the list before all else. Then it
+// puts some to rest that have nothing to remember.
+func (r *relay) rouse(evs []policy.Event) []policy.Event {
 	if !r.large() {
 		return evs
 	}
-	if !r.working.Wake(dest, r.now()) {
-		r.working.Touch(dest, r.now())
+	w, now := r.w, r.now()
+	var woken, resting []policy.Listing
+	wake := func(dest int) {
+		if r.working.Wake(dest, now) {
+			w.Woken++
+			woken = w.listed(woken, dest, r.heard)
+		}
+	}
+	for i := range evs {
+		switch e := &evs[i]; e.Kind {
+		case policy.Taken:
+			wake(e.Destination)
+		case policy.Finished, policy.Probed:
+			if h := w.hosts[e.Route]; h != nil {
+				if r.working.Touch(h.Dest, now); e.Wait > 0 || e.Kind == policy.Probed {
+					wake(h.Dest)
+				}
+			}
+		}
+	}
+	if m, ok := r.module.(rester); ok {
+		for _, dest := range r.working.Rest(now, restMost, m.Resting) {
+			resting = w.listed(resting, dest, r.heard)
+		}
+	}
+	for i := range resting {
+		resting[i].InService, resting[i].Gone = false, true
+	}
+	r.restAgain(len(resting) > 0)
+	if len(woken)+len(resting) == 0 {
 		return evs
 	}
-	r.w.Woken++
-	if list := r.w.listed(dest, r.heard); len(list) > 0 {
-		evs = append(evs, policy.Event{Kind: policy.ListChanges, List: list})
+	out := r.roused[:0]
+	tell := func(list []policy.Listing) {
+		if len(list) > 0 {
+			out = append(out, policy.Event{Kind: policy.ListChanges, List: list})
+		}
+	}
+	isList := func(e *policy.Event) bool { return e.Kind == policy.ListChanges || e.Kind == policy.ListWhole }
+	for i := range evs {
+		if isList(&evs[i]) {
+			out = append(out, evs[i])
+		}
 	}
-	return evs
+	tell(woken)
+	for i := range evs {
+		if !isList(&evs[i]) {
+			out = append(out, evs[i])
+		}
+	}
+	tell(resting)
+	r.roused = out
+	return out
 }
 
-// rest puts destinations to rest that have been idle for long. The module is told with its next step.
-func (r *relay) rest() {
-	m, ok := r.module.(rester)
-	if !r.large() || !ok {
+// restAgain asks for a step in which more destinations are put to rest.
+func (r *relay) restAgain(more bool) {
+	if r.working.Len() == 0 || r.w.Now() < r.restAt {
 		return
 	}
-	var gone []policy.Listing
-	for _, dest := range r.working.Rest(r.now(), restMost, m.Resting) {
-		for _, l := range r.w.listed(dest, r.heard) {
-			l.InService, l.Gone = false, true
-			gone = append(gone, l)
-		}
-	}
-	if len(gone) > 0 {
-		r.pending = append(r.pending, policy.Event{Kind: policy.ListChanges, List: gone})
+	after := restEvery
+	if more {
+		after = r.w.plan.File.Settings.Tick.D()
 	}
+	r.restAt = r.w.Now() + after
+	r.in(after, r.plan)
 }
 
 // Resting passes on what the module would say.
