--- a/internal/emulate/working_test.go
+++ b/internal/emulate/working_test.go
@@ -98,3 +98,42 @@
 		}
 	}
 }
+
+// A destination that wakes stands as the relay's list has it then: what drains is not called, what has gone is not told, and what came is.
+func TestWhatWakesStandsAsListed(t *testing.T) {
+	const s = scenario.Duration(time.Second)
+	var told []policy.Listing
+	sent := map[string]int{}
+	w := play(t, 1, 1, 20, 200, scenario.Kind{Pace: s / 10, Slots: 20}, scenario.Destination{Count: 2, Endpoints: 3}, Options{
+		WholeMost: 1,
+		Stepped: func(_ int, _ time.Duration, events []policy.Event, actions []policy.Action) {
+			for _, e := range events {
+				told = append(told, e.List...)
+			}
+			for _, a := range actions {
+				if a.Kind == policy.Send {
+					sent[a.Route]++
+				}
+			}
+		},
+	})
+	hosts := w.Places(1)[0].hosts
+	w.At(3*time.Second, func() { w.Tell(hosts[0].ID, record.StateDraining) })
+	w.At(3*time.Second, func() { w.Tell(hosts[1].ID, record.StateGone) })
+	w.At(4*time.Second, func() {
+		e := hosts[2].Endpoint
+		e.ID = "s-new"
+		w.List(e)
+	})
+	load(w, 10*time.Second, 12*time.Second, 50)
+	w.run(t, 13*time.Second)
+	if len(told) != 3 || told[0].Route != hosts[0].ID || told[0].InService || told[1].Route != hosts[2].ID || told[2].Route != "s-new" || !told[2].InService {
+		t.Errorf("told %+v", told)
+	}
+	if len(sent) != 2 || sent[hosts[2].ID] == 0 || sent["s-new"] == 0 {
+		t.Errorf("sent %v", sent)
+	}
+	if w.run(t, time.Minute); w.relays[0].working.Len() != 0 {
+		t.Errorf("%d destinations awake long after the last message", w.relays[0].working.Len())
+	}
+}
