--- a/cmd/emulate/faults.go
+++ b/cmd/emulate/faults.go
@@ -36,7 +36,8 @@
 	backShare    = 10 // one in so many is back
 	restartShare = 0.05
 	restartSpan  = time.Minute
-	sendsWithin  = time.Second // that may still leave for an endpoint after its drain was heard
+	beforeUntil  = 5 * time.Second // before a fault: what is handed in later may still wait when it begins
+	sendsWithin  = time.Second     // that may still leave for an endpoint after its drain was heard
 )
 
 // file is the world of a fault, and when it begins and ends.
@@ -152,13 +153,20 @@
 	drained map[string][]time.Duration // by route: when each relay heard that it takes nothing new; 0: it has not
 	late    int                        // sends after that and sendsWithin
 
-	dest  map[string]int              // of a route
-	out   map[int][2]time.Duration    // destinations that are down, from and to
-	spent int                         // sends to them
-	by    map[int]int                 // by relay
-	found map[[2]int]struct{}         // pairs of relay and destination that spent some
-	back  struct{ asked, served int } // messages for those that came back, since
-	ended int                         // relays
+	dest   map[string]int           // of a route
+	out    map[int][2]time.Duration // destinations that are down, from and to
+	spent  int                      // sends to them
+	by     map[int]int              // by relay
+	found  map[[2]int]struct{}      // pairs of relay and destination that spent some
+	back   count                    // of messages for those that came back, since
+	others count                    // of messages for all that were never down
+	ended  int                      // relays
+}
+
+type count struct{ asked, served int }
+
+func (c count) String() string {
+	return fmt.Sprintf("%d of %d (%.4f)", c.served, c.asked, float64(c.served)/float64(max(1, c.asked)))
 }
 
 type heardChange struct{ route, state string }
@@ -237,28 +245,33 @@
 			}
 		},
 		Asked: func(_, dest int) {
-			if x.returned(dest, x.w.Now()) {
-				x.back.asked++
+			if c := x.count(dest, x.w.Now()); c != nil {
+				c.asked++
 			}
 		},
 		Delivered: func(dest int, asked, _ time.Duration) {
-			if x.returned(dest, asked) {
-				x.back.served++
+			if c := x.count(dest, asked); c != nil {
+				c.served++
 			}
 		},
 	}
 }
 
-// returned tells whether a destination that was down is back in the world's length.
-func (x *faultWatch) returned(dest int, at time.Duration) bool {
-	out, ok := x.out[dest]
-	return ok && out[1] < x.plan.File.Length.D() && at >= out[1]
+// count is where a message counts that was asked for at a time; nil: its destination was down then, or will be.
+func (x *faultWatch) count(dest int, at time.Duration) *count {
+	switch out, ok := x.out[dest]; {
+	case !ok:
+		return &x.others
+	case out[1] < x.plan.File.Length.D() && at >= out[1]:
+		return &x.back
+	}
+	return nil
 }
 
 // tell prints what was measured; false if a rule was broken or a relay does not have a change.
 func (x *faultWatch) tell(s *cli.Streams) bool {
 	share := func(from, to time.Duration) float64 { return x.w.Between(from, to) }
-	fmt.Fprintf(s.Out, "  worth served: before %.4f, meanwhile %.4f, after %.4f; destinations pushed over: %d\n", share(0, x.begin), share(x.begin, x.end),
+	fmt.Fprintf(s.Out, "  worth served: before %.4f, meanwhile %.4f, after %.4f; destinations pushed over: %d\n", share(0, x.begin-beforeUntil), share(x.begin, x.end),
 		share(x.end, x.plan.File.Length.D()), x.w.Fell)
 	fmt.Fprintf(s.Out, "  calls %d: refused %d, failed %d; not opened %d; hand-ins refused %d, unanswered %d; deferred %d, failed %d\n", x.w.Calls, x.w.CallsFull, x.w.CallsFailed,
 		x.w.NotOpened, x.w.Refused, x.w.Unanswered, x.w.Deferred, x.w.Failed)
@@ -292,7 +305,7 @@
 		}
 		fmt.Fprintf(s.Out, "  %d destinations down: %d calls to them, %.2f a destination, %.2f a relay (%d at most); %d pairs of relay and destination made one\n", len(x.out), x.spent,
 			float64(x.spent)/float64(len(x.out)), float64(x.spent)/float64(x.relays), most, len(x.found))
-		fmt.Fprintf(s.Out, "  of %d messages asked for after the return of theirs %d were served: %.4f\n", x.back.asked, x.back.served, float64(x.back.served)/float64(max(1, x.back.asked)))
+		fmt.Fprintf(s.Out, "  messages served: for those that came back, from then on, %v; for those that were never down %v\n", x.back, x.others)
 	}
 	if x.ended > 0 {
 		fmt.Fprintf(s.Out, "  %d relays ended\n", x.ended)
