--- /dev/null
+++ b/cmd/capacity/process.go
@@ -0,0 +1,433 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/capacity"
+	"onyxroad.dev/onyxroad/internal/record"
+	"onyxroad.dev/onyxroad/internal/scenario"
+	"onyxroad.dev/onyxroad/internal/standin"
+)
+
+// What is measured on a relay process with stand-ins for all that it talks to.
+
+const (
+	// The relay's memory limit, which its collector goes by: the one that it takes where none is told, and one for a backlog in memory.
+	usualMB, backlogMB = 192, 4096
+
+	readyMost = 15 * time.Second // more than a restart may take
+	settle    = time.Second
+)
+
+// errNeverReady tells of a relay that had not said that it is ready by readyMost.
+var errNeverReady = errors.New("not ready")
+
+// process is a relay with the agent of discovery beside it.
+type process struct {
+	cmd    *exec.Cmd
+	addr   string
+	folder string
+	agent  *standin.Agent
+	took   time.Duration // until ready
+}
+
+// start starts a relay whose discovery has a list. known has it handed over at the start, too. prepare may write into its folder first.
+// A relay that is not ready in time is ended, and errNeverReady comes back.
+func (b *bench) start(ctx context.Context, list []standin.Member, known bool, memoryMB int, prepare func(folder string) error) (*process, error) {
+	folder, err := os.MkdirTemp(b.folder, "relay")
+	if err != nil {
+		return nil, err
+	}
+	state := filepath.Join(folder, "state")
+	if err := os.Mkdir(state, 0o700); err != nil {
+		return nil, err
+	}
+	if prepare != nil {
+		if err := prepare(state); err != nil {
+			return nil, err
+		}
+	}
+	rec, err := record.NewWriter(io.Discard, time.Now(), record.Header{})
+	if err != nil {
+		return nil, err
+	}
+	agent, err := standin.NewAgent("n0", rec, standin.NewWorld(scenario.Plan{}, rec), list)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{folder: folder, agent: agent}
+	if p.addr, err = freeAddr(); err != nil {
+		return nil, errors.Join(err, p.end())
+	}
+	config := map[string]any{
+		"name": "n0", "seed": "8c1f30d27a5be964", "settings": relaySettings(), "limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": 4096, "disk_mb": 8192},
+	}
+	if known {
+		config["known"] = agent.Known()
+	}
+	data, err := json.Marshal(config)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(folder, "config.json"), data, 0o600)
+	}
+	if err != nil {
+		return nil, errors.Join(err, p.end())
+	}
+	log, err := os.Create(filepath.Join(folder, "log"))
+	if err != nil {
+		return nil, errors.Join(err, p.end())
+	}
+	defer log.Close()
+	p.cmd = exec.CommandContext(ctx, b.relay)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.Env = append(os.Environ(), "ROUTER_LISTEN="+p.addr, "ROUTER_DISCOVERY="+agent.Addr(), "ROUTER_STATE="+state, "ROUTER_CONFIG="+filepath.Join(folder, "config.json"))
+	began := time.Now()
+	if err := p.cmd.Start(); err != nil {
+		return nil, errors.Join(err, p.end())
+	}
+	agent.Running(true)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for {
+		if res, err := client.Get("http://" + p.addr + "/_health"); err == nil {
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				p.took = time.Since(began)
+				return p, nil
+			}
+		}
+		if time.Since(began) > readyMost || ctx.Err() != nil {
+			return nil, errors.Join(errNeverReady, ctx.Err(), p.end())
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// end kills the relay and takes all down that was beside it.
+func (p *process) end() error {
+	if p.cmd != nil && p.cmd.Process != nil {
+		p.cmd.Process.Kill()
+		p.cmd.Wait()
+	}
+	return errors.Join(p.agent.Close(), os.RemoveAll(p.folder))
+}
+
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+func relaySettings() map[string]any {
+	return map[string]any{
+		"bounds": map[string]any{"cancel": true, "connect_timeout_ms": 1000, "keepalive_ms": 15000, "max_retry_after_ms": 3000, "may_duplicate": true,
+			"open_cap": 5_000_000, "retry_after": true, "send_cap": 8},
+		"extra":      map[string]any{"call_slots": 0, "per_call": []int{1}, "separate_routes": []bool{false}},
+		"fleet_size": 1, "kinds": []string{"platform"}, "tick_ms": 5, "zones": []string{"a", "b"},
+		"rules": map[string]any{"cold_from": 0.2, "fall_ms": 3000, "overload_factor": 2, "warm_within_ms": 30000},
+		"services": []map[string]any{{"name": "order", "semantics": "idempotency_key", "group": "zone", "goal_time_ms": 3000, "give_up_ms": 360_000_000,
+			"repeat_window_ms": 10000, "value": 1}},
+		"realms": []map[string]any{{"name": "acme", "share": 1}}, "stats": map[string]any{"how": "none"},
+	}
+}
+
+// highest is the most memory that the relay has had, bytes resident.
+func (p *process) highest() (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(data)) {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmHWM:" {
+			kb, err := strconv.ParseFloat(f[1], 64)
+			return kb * 1024, err
+		}
+	}
+	return 0, errors.New("the system does not tell VmHWM")
+}
+
+// spent is the processor time that the relay's threads have used.
+func (p *process) spent() (time.Duration, error) {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	if err != nil || len(tasks) == 0 {
+		return 0, errors.Join(errors.New("the system does not tell what a thread has used"), err)
+	}
+	var sum time.Duration
+	for _, path := range tasks {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return 0, err
+		}
+		f := strings.Fields(string(data))
+		if len(f) == 0 {
+			return 0, fmt.Errorf("%s is empty", path)
+		}
+		ns, err := strconv.ParseInt(f[0], 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += time.Duration(ns)
+	}
+	return sum, nil
+}
+
+// over is what the relay uses while do runs.
+func (p *process) over(do func() error) (time.Duration, error) {
+	before, err := p.spent()
+	if err != nil {
+		return 0, err
+	}
+	if err := do(); err != nil {
+		return 0, err
+	}
+	after, err := p.spent()
+	return after - before, err
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// relayListSeries measures a relay that was handed its list, and changes to it.
+func relayListSeries(ctx context.Context, b *bench) ([]capacity.Series, error) {
+	memory := measured(capacity.RelayMemory, "destinations", capacity.Bytes)
+	ready := measured(capacity.RelayReady, "destinations", capacity.Seconds)
+	started := measured(capacity.RelayStart, "destinations", capacity.Seconds)
+	change := measured(capacity.RelayChange, "destinations", capacity.Seconds)
+	memory.Hollow = fmt.Sprintf("a memory limit of %d MB, the one that a relay takes where none is told; no load", usualMB)
+	all := []*capacity.Series{memory, ready, started, change}
+	for _, n := range b.sizes([]int{100, 1000, 3000}, []int{1000, 5000, 20_000, 50_000, 140_000}) {
+		list := members(n, "127.0.0.1:9", "ready")
+		p, err := b.start(ctx, list, true, usualMB, nil)
+		if errors.Is(err, errNeverReady) && ctx.Err() == nil {
+			for _, s := range all {
+				stop(s, n)
+			}
+			continue
+		} else if err != nil {
+			return nil, err
+		}
+		if err := p.listCosts(ctx, list, n, memory, ready, started, change); err != nil {
+			return nil, errors.Join(err, p.end())
+		}
+		if err := p.end(); err != nil {
+			return nil, err
+		}
+	}
+	return list(all...), nil
+}
+
+func (p *process) listCosts(ctx context.Context, list []standin.Member, n int, memory, ready, started, change *capacity.Series) error {
+	cpu, err := p.spent()
+	if err != nil {
+		return err
+	}
+	add(ready, n, p.took.Seconds())
+	add(started, n, cpu.Seconds())
+	if err := wait(ctx, settle); err != nil {
+		return err
+	}
+	top, err := p.highest()
+	if err != nil {
+		return err
+	}
+	add(memory, n, top)
+	const changes, every = 100, 20 * time.Millisecond
+	const length = changes*every + settle
+	idle, err := p.over(func() error { return wait(ctx, length) })
+	if err != nil {
+		return err
+	}
+	busy, err := p.over(func() error {
+		end := time.Now().Add(length)
+		for i := range changes {
+			m := list[(i*7919)%len(list)]
+			m.Weight++
+			p.agent.Tell(m)
+			if err := wait(ctx, every); err != nil {
+				return err
+			}
+		}
+		return wait(ctx, time.Until(end))
+	})
+	if err != nil {
+		return err
+	}
+	add(change, n, max(0, (busy-idle).Seconds())/changes)
+	return nil
+}
+
+// relayDiscoverySeries measures a relay that has its list from discovery alone. After two sizes at which it never became ready the larger
+// ones are left out.
+func relayDiscoverySeries(ctx context.Context, b *bench) ([]capacity.Series, error) {
+	ready := measured(capacity.RelayDiscovery, "destinations", capacity.Seconds)
+	stopped := 0
+	for _, n := range b.sizes([]int{100, 1000, 3000}, []int{1000, 2000, 3000, 4000, 20_000, 140_000}) {
+		p, err := b.start(ctx, members(n, "127.0.0.1:9", "ready"), false, usualMB, nil)
+		if errors.Is(err, errNeverReady) && ctx.Err() == nil {
+			stop(ready, n)
+			if stopped++; stopped == 2 {
+				break
+			}
+			continue
+		} else if err != nil {
+			return nil, err
+		}
+		add(ready, n, p.took.Seconds())
+		if err := p.end(); err != nil {
+			return nil, err
+		}
+	}
+	return list(ready), nil
+}
+
+// relayBacklogSeries measures a restart with messages in the journal.
+func relayBacklogSeries(ctx context.Context, b *bench) ([]capacity.Series, error) {
+	const dests = 1000
+	memory := measured(capacity.RelayBacklog, "messages held", capacity.Bytes)
+	ready := measured(capacity.RelayRecovery, "messages held", capacity.Seconds)
+	memory.Hollow = "1,000 destinations, all out of service: nothing of what is held is tried; bodies of 1,000 bytes in memory; a memory limit of 4,096 MB"
+	ready.Hollow = memory.Hollow
+	for _, n := range b.sizes([]int{1000, 5000, 20_000}, []int{10_000, 100_000, 300_000}) {
+		p, err := b.start(ctx, members(dests, "127.0.0.1:9", "draining"), true, backlogMB, func(folder string) error { return fill(folder, n, dests) })
+		if errors.Is(err, errNeverReady) && ctx.Err() == nil {
+			stop(memory, n)
+			stop(ready, n)
+			continue
+		} else if err != nil {
+			return nil, err
+		}
+		add(ready, n, p.took.Seconds())
+		if err = wait(ctx, settle); err == nil {
+			var top float64
+			if top, err = p.highest(); err == nil {
+				add(memory, n, top)
+			}
+		}
+		if err := errors.Join(err, p.end()); err != nil {
+			return nil, err
+		}
+	}
+	return list(memory, ready), nil
+}
+
+// relayLoadSeries measures messages that are taken, journaled and delivered to hosts of 100 destinations.
+func relayLoadSeries(ctx context.Context, b *bench) ([]capacity.Series, error) {
+	load := measured(capacity.RelayLoad, "messages a second", capacity.Cores)
+	load.Hollow = "100 destinations whose hosts answer at once, bodies of 1,000 bytes, the journal without sync"
+	warm, length := 4*time.Second, 8*time.Second
+	if b.quick {
+		warm, length = 2*time.Second, 3*time.Second
+	}
+	for _, rate := range b.sizes([]int{50, 100, 200}, []int{50, 150, 461, 900}) {
+		took, cpu, err := b.load(ctx, rate, warm, length)
+		if err != nil {
+			return nil, err
+		}
+		add(load, rate, cpu)
+		if took < 0.95*float64(rate) {
+			return nil, fmt.Errorf("%.0f of %d messages a second were delivered: the machine is too busy to tell", took, rate)
+		}
+	}
+	return list(load), nil
+}
+
+// load has messages handed in at a rate, and returns how many a second were delivered and the cores that the relay used.
+func (b *bench) load(ctx context.Context, rate int, warm, length time.Duration) (delivered, cores float64, err error) {
+	const dests = 100
+	var calls atomic.Int64
+	host := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		calls.Add(1)
+	}))
+	defer host.Close()
+	p, err := b.start(ctx, members(dests, host.Listener.Addr().String(), "ready"), true, usualMB, nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { err = errors.Join(err, p.end()) }()
+	work, stop := context.WithCancel(ctx)
+	var clients sync.WaitGroup
+	const many = 64
+	every := time.Duration(many) * time.Second / time.Duration(rate)
+	var refused atomic.Int64
+	for c := range many {
+		clients.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 2 * time.Second}
+			defer client.CloseIdleConnections()
+			if wait(work, every*time.Duration(c)/many) != nil { // else all come at once
+				return
+			}
+			tick := time.NewTicker(every)
+			defer tick.Stop()
+			for i := 0; ; i++ {
+				select {
+				case <-work.Done():
+					return
+				case <-tick.C:
+				}
+				if handIn(work, client, p.addr, fmt.Sprintf("%04x%012x", c, i), (i*many+c)%dests) != nil && work.Err() == nil {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	defer clients.Wait()
+	defer stop()
+	if err := wait(ctx, warm); err != nil {
+		return 0, 0, err
+	}
+	before, began := calls.Load(), time.Now()
+	cpu, err := p.over(func() error { return wait(ctx, length) })
+	if err != nil {
+		return 0, 0, err
+	}
+	seconds := time.Since(began).Seconds()
+	if n := refused.Load(); n > 0 {
+		b.tell("at %d a second %d messages were not taken", rate, n)
+	}
+	return float64(calls.Load()-before) / seconds, cpu.Seconds() / seconds, nil
+}
+
+func handIn(ctx context.Context, client *http.Client, addr, id string, dest int) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/order", bytes.NewReader(make([]byte, body)))
+	if err != nil {
+		return err
+	}
+	for k, v := range map[string]string{
+		"X-Trace-Id": id, "X-Qos": "order", "X-Customer": "acme", "Idempotency-Key": "key-" + id, "Envelope": "dest=" + strconv.Itoa(dest), "X-Expires-In-Ms": "9000",
+	} {
+		req.Header.Set(k, v)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	io.Copy(io.Discard, res.Body)
+	if res.StatusCode != http.StatusAccepted {
+		return fmt.Errorf("the relay answers %s", res.Status)
+	}
+	return nil
+}
