--- a/cmd/capacity/inside.go
+++ b/cmd/capacity/inside.go
@@ -372,8 +372,8 @@
 	return list(whole), nil
 }
 
-// fleetSeries measures the bounds of what relays tell each other. What it costs at so many members is for package hollow.
-func fleetSeries(context.Context, *bench) ([]capacity.Series, error) {
+// fleetSeries measures the bounds of what relays tell each other, and what that costs at so many members.
+func fleetSeries(ctx context.Context, b *bench) ([]capacity.Series, error) {
 	join := measured(capacity.FleetJoin, "relays", capacity.Count)
 	for _, n := range []int{256, 512, 1024, 1025, 2600} {
 		var text strings.Builder
@@ -403,7 +403,8 @@
 			add(lent, n, float64(got))
 		}
 	}
-	return list(join, pages, lent), nil
+	costs, err := hollowSeries(ctx, b)
+	return append(list(join, pages, lent), costs...), err
 }
 
 func newSeam(n int, rights bool) *seam.Seam {
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -155,7 +155,16 @@
 	}
 	defer os.RemoveAll(folder)
 	b := &bench{quick: c.Quick, relay: c.Relay, folder: folder, tell: func(format string, args ...any) { fmt.Fprintf(s.Err, format+"\n", args...) }}
-	if b.relay == "" {
+	var chosen []group
+	for _, g := range groups() {
+		if len(c.Only) == 0 || slices.ContainsFunc(c.Only, func(only string) bool { return strings.HasPrefix(g.name, only) }) {
+			chosen = append(chosen, g)
+		}
+	}
+	if len(chosen) == 0 {
+		return fmt.Errorf("nothing is measured under %q", c.Only)
+	}
+	if b.relay == "" && slices.ContainsFunc(chosen, func(g group) bool { return strings.HasPrefix(g.name, "relay.") }) {
 		b.relay = filepath.Join(folder, "cherrytrestle")
 		build := exec.CommandContext(ctx, "go", "build", "-o", b.relay, "./cmd/cherrytrestle")
 		build.Stdout, build.Stderr = s.Err, s.Err
@@ -168,10 +177,7 @@
 		run.Commit = commit(ctx)
 	}
 	began := time.Now()
-	for _, g := range groups() {
-		if len(c.Only) > 0 && !slices.ContainsFunc(c.Only, func(only string) bool { return strings.HasPrefix(g.name, only) }) {
-			continue
-		}
+	for _, g := range chosen {
 		since := time.Now()
 		series, err := g.do(ctx, b)
 		if err != nil {
--- a/cmd/capacity/process.go
+++ b/cmd/capacity/process.go
@@ -216,9 +216,15 @@
 	started := measured(capacity.RelayStart, "destinations", capacity.Seconds)
 	change := measured(capacity.RelayChange, "destinations", capacity.Seconds)
 	memory.Hollow = fmt.Sprintf("a memory limit of %d MB, the one that a relay takes where none is told; no load", usualMB)
-	all := []*capacity.Series{memory, ready, started, change}
+	force := measured(capacity.RelayForce, "destinations", capacity.Seconds)
+	force.Hollow = "one relay with its agent beside it; the longest of five moves of a destination to another address"
+	all := []*capacity.Series{memory, ready, started, change, force}
+	here, there := newHosts(1), newHosts(1)
+	defer here.close()
+	defer there.close()
 	for _, n := range b.sizes([]int{100, 1000, 3000}, []int{1000, 5000, 20_000, 50_000, 140_000}) {
 		list := members(n, "127.0.0.1:9", "ready")
+		list[0].Addr, list[1].Addr = here.addr(0), here.addr(0)
 		p, err := b.start(ctx, list, true, usualMB, nil)
 		if errors.Is(err, errNeverReady) && ctx.Err() == nil {
 			for _, s := range all {
@@ -231,6 +237,11 @@
 		if err := p.listCosts(ctx, list, n, memory, ready, started, change); err != nil {
 			return nil, errors.Join(err, p.end())
 		}
+		longest, err := p.moves(ctx, list[:2], here, there)
+		if err != nil {
+			return nil, errors.Join(err, p.end())
+		}
+		add(force, n, longest.Seconds())
 		if err := p.end(); err != nil {
 			return nil, err
 		}
@@ -262,7 +273,7 @@
 	busy, err := p.over(func() error {
 		end := time.Now().Add(length)
 		for i := range changes {
-			m := list[(i*7919)%len(list)]
+			m := list[2+(i*7919)%(len(list)-2)]
 			m.Weight++
 			p.agent.Tell(m)
 			if err := wait(ctx, every); err != nil {
@@ -332,37 +343,103 @@
 	return list(memory, ready), nil
 }
 
-// relayLoadSeries measures messages that are taken, journaled and delivered to hosts of 100 destinations.
+// relayLoadSeries measures messages that are taken, journaled and delivered: to few destinations, whose connections serve again, and to so
+// many that nearly each call has one of its own, as where a relay sees a destination once in minutes.
 func relayLoadSeries(ctx context.Context, b *bench) ([]capacity.Series, error) {
+	const few, many = 100, 20_000
 	load := measured(capacity.RelayLoad, "messages a second", capacity.Cores)
 	load.Hollow = "100 destinations whose hosts answer at once, bodies of 1,000 bytes, the journal without sync"
-	warm, length := 4*time.Second, 8*time.Second
-	if b.quick {
-		warm, length = 2*time.Second, 3*time.Second
-	}
+	fresh := measured(capacity.RelayFresh, "messages a second", capacity.Cores)
+	fresh.Hollow = "20,000 destinations, otherwise as `relay.load`"
 	for _, rate := range b.sizes([]int{50, 100, 200}, []int{50, 150, 461, 900}) {
-		took, cpu, err := b.load(ctx, rate, warm, length)
-		if err != nil {
-			return nil, err
+		for s, dests := range map[*capacity.Series]int{load: few, fresh: many} {
+			took, cpu, err := b.load(ctx, rate, dests)
+			if err != nil {
+				return nil, err
+			}
+			if took < 0.95*float64(rate) {
+				b.tell("%s: %.0f of %d messages a second were delivered", s.Name, took, rate)
+				stop(s, rate)
+				continue
+			}
+			add(s, rate, cpu)
+		}
+	}
+	return list(load, fresh), nil
+}
+
+// hostServers are hosts that answer at once, at some addresses.
+type hostServers struct {
+	servers []*httptest.Server
+	calls   atomic.Int64
+}
+
+func newHosts(n int) *hostServers {
+	h := &hostServers{}
+	for range n {
+		h.servers = append(h.servers, httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			h.calls.Add(1)
+		})))
+	}
+	return h
+}
+
+func (h *hostServers) addr(i int) string { return h.servers[i%len(h.servers)].Listener.Addr().String() }
+
+func (h *hostServers) close() {
+	for _, s := range h.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+}
+
+// moves has discovery tell five times that a destination's endpoints are at another address, and returns the longest time from a telling
+// until a message goes there.
+func (p *process) moves(ctx context.Context, endpoints []standin.Member, here, there *hostServers) (longest time.Duration, err error) {
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 2 * time.Second}
+	defer client.CloseIdleConnections()
+	for i := range 5 {
+		here, there = there, here // the first move goes where they are not
+		to := here
+		before := to.calls.Load()
+		began := time.Now()
+		for _, m := range endpoints {
+			m.Addr = to.addr(0)
+			p.agent.Tell(m)
 		}
-		add(load, rate, cpu)
-		if took < 0.95*float64(rate) {
-			return nil, fmt.Errorf("%.0f of %d messages a second were delivered: the machine is too busy to tell", took, rate)
+		for k := 0; to.calls.Load() == before; k++ {
+			if err := handIn(ctx, client, p.addr, fmt.Sprintf("move%d%011d", i, k), endpoints[0].Cell); err != nil {
+				return 0, err
+			}
+			if time.Since(began) > readyMost {
+				return 0, errors.New("a change was never in force")
+			}
+			if err := wait(ctx, 2*time.Millisecond); err != nil {
+				return 0, err
+			}
+		}
+		longest = max(longest, time.Since(began))
+		if err := wait(ctx, 200*time.Millisecond); err != nil { // for what is still on its way
+			return 0, err
 		}
 	}
-	return list(load), nil
+	return longest, nil
 }
 
 // load has messages handed in at a rate, and returns how many a second were delivered and the cores that the relay used.
-func (b *bench) load(ctx context.Context, rate int, warm, length time.Duration) (delivered, cores float64, err error) {
-	const dests = 100
-	var calls atomic.Int64
-	host := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		io.Copy(io.Discard, r.Body)
-		calls.Add(1)
-	}))
-	defer host.Close()
-	p, err := b.start(ctx, members(dests, host.Listener.Addr().String(), "ready"), true, usualMB, nil)
+func (b *bench) load(ctx context.Context, rate, dests int) (delivered, cores float64, err error) {
+	warm, length := 5*time.Second, 8*time.Second
+	if b.quick {
+		length = 3 * time.Second
+	}
+	h := newHosts(16)
+	defer h.close()
+	list := members(dests, "", "ready")
+	for i := range list {
+		list[i].Addr = h.addr(i)
+	}
+	p, err := b.start(ctx, list, true, usualMB, nil)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -387,7 +464,7 @@
 					return
 				case <-tick.C:
 				}
-				if handIn(work, client, p.addr, fmt.Sprintf("%04x%012x", c, i), (i*many+c)%dests) != nil && work.Err() == nil {
+				if handIn(work, client, p.addr, fmt.Sprintf("%04x%012x", c, i), (i*many+c)*7919%dests) != nil && work.Err() == nil {
 					refused.Add(1)
 				}
 			}
@@ -398,7 +475,7 @@
 	if err := wait(ctx, warm); err != nil {
 		return 0, 0, err
 	}
-	before, began := calls.Load(), time.Now()
+	before, began := h.calls.Load(), time.Now()
 	cpu, err := p.over(func() error { return wait(ctx, length) })
 	if err != nil {
 		return 0, 0, err
@@ -407,7 +484,7 @@
 	if n := refused.Load(); n > 0 {
 		b.tell("at %d a second %d messages were not taken", rate, n)
 	}
-	return float64(calls.Load()-before) / seconds, cpu.Seconds() / seconds, nil
+	return float64(h.calls.Load()-before) / seconds, cpu.Seconds() / seconds, nil
 }
 
 func handIn(ctx context.Context, client *http.Client, addr, id string, dest int) error {
--- a/internal/capacity/breaks.go
+++ b/internal/capacity/breaks.go
@@ -127,6 +127,8 @@
 	return []Break{
 		b.bound(with("a relay with a longer table of members does not start"), FleetJoin),
 		b.budget(with(fmt.Sprintf("what a member sends takes %s", Format(b.ControlBytes, ByteRate))), FleetBytes, b.ControlBytes),
+		b.budget(with(fmt.Sprintf("what a member sends to lend 1,000 limits takes %s", Format(b.ControlBytes, ByteRate))), FleetLending, b.ControlBytes),
+		b.budget(with(fmt.Sprintf("what one tells is known to all after %s", Format(b.InForce, Seconds))), FleetKnown, b.InForce),
 		b.budget(with(fmt.Sprintf("membership takes %s", Format(b.ControlCores, Cores))), FleetCores, b.ControlCores),
 		b.budget(with(fmt.Sprintf("membership takes %s", Format(b.ControlMemory, Bytes))), FleetMemory, b.ControlMemory),
 	}
@@ -134,9 +136,13 @@
 
 // byEvents holds the relays as many as they are.
 func (b book) byEvents() []Break {
-	x := b.budget(Break{Axis: "events a second", Target: b.Events, Mechanism: byLoop, What: "a relay takes a core"}, RelayLoad, b.Cores)
-	x.At *= b.Relays
-	return []Break{x}
+	axis := Break{Axis: "events a second", Target: b.Events, Mechanism: byLoop}
+	again, fresh := axis, axis
+	again.What, fresh.What = "a relay takes a core, connections used again", "a relay takes a core, a connection for each call"
+	again, fresh = b.budget(again, RelayLoad, b.Cores), b.budget(fresh, RelayFresh, b.Cores)
+	again.At *= b.Relays
+	fresh.At *= b.Relays
+	return []Break{again, fresh}
 }
 
 func (b book) byBacklog() []Break {
@@ -158,7 +164,7 @@
 	cores.What, cores.How, cores.At = fmt.Sprintf("they take %s", Format(b.ControlCores, Cores)), costHow, b.ControlCores*day/cost
 	entry, entryHow := b.entry()
 	bytes.What, bytes.How, bytes.At = fmt.Sprintf("they take %s", Format(b.ControlBytes, ByteRate)), entryHow, b.ControlBytes*day/entry
-	force.What, force.How, force.At = fmt.Sprintf("not in force everywhere in %s", Format(b.InForce, Seconds)), "not measured over 2,600 relays", math.NaN()
+	force.What, force.How, force.At = fmt.Sprintf("not in force everywhere in %s", Format(b.InForce, Seconds)), "one relay alone was measured", math.NaN()
 	force.Mechanism = ""
 	return []Break{cores, bytes, force}
 }
--- a/internal/capacity/format.go
+++ b/internal/capacity/format.go
@@ -53,8 +53,10 @@
 	if digits > 6 {
 		return strconv.FormatFloat(v, 'g', 3, 64)
 	}
-	unit := math.Pow(10, max(0, math.Floor(math.Log10(math.Abs(v)))-2))
-	s := strconv.FormatFloat(math.Round(v/unit)*unit, 'f', digits, 64)
+	if unit := math.Pow(10, math.Floor(math.Log10(math.Abs(v)))-2); unit > 1 {
+		v = math.Round(v/unit) * unit
+	}
+	s := strconv.FormatFloat(v, 'f', digits, 64)
 	if strings.Contains(s, ".") {
 		s = strings.TrimRight(strings.TrimRight(s, "0"), ".")
 	}
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 )
 
 // Names of the series that the figures are worked out from. A total stands over its size, a cost of one over the size at which it was had.
@@ -27,16 +28,21 @@
 	RelayStart     = "relay.start"     // seconds of a processor until it is ready
 	RelayDiscovery = "relay.discovery" // seconds until a relay that must ask discovery is ready
 	RelayChange    = "relay.change"    // seconds of a processor for a change of one endpoint told by discovery
+	RelayForce     = "relay.force"     // seconds from a change's telling until messages go by it, over destinations
+	RelayFresh     = "relay.fresh"     // as RelayLoad, nearly each call on a connection of its own
 	RelayLoad      = "relay.load"      // cores, over messages a second taken and delivered
 	RelayBacklog   = "relay.backlog"   // highest resident bytes with so many messages found in the journal
 	RelayRecovery  = "relay.recovery"  // seconds until ready with so many messages found in the journal
 
-	FleetBytes  = "fleet.bytes"  // bytes a second that a member sends, over members
-	FleetCores  = "fleet.cores"  // of a member
-	FleetMemory = "fleet.memory" // bytes of a member
-	FleetJoin   = "fleet.join"   // names of a table of members that a relay starts with
-	FleetPages  = "fleet.pages"  // destinations that a member tells of, of so many with traffic
-	FleetRights = "fleet.rights" // destinations whose limit is lent, of so many listed
+	FleetBytes    = "fleet.bytes"    // bytes a second that a member sends, over members
+	FleetCores    = "fleet.cores"    // of a member
+	FleetMemory   = "fleet.memory"   // bytes of a member
+	FleetMessages = "fleet.messages" // datagrams a second that a member sends
+	FleetKnown    = "fleet.known"    // seconds until all members know what one has told
+	FleetLending  = "fleet.lending"  // bytes a second that a member sends to lend 1,000 limits
+	FleetJoin     = "fleet.join"     // names of a table of members that a relay starts with
+	FleetPages    = "fleet.pages"    // destinations that a member tells of, of so many with traffic
+	FleetRights   = "fleet.rights"   // destinations whose limit is lent, of so many listed
 )
 
 // The packages that carry what is figured.
@@ -73,6 +79,7 @@
 func (b book) relay() Role {
 	told, why := b.told()
 	load, loadHow := b.at(RelayLoad, b.PerRelay())
+	fresh, freshHow := b.at(RelayFresh, b.PerRelay())
 	module, moduleHow := b.at(ModuleMessage, told)
 	backlog, backlogHow := b.at(ModuleBacklog, b.HeldByRelay())
 	memory, memoryHow := b.at(RelayBacklog, b.HeldByRelay())
@@ -84,7 +91,8 @@
 		{What: "state: destinations that the module knows", Value: told, How: why, Mechanism: byModule},
 		{What: "messages in", Value: b.PerRelay(), Unit: Rate, How: fmt.Sprintf("%s a second of all", exact(b.Events)), Mechanism: byLoop},
 		{What: "calls out", Value: b.PerRelay() * (1 - b.Down), Unit: Rate, How: fmt.Sprintf("one for each message but the %.1f %% whose destination is down", 100*b.Down), Mechanism: byLoop},
-		{What: "processor, few destinations", Value: load, Unit: Cores, How: loadHow, Budget: b.Cores, Allowed: coreOfAll, Mechanism: byLoop},
+		{What: "processor, connections used again", Value: load, Unit: Cores, How: loadHow, Budget: b.Cores, Allowed: coreOfAll, Mechanism: byLoop},
+		{What: "processor, a connection for each call", Value: fresh, Unit: Cores, How: freshHow, Budget: b.Cores, Allowed: coreOfAll, Mechanism: byLoop},
 		{What: "processor, the module alone", Value: module * b.PerRelay(), Unit: Cores, How: moduleHow + ", for each message", Budget: b.Cores, Allowed: coreOfAll, Mechanism: byModule},
 		{What: "processor, the module beside the backlog", Value: backlog * b.PerRelay(), Unit: Cores, How: backlogHow + ", for each message", Budget: b.Cores, Allowed: coreOfAll, Mechanism: byModule},
 		{What: "memory with the backlog", Value: memory, Unit: Bytes, How: memoryHow, Mechanism: byLoop},
@@ -108,8 +116,12 @@
 	memory, memoryHow := b.at(RelayMemory, b.Destinations)
 	ready, readyHow := b.at(RelayReady, b.Destinations)
 	change, changeHow := b.at(RelayChange, b.Destinations)
+	force, forceHow := b.at(RelayForce, b.Destinations)
 	whole, wholeHow := b.at(ListWhole, b.Destinations)
 	entry, entryHow := b.entry()
+	messages, messagesHow := b.at(FleetMessages, b.Relays)
+	known, knownHow := b.at(FleetKnown, b.Relays)
+	lending, lendingHow := b.at(FleetLending, b.Relays)
 	bytes, bytesHow := b.at(FleetBytes, b.Relays)
 	cores, coresHow := b.at(FleetCores, b.Relays)
 	fleetMemory, fleetMemoryHow := b.at(FleetMemory, b.Relays)
@@ -119,7 +131,12 @@
 	awake := b.Awake()
 	pages := b.stops(Figure{What: "what is shared: destinations told of at once", Value: awake, Mechanism: byFleet, Stops: "of the others it tells nothing"}, FleetPages)
 	rights := b.stops(Figure{What: "rights: limits lent", Value: b.Destinations, Mechanism: byRights, Stops: "the others go by their even parts"}, FleetRights)
+	cpu := b.Changes * change / day
 	return Role{"A relay: its control", []Figure{
+		b.together("all: processor", Cores, b.ControlCores, []float64{cpu, cores}),
+		b.together("all: memory", Bytes, b.ControlMemory, []float64{memory - base, fleetMemory}),
+		b.together("all: bytes", ByteRate, b.ControlBytes, []float64{b.Changes*entry/day + whole*b.RestartedADay/b.Relays/day, bytes}),
+		{What: "messages in: changes, and an empty line every 2 s", Value: b.Changes/day + 0.5, Unit: Rate, How: fmt.Sprintf("%s changes a day", exact(b.Changes)), Mechanism: byList},
 		discovery,
 		{What: "list: ready when handed over", Value: ready, Unit: Seconds, How: readyHow, Budget: b.ReadyIn, Allowed: restart, Mechanism: byList},
 		{What: "list: memory", Value: memory - base, Unit: Bytes, How: memoryHow + fmt.Sprintf(", less %s of a relay with no list", Format(base, Bytes)),
@@ -130,20 +147,45 @@
 			How: wholeHow + fmt.Sprintf(", %s restarts a day of all", exact(b.RestartedADay)), Budget: b.ControlBytes, Allowed: control, Mechanism: byList},
 		{What: "list: one whole list", Value: whole / b.ControlBytes, Unit: Seconds, How: fmt.Sprintf("%s at %s", Format(whole, Bytes), Format(b.ControlBytes, ByteRate)),
 			Mechanism: byList},
-		{What: "list: processor for changes", Value: b.Changes * change / day, Unit: Cores, How: changeHow + ", for each change", Budget: b.ControlCores, Allowed: control, Mechanism: byList},
+		{What: "list: a change in force at a relay", Value: force, Unit: Seconds, How: forceHow, Budget: b.InForce, Allowed: "everywhere", Mechanism: byList},
+		{What: "list: processor for changes", Value: cpu, Unit: Cores, How: changeHow + ", for each change", Budget: b.ControlCores, Allowed: control, Mechanism: byList},
 		{What: "list: the same, all changes of a day in one hour", Value: 24 * b.Changes * change / day, Unit: Cores, How: "24 times as many a second",
 			Budget: b.ControlCores, Allowed: control, Mechanism: byList},
 		{What: "settings: in force everywhere", Value: math.NaN(), Unit: Seconds, How: "a relay reads its own file at SIGHUP; nothing takes a change to all of them", Budget: b.InForce, Allowed: control},
 		join,
+		{What: "membership and what is shared: messages out", Value: messages, Unit: Rate, How: messagesHow, Mechanism: byFleet},
 		{What: "membership and what is shared: bytes out", Value: bytes, Unit: ByteRate, How: bytesHow, Budget: b.ControlBytes, Allowed: control, Mechanism: byFleet},
 		{What: "membership and what is shared: processor", Value: cores, Unit: Cores, How: coresHow, Budget: b.ControlCores, Allowed: control, Mechanism: byFleet},
 		{What: "membership and what is shared: memory", Value: fleetMemory, Unit: Bytes, How: fleetMemoryHow, Budget: b.ControlMemory, Allowed: control, Mechanism: byFleet},
+		{What: "what is shared: a change known to all", Value: known, Unit: Seconds, How: knownHow, Budget: b.InForce, Allowed: "everywhere", Mechanism: byFleet},
 		pages,
 		rights,
+		{What: "rights: bytes out for 1,000 limits", Value: lending, Unit: ByteRate, How: lendingHow, Budget: b.ControlBytes, Allowed: control, Mechanism: byRights},
 		{What: "disk", Value: 0, Unit: Bytes, How: "the list is handed over by the platform; the journal keeps hosts' standing, and a number for the fleet's life", Mechanism: byList},
 	}}
 }
 
+// together is what the list and the fleet take of one budget. What is not known of either is left out, and the sum is one only where it is
+// over without.
+func (b book) together(what string, u Unit, budget float64, parts []float64) Figure {
+	f := Figure{What: what, Unit: u, Budget: budget, Allowed: control, Mechanism: byList + ", " + byFleet}
+	names, known := []string{"the list", "membership and what is shared with two busy pages"}, []string{}
+	for i, v := range parts {
+		if !math.IsNaN(v) {
+			f.Value += v
+			known = append(known, names[i]+" "+Format(v, u))
+		}
+	}
+	f.How = strings.Join(known, ", ")
+	if len(known) < len(parts) {
+		f.How += "; the rest is not measured"
+		if f.Value <= budget {
+			f.Value = math.NaN()
+		}
+	}
+	return f
+}
+
 // stops makes the budget of f the largest size at which a series came to an end below one that did not.
 func (b book) stops(f Figure, name string) Figure {
 	s, ok := b.run.series(name)
