Capacity: past its readings a bend goes on by its power; fleets of hollow relays, fresh connections, a change in force

What bends was drawn out by the line through all readings, which runs far below a growing cost. It now goes on by the dearer of the line and the power of the last three. Sizing page: the bounds that do not move with a setting.

--- a/cmd/capacity/inside.go
+++ b/cmd/capacity/inside.go
@@ -154,13 +154,13 @@
 		add(message, n, (used()-began).Seconds()/messages)
 
 		again := routes(n, served)
-		rounds := max(1, 200_000/n)
+		rounds := max(3, 500_000/n)
 		began = used()
 		for range rounds {
 			s.step(policy.Event{Kind: policy.ListWhole, List: again})
 		}
 		add(whole, n, (used()-began).Seconds()/float64(rounds))
-		const changes = 2000
+		const changes = 20_000
 		began = used()
 		for i := range changes {
 			l := again[rng.IntN(len(again))]
@@ -201,6 +201,10 @@
 			}
 			s.step(evs...)
 		}
+		for range 10 { // until all are late: each is put in another place of its queue then, once
+			s.now += time.Second
+			s.step(policy.Event{Kind: policy.Woken})
+		}
 		add(held, n, live()-before)
 		rng, id := rand.New(rand.NewPCG(2, uint64(n))), uint32(1e9)
 		const messages = 10_000
--- a/internal/capacity/breaks.go
+++ b/internal/capacity/breaks.go
@@ -91,10 +91,18 @@
 	return x
 }
 
-// budget is a break where a measured cost comes to y.
-func (b book) budget(x Break, name string, y float64) Break {
+// budget is a break where a measured cost comes to y. Where the line bends and would only come to it past ten times its largest size, which
+// is past the target, none is found.
+func (b book) budget(x Break, name string, y float64) Break { return b.budgetOf(x, name, y, 1) }
+
+// budgetOf is budget where the axis counts of many relays together and the readings of one.
+func (b book) budgetOf(x Break, name string, y, relays float64) Break {
 	x.Effect = OverBudget
 	x.At, x.How = b.reaches(name, y)
+	x.At *= relays
+	if _, l, err := b.line(name); err == nil && math.IsNaN(x.At) && drawnOut*l.Most*relays >= x.Target {
+		x.At, x.How = math.Inf(1), fmt.Sprintf("`%s` bends by %.0f %%: none up to ten times the largest measured", name, 100*l.Residual)
+	}
 	return x
 }
 
@@ -139,10 +147,7 @@
 	axis := Break{Axis: "events a second", Target: b.Events, Mechanism: byLoop}
 	again, fresh := axis, axis
 	again.What, fresh.What = "a relay takes a core, connections used again", "a relay takes a core, a connection for each call"
-	again, fresh = b.budget(again, RelayLoad, b.Cores), b.budget(fresh, RelayFresh, b.Cores)
-	again.At *= b.Relays
-	fresh.At *= b.Relays
-	return []Break{again, fresh}
+	return []Break{b.budgetOf(again, RelayLoad, b.Cores, b.Relays), b.budgetOf(fresh, RelayFresh, b.Cores, b.Relays)}
 }
 
 func (b book) byBacklog() []Break {
@@ -150,11 +155,7 @@
 	ready, module := axis, axis
 	ready.What = fmt.Sprintf("a restart takes %s", Format(b.ReadyIn, Seconds))
 	module.What, module.Mechanism = "the module takes a core", byModule
-	ready = b.budget(ready, RelayRecovery, b.ReadyIn)
-	module = b.budget(module, ModuleBacklog, b.Cores/b.PerRelay())
-	ready.At *= b.Relays
-	module.At *= b.Relays
-	return []Break{ready, module}
+	return []Break{b.budgetOf(ready, RelayRecovery, b.ReadyIn, b.Relays), b.budgetOf(module, ModuleBacklog, b.Cores/b.PerRelay(), b.Relays)}
 }
 
 func (b book) byChanges() []Break {
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -87,8 +87,11 @@
 	if n, err := l.Reaches(5050); err != nil || !near(n, 55) {
 		t.Errorf("reached at %g, %v", n, err)
 	}
-	if _, err := l.At(1000); err != nil {
-		t.Errorf("ten times: %v", err)
+	if v, err := l.At(1000); err != nil || !near(v, 1e6) { // the square goes on, and the line would be far below
+		t.Errorf("ten times: %g, %v", v, err)
+	}
+	if n, err := l.Reaches(1e6); err != nil || !near(n, 1000) {
+		t.Errorf("reached at %g, %v", n, err)
 	}
 	if v, err := l.At(1001); err == nil {
 		t.Errorf("drawn out to %g", v)
@@ -321,15 +324,30 @@
 	}
 }
 
+// A line that bends, and would come to its budget only where it may not be drawn to, breaks nothing below a target that is nearer.
+func TestABendFarOff(t *testing.T) {
+	target, _ := small()
+	bending := func(most float64) Run {
+		return Run{Series: []Series{series(RelayReady, Seconds, Point{N: most / 100, Value: 1e-6}, Point{N: most / 10, Value: 3e-6}, Point{N: most, Value: 4e-6})}}
+	}
+	for most, want := range map[float64]float64{100: math.Inf(1), 99: math.NaN()} {
+		for _, b := range Breaks(target, bending(most)) {
+			if b.What == "a start takes 10 s" && !near(b.At, want) {
+				t.Errorf("largest size %g: at %g, want %g (%s)", most, b.At, want, b.How)
+			}
+		}
+	}
+}
+
 func TestFormat(t *testing.T) {
 	for _, c := range []struct {
 		v    float64
 		u    Unit
 		want string
 	}{
-		{461.538, Rate, "462 /s"}, {1234.5, Count, "1,230"}, {5.2e9, Count, "5,200,000,000"}, {0.042, Cores, "4.2 % of a core"}, {13e3, ByteRate, "13 KB/s"},
+		{461.538, Rate, "462 /s"}, {1234.5, Count, "1,230"}, {1024, Count, "1,024"}, {5.2e9, Count, "5,200,000,000"}, {0.042, Cores, "4.2 % of a core"}, {13e3, ByteRate, "13 KB/s"},
 		{3.68e8, Bytes, "368 MB"}, {12, Bytes, "12 B"}, {0.00012, Seconds, "120 us"}, {0.0123, Seconds, "12.3 ms"}, {61, Seconds, "61 s"}, {390, CountADay, "390 a day"},
-		{math.NaN(), Bytes, "?"}, {math.Inf(1), Count, "none found"}, {0, Bytes, "0 B"}, {999.9, Count, "1,000"}, {-1500, Count, "-1,500"},
+		{math.NaN(), Bytes, "?"}, {math.Inf(1), Count, "none found"}, {0, Bytes, "0 B"}, {999.9, Count, "1,000"}, {-1500.5, Count, "-1,500"},
 	} {
 		if got := Format(c.v, c.u); got != c.want {
 			t.Errorf("%g %s: %q, want %q", c.v, c.u, got, c.want)
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -32,6 +32,8 @@
 	Least, Most float64 // sizes measured
 	Points      []Point // that ended
 	Why         string
+	// Power is the power of its size that the last three readings grow by, Scale what it is of size 1; 0: none.
+	Power, Scale float64
 }
 
 // Fit draws a line through the readings of a series. Each counts by its share, so that the small sizes say as much as the large ones. A
@@ -63,16 +65,34 @@
 			l.Residual = max(l.Residual, math.Abs(l.line(xs[i])-ys[i])/math.Abs(ys[i]))
 		}
 	}
+	l.power(xs[len(xs)-leastFit:], ys[len(ys)-leastFit:])
 	return l, nil
 }
 
+// power draws a line through the logarithms of readings.
+func (l *Line) power(xs, ys []float64) {
+	var u, v []float64
+	for i := range xs {
+		if xs[i] <= 0 || ys[i] <= 0 {
+			return
+		}
+		u, v = append(u, math.Log(xs[i])), append(v, math.Log(ys[i]))
+	}
+	a, b := stat.LinearRegression(u, v, nil, false)
+	l.Scale, l.Power = math.Exp(a), b
+}
+
+// beyond is the cost past the largest size of a line that bends: the dearer of the line and the power.
+func (l Line) beyond(n float64) float64 { return max(l.line(n), l.Scale*math.Pow(n, l.Power)) }
+
 // Bends tells whether the readings are no line.
 func (l Line) Bends() bool { return l.Residual > bent }
 
 func (l Line) line(n float64) float64 { return l.Base + l.Slope*n }
 
-// At is the cost at size n: by the line, or where the line bends between the readings beside n. Beyond ten times the largest size a line
-// that bends gives an error, unless the series says why it may.
+// At is the cost at size n: by the line, or where the line bends between the readings beside n, and past them by the dearer of the line and
+// the power by which the last three grow. Beyond ten times the largest size a line that bends gives an error, unless the series says why it
+// may.
 func (l Line) At(n float64) (float64, error) {
 	switch {
 	case !l.Bends():
@@ -85,6 +105,8 @@
 		return between.Predict(n), nil
 	case n > drawnOut*l.Most && l.Why == "":
 		return 0, fmt.Errorf("%w by %.0f %% and is not drawn out from %s to %s", errBent, 100*l.Residual, Format(l.Most, Count), Format(n, Count))
+	case n > l.Most:
+		return l.beyond(n), nil
 	}
 	return l.line(n), nil
 }
@@ -110,13 +132,19 @@
 			return was.N + (p.N-was.N)*(y-was.Value)/(p.Value-was.Value), nil
 		}
 	}
-	if l.Slope <= 0 {
+	if l.Slope <= 0 && !(l.Bends() && l.Power > 0) {
 		if l.Base > y {
 			return 0, nil
 		}
 		return math.Inf(1), nil
 	}
-	n := max(0, (y-l.Base)/l.Slope)
+	n := math.Inf(1)
+	if l.Slope > 0 {
+		n = max(0, (y-l.Base)/l.Slope)
+	}
+	if l.Bends() && l.Power > 0 {
+		n = min(n, math.Pow(y/l.Scale, 1/l.Power))
+	}
 	if l.Bends() && n > drawnOut*l.Most && l.Why == "" {
 		return 0, fmt.Errorf("%w by %.0f %% and is not drawn out from %s to %s", errBent, 100*l.Residual, Format(l.Most, Count), Format(n, Count))
 	}
--- a/internal/capacity/format.go
+++ b/internal/capacity/format.go
@@ -37,6 +37,9 @@
 	case Cores:
 		return short(100*v) + " % of a core"
 	case Count:
+		if v == math.Trunc(v) && math.Abs(v) < 1e6 {
+			return exact(v)
+		}
 		return short(v)
 	case CountADay:
 		return short(v) + " a day"
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -169,7 +169,7 @@
 }
 
 func effect(x Break) string {
-	if math.IsInf(x.At, 1) {
+	if math.IsInf(x.At, 1) || math.IsNaN(x.At) {
 		return ""
 	}
 	return x.Effect.String()
@@ -261,7 +261,7 @@
 		} else {
 			line, residual = fmt.Sprintf("%s + %s each", Format(l.Base, m.Unit), Format(l.Slope, m.Unit)), fmt.Sprintf("%.1f %%", 100*l.Residual)
 			if l.Bends() {
-				note = strings.TrimPrefix(note+"; **bends**: "+cmpOr(l.Why, "not drawn out beyond ten times its largest size"), "; ")
+				note = strings.TrimPrefix(note+"; **bends**: "+fmt.Sprintf("the last three grow by the power %.2g of the size", l.Power)+cmpOr(strings.TrimRight("; "+l.Why, "; "), ""), "; ")
 			}
 		}
 		x.row("`"+m.Name+"`", m.Axis, strings.Join(readings, "; "), line, residual, note)
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -95,8 +95,8 @@
 		{What: "processor, a connection for each call", Value: fresh, Unit: Cores, How: freshHow, Budget: b.Cores, Allowed: coreOfAll, Mechanism: byLoop},
 		{What: "processor, the module alone", Value: module * b.PerRelay(), Unit: Cores, How: moduleHow + ", for each message", Budget: b.Cores, Allowed: coreOfAll, Mechanism: byModule},
 		{What: "processor, the module beside the backlog", Value: backlog * b.PerRelay(), Unit: Cores, How: backlogHow + ", for each message", Budget: b.Cores, Allowed: coreOfAll, Mechanism: byModule},
-		{What: "memory with the backlog", Value: memory, Unit: Bytes, How: memoryHow, Mechanism: byLoop},
-		{What: "disk with the backlog", Value: disk, Unit: Bytes, How: diskHow, Mechanism: byJournal},
+		{What: "memory with the backlog", Value: memory, Unit: Bytes, How: memoryHow + "; `limits.memory_mb` has to allow it", Mechanism: byLoop},
+		{What: "disk with the backlog", Value: disk, Unit: Bytes, How: diskHow + "; `limits.disk_mb` has to allow it, and as much again for what is not yet compacted", Mechanism: byJournal},
 		{What: "ready after a restart with the backlog", Value: recovery, Unit: Seconds, How: recoveryHow, Budget: b.ReadyIn, Allowed: restart, Mechanism: byLoop},
 		{What: "a commit that outlasts the machine, if `journal.sync` asks for it", Value: sync, Unit: Seconds, How: syncHow, Mechanism: byJournal},
 	}}
