--- a/cmd/capacity/hollow.go
+++ b/cmd/capacity/hollow.go
@@ -27,6 +27,8 @@
 
 // The cases of package hollow that are taken.
 const (
+	atRest      = "at rest"
+	hollowRest  = "hollow relays in virtual time: sockets, clients, hosts and the module left out; nothing to tell"
 	busyPages   = "two busy pages"
 	manyRights  = "rights of 1000 destinations"
 	hollowBusy  = "hollow relays in virtual time: sockets, clients, hosts and the module left out; two busy pages a member, where a relay of the target has 64"
@@ -45,6 +47,7 @@
 	{capacity.FleetMemory, busyPages, "memory_bytes", capacity.Bytes, 1, hollowBusy},
 	{capacity.FleetMessages, busyPages, "sent_datagrams_per_s", capacity.Rate, 1, hollowBusy},
 	{capacity.FleetKnown, busyPages, "known_all_s", capacity.Seconds, 1, hollowBusy},
+	{capacity.FleetRest, atRest, "sent_bytes_per_s", capacity.ByteRate, 1, hollowRest},
 	{capacity.FleetLending, manyRights, "sent_bytes_per_s", capacity.ByteRate, 1, hollowRight},
 }
 
@@ -56,8 +59,9 @@
 		run   string
 		sizes []int
 	}{
-		{"^TestMembers$/^" + "two_busy_pages", b.sizes([]int{20, 40, 80}, []int{100, 300, 1000})},
-		{"^TestRights$", b.sizes([]int{20, 40, 80}, []int{100, 300, 1000, 2600})},
+		{"^TestMembers$/^" + "two_busy_pages", b.sizes([]int{20, 40, 80}, []int{30, 100, 300})},
+		{"^TestMembers$/^at_rest", b.sizes([]int{20, 40, 80}, []int{30, 100, 300})},
+		{"^TestRights$", b.sizes([]int{20, 40, 80}, []int{30, 100, 300})},
 	} {
 		sizes, err := json.Marshal(c.sizes)
 		if err != nil {
--- a/cmd/capacity/inside.go
+++ b/cmd/capacity/inside.go
@@ -177,17 +177,20 @@
 	return list(message, told, whole, change, held, beside), nil
 }
 
-// moduleBacklog holds messages at 500 destinations that are not in service, and has others pass at 500 that are.
+// down is the destinations that a backlog is held for: those that are down at any time at the size to design for.
+const down = 2240
+
+// moduleBacklog holds messages at destinations that are not in service, and has others pass at 500 that are.
 func moduleBacklog(ctx context.Context, b *bench) (held, beside *capacity.Series, err error) {
 	held = measured(capacity.ModuleHeld, "messages held", capacity.Bytes)
 	beside = measured(capacity.ModuleBacklog, "messages held", capacity.Seconds)
-	held.Hollow = "1,000 destinations; those of the messages held are out of service, so nothing of them is tried"
+	held.Hollow = fmt.Sprintf("held for %d destinations that are out of service, so nothing of them is tried; 500 others are served", down)
 	beside.Hollow = held.Hollow
 	for _, n := range b.sizes([]int{1000, 5000, 20_000}, []int{10_000, 100_000, 300_000, 1_000_000}) {
 		if err := ctx.Err(); err != nil {
 			return nil, nil, err
 		}
-		s, err := newStepper(1000, func(dest int) bool { return dest < 500 })
+		s, err := newStepper(500+down, func(dest int) bool { return dest < 500 })
 		if err != nil {
 			return nil, nil, err
 		}
@@ -197,7 +200,7 @@
 		for i := 0; i < n; i += batch {
 			evs = evs[:0]
 			for k := range min(batch, n-i) {
-				evs = append(evs, policy.Event{Kind: policy.Taken, ID: uint32(i + k + 1), Destination: 500 + (i+k)%500, Key: "k", Left: 100 * time.Hour})
+				evs = append(evs, policy.Event{Kind: policy.Taken, ID: uint32(i + k + 1), Destination: 500 + (i+k)%down, Key: "k", Left: 100 * time.Hour})
 			}
 			s.step(evs...)
 		}
--- a/cmd/capacity/process.go
+++ b/cmd/capacity/process.go
@@ -33,6 +33,8 @@
 
 	readyMost = 15 * time.Second // more than a restart may take
 	settle    = time.Second
+
+	tellsApart = 0.5 // cores at rest
 )
 
 // errNeverReady tells of a relay that had not said that it is ready by readyMost.
@@ -218,7 +220,9 @@
 	memory.Hollow = fmt.Sprintf("a memory limit of %d MB, the one that a relay takes where none is told; no load", usualMB)
 	force := measured(capacity.RelayForce, "destinations", capacity.Seconds)
 	force.Hollow = "one relay with its agent beside it; the longest of five moves of a destination to another address"
-	all := []*capacity.Series{memory, ready, started, change, force}
+	rest := measured(capacity.RelayRest, "destinations", capacity.Cores)
+	change.Hollow = "where the relay takes over half a core at rest, what a change costs cannot be told apart and is left out"
+	all := []*capacity.Series{memory, ready, started, rest, change, force}
 	here, there := newHosts(1), newHosts(1)
 	defer here.close()
 	defer there.close()
@@ -234,14 +238,21 @@
 		} else if err != nil {
 			return nil, err
 		}
-		if err := p.listCosts(ctx, list, n, memory, ready, started, change); err != nil {
+		if err := p.listCosts(ctx, list, n, memory, ready, started, rest, change); err != nil {
 			return nil, errors.Join(err, p.end())
 		}
-		longest, err := p.moves(ctx, list[:2], here, there)
-		if err != nil {
+		longest, late, err := p.moves(ctx, list[:2], here, there)
+		if late > 0 {
+			b.tell("relay.force at %d: %d hand-ins were not taken within 2 s", n, late)
+		}
+		switch {
+		case errors.Is(err, errNeverReady):
+			stop(force, n)
+		case err != nil:
 			return nil, errors.Join(err, p.end())
+		default:
+			add(force, n, longest.Seconds())
 		}
-		add(force, n, longest.Seconds())
 		if err := p.end(); err != nil {
 			return nil, err
 		}
@@ -249,7 +260,7 @@
 	return list(all...), nil
 }
 
-func (p *process) listCosts(ctx context.Context, list []standin.Member, n int, memory, ready, started, change *capacity.Series) error {
+func (p *process) listCosts(ctx context.Context, list []standin.Member, n int, memory, ready, started, rest, change *capacity.Series) error {
 	cpu, err := p.spent()
 	if err != nil {
 		return err
@@ -264,14 +275,19 @@
 		return err
 	}
 	add(memory, n, top)
-	const changes, every = 100, 20 * time.Millisecond
-	const length = changes*every + settle
+	const changes, every, look = 50, 20 * time.Millisecond, 250 * time.Millisecond
+	const length = 2 * time.Second
 	idle, err := p.over(func() error { return wait(ctx, length) })
 	if err != nil {
 		return err
 	}
+	share := idle.Seconds() / length.Seconds()
+	add(rest, n, share)
+	if share > tellsApart {
+		return nil
+	}
+	began := time.Now()
 	busy, err := p.over(func() error {
-		end := time.Now().Add(length)
 		for i := range changes {
 			m := list[2+(i*7919)%(len(list)-2)]
 			m.Weight++
@@ -280,12 +296,23 @@
 				return err
 			}
 		}
-		return wait(ctx, time.Until(end))
+		for { // until it is done with all: it may be slower than they come
+			used, err := p.over(func() error { return wait(ctx, look) })
+			if err != nil || used.Seconds() < (share+0.1)*look.Seconds() {
+				return err
+			}
+			if time.Since(began) > 2*readyMost {
+				return errNeverReady
+			}
+		}
 	})
-	if err != nil {
+	if errors.Is(err, errNeverReady) {
+		stop(change, n)
+		return nil
+	} else if err != nil {
 		return err
 	}
-	add(change, n, max(0, (busy-idle).Seconds())/changes)
+	add(change, n, max(0, busy.Seconds()-share*time.Since(began).Seconds())/changes)
 	return nil
 }
 
@@ -315,13 +342,12 @@
 
 // relayBacklogSeries measures a restart with messages in the journal.
 func relayBacklogSeries(ctx context.Context, b *bench) ([]capacity.Series, error) {
-	const dests = 1000
 	memory := measured(capacity.RelayBacklog, "messages held", capacity.Bytes)
 	ready := measured(capacity.RelayRecovery, "messages held", capacity.Seconds)
-	memory.Hollow = "1,000 destinations, all out of service: nothing of what is held is tried; bodies of 1,000 bytes in memory; a memory limit of 4,096 MB"
+	memory.Hollow = fmt.Sprintf("%d destinations, all out of service: nothing of what is held is tried; bodies of 1,000 bytes in memory; a memory limit of %d MB", down, backlogMB)
 	ready.Hollow = memory.Hollow
 	for _, n := range b.sizes([]int{1000, 5000, 20_000}, []int{10_000, 100_000, 300_000}) {
-		p, err := b.start(ctx, members(dests, "127.0.0.1:9", "draining"), true, backlogMB, func(folder string) error { return fill(folder, n, dests) })
+		p, err := b.start(ctx, members(down, "127.0.0.1:9", "draining"), true, backlogMB, func(folder string) error { return fill(folder, n, down) })
 		if errors.Is(err, errNeverReady) && ctx.Err() == nil {
 			stop(memory, n)
 			stop(ready, n)
@@ -395,8 +421,8 @@
 }
 
 // moves has discovery tell five times that a destination's endpoints are at another address, and returns the longest time from a telling
-// until a message goes there.
-func (p *process) moves(ctx context.Context, endpoints []standin.Member, here, there *hostServers) (longest time.Duration, err error) {
+// until a message goes there, and how many hand-ins had no answer of 202 meanwhile. errNeverReady: one was not in force by readyMost.
+func (p *process) moves(ctx context.Context, endpoints []standin.Member, here, there *hostServers) (longest time.Duration, late int, err error) {
 	client := &http.Client{Transport: &http.Transport{}, Timeout: 2 * time.Second}
 	defer client.CloseIdleConnections()
 	for i := range 5 {
@@ -410,21 +436,21 @@
 		}
 		for k := 0; to.calls.Load() == before; k++ {
 			if err := handIn(ctx, client, p.addr, fmt.Sprintf("move%d%011d", i, k), endpoints[0].Cell); err != nil {
-				return 0, err
+				late++ // a relay that is at its list for long answers late
 			}
 			if time.Since(began) > readyMost {
-				return 0, errors.New("a change was never in force")
+				return 0, late, errNeverReady
 			}
 			if err := wait(ctx, 2*time.Millisecond); err != nil {
-				return 0, err
+				return 0, late, err
 			}
 		}
 		longest = max(longest, time.Since(began))
 		if err := wait(ctx, 200*time.Millisecond); err != nil { // for what is still on its way
-			return 0, err
+			return 0, late, err
 		}
 	}
-	return longest, nil
+	return longest, late, nil
 }
 
 // load has messages handed in at a rate, and returns how many a second were delivered and the cores that the relay used.
--- a/internal/capacity/book.go
+++ b/internal/capacity/book.go
@@ -115,6 +115,9 @@
 		return math.NaN(), fmt.Sprintf("`%s` %v", name, err)
 	}
 	how := "`" + name + "`"
+	if n < l.Least {
+		how += fmt.Sprintf(": over at the smallest size measured, %s", exact(l.Least))
+	}
 	if n > l.Most && !math.IsInf(n, 1) {
 		how += fmt.Sprintf(", %s times beyond the largest measured", short(n/l.Most))
 	}
--- a/internal/capacity/breaks.go
+++ b/internal/capacity/breaks.go
@@ -110,6 +110,7 @@
 	axis := Break{Axis: "destinations", Target: b.Destinations, Mechanism: byList}
 	with := func(what string) Break { axis.What = what; return axis }
 	base, _ := b.at(RelayMemory, 0)
+	none, _ := b.at(RelayRest, 0)
 	pages := with("a relay tells of no further destination at once")
 	pages.Effect, pages.Mechanism = LeavesOut, byFleet
 	pages.Target = b.Awake()
@@ -122,6 +123,7 @@
 		b.bound(with("a relay that asks discovery never becomes ready"), RelayDiscovery),
 		b.budget(with(fmt.Sprintf("the list takes %s", Format(b.ControlMemory, Bytes))), RelayMemory, base+b.ControlMemory),
 		b.budget(with(fmt.Sprintf("a start takes %s", Format(b.ReadyIn, Seconds))), RelayReady, b.ReadyIn),
+		b.budget(with(fmt.Sprintf("the list at rest takes %s", Format(b.ControlCores, Cores))), RelayRest, none+b.ControlCores),
 		b.budget(with(fmt.Sprintf("%s changes a day take %s", exact(b.Changes), Format(b.ControlCores, Cores))), RelayChange, b.ControlCores*day/b.Changes),
 		b.bound(pages, FleetPages),
 		b.bound(rights, FleetRights),
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -142,6 +142,7 @@
 		straight(RelayMemory, Bytes, 2e7, 4000, 10, 100, 1000),
 		straight(RelayReady, Seconds, 0.1, 0.001, 10, 100, 1000),
 		straight(RelayChange, Seconds, 1e-4, 1e-6, 10, 100, 1000),
+		straight(RelayRest, Cores, 0.01, 2e-5, 10, 100, 1000),
 		straight(RelayLoad, Cores, 0.04, 0.002, 10, 50, 100),
 		straight(RelayFresh, Cores, 0.04, 0.003, 10, 50, 100),
 		straight(RelayForce, Seconds, 0.1, 1e-5, 10, 100, 1000),
@@ -183,6 +184,7 @@
 		sending + "processor, a connection for each call":                             {0.34, Carried, ""},
 		control + "list: a change in force at a relay":                                {0.11, Carried, ""},
 		control + "all: processor":                                                    {math.NaN(), NotMeasured, ""},
+		control + "list: processor with no change":                                    {0.02, Carried, ""},
 		control + "all: memory":                                                       {4e6, Over, "2 times"},
 		control + "all: bytes":                                                        {14_015 + 300_040*8.64/86_400, Over, "14 times"},
 		sending + "processor, connections used again":                                 {0.24, Carried, ""},
@@ -272,6 +274,7 @@
 	for what, want := range map[string]float64{
 		"a relay that asks discovery never becomes ready":       100,
 		"the list takes 2 MB":                                   500,
+		"the list at rest takes 5 % of a core":                  2500,
 		"a start takes 10 s":                                    9900,
 		"8,640 changes a day take 5 % of a core":                499_900,
 		"no further limit is lent":                              50,
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -243,7 +243,7 @@
 
 func slopes(r Run) string {
 	var s strings.Builder
-	fmt.Fprintf(&s, "%s; it took %s.\n\n", stamp(r), Format(r.Seconds, Seconds))
+	fmt.Fprintf(&s, "%s; the last measuring took %s.\n\n", stamp(r), Format(r.Seconds, Seconds))
 	var x table
 	x.head("series", "over", "readings", "line", "residual", "")
 	for _, m := range r.Series {
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -27,6 +27,7 @@
 	RelayReady     = "relay.ready"     // seconds until it is ready
 	RelayStart     = "relay.start"     // seconds of a processor until it is ready
 	RelayDiscovery = "relay.discovery" // seconds until a relay that must ask discovery is ready
+	RelayRest      = "relay.rest"      // cores at rest, over destinations
 	RelayChange    = "relay.change"    // seconds of a processor for a change of one endpoint told by discovery
 	RelayForce     = "relay.force"     // seconds from a change's telling until messages go by it, over destinations
 	RelayFresh     = "relay.fresh"     // as RelayLoad, nearly each call on a connection of its own
@@ -37,6 +38,7 @@
 	FleetBytes    = "fleet.bytes"    // bytes a second that a member sends, over members
 	FleetCores    = "fleet.cores"    // of a member
 	FleetMemory   = "fleet.memory"   // bytes of a member
+	FleetRest     = "fleet.rest"     // the same with nothing to tell
 	FleetMessages = "fleet.messages" // datagrams a second that a member sends
 	FleetKnown    = "fleet.known"    // seconds until all members know what one has told
 	FleetLending  = "fleet.lending"  // bytes a second that a member sends to lend 1,000 limits
@@ -119,6 +121,7 @@
 	force, forceHow := b.at(RelayForce, b.Destinations)
 	whole, wholeHow := b.at(ListWhole, b.Destinations)
 	entry, entryHow := b.entry()
+	rest, restHow := b.at(FleetRest, b.Relays)
 	messages, messagesHow := b.at(FleetMessages, b.Relays)
 	known, knownHow := b.at(FleetKnown, b.Relays)
 	lending, lendingHow := b.at(FleetLending, b.Relays)
@@ -132,8 +135,10 @@
 	pages := b.stops(Figure{What: "what is shared: destinations told of at once", Value: awake, Mechanism: byFleet, Stops: "of the others it tells nothing"}, FleetPages)
 	rights := b.stops(Figure{What: "rights: limits lent", Value: b.Destinations, Mechanism: byRights, Stops: "the others go by their even parts"}, FleetRights)
 	cpu := b.Changes * change / day
+	none, _ := b.at(RelayRest, 0)
+	rested, restedHow := b.at(RelayRest, b.Destinations)
 	return Role{"A relay: its control", []Figure{
-		b.together("all: processor", Cores, b.ControlCores, []float64{cpu, cores}),
+		b.together("all: processor", Cores, b.ControlCores, []float64{cpu + rested - none, cores}),
 		b.together("all: memory", Bytes, b.ControlMemory, []float64{memory - base, fleetMemory}),
 		b.together("all: bytes", ByteRate, b.ControlBytes, []float64{b.Changes*entry/day + whole*b.RestartedADay/b.Relays/day, bytes}),
 		{What: "messages in: changes, and an empty line every 2 s", Value: b.Changes/day + 0.5, Unit: Rate, How: fmt.Sprintf("%s changes a day", exact(b.Changes)), Mechanism: byList},
@@ -148,12 +153,14 @@
 		{What: "list: one whole list", Value: whole / b.ControlBytes, Unit: Seconds, How: fmt.Sprintf("%s at %s", Format(whole, Bytes), Format(b.ControlBytes, ByteRate)),
 			Mechanism: byList},
 		{What: "list: a change in force at a relay", Value: force, Unit: Seconds, How: forceHow, Budget: b.InForce, Allowed: "everywhere", Mechanism: byList},
+		{What: "list: processor with no change", Value: rested - none, Unit: Cores, How: restedHow + fmt.Sprintf(", less %s of a relay with no list", Format(none, Cores)), Budget: b.ControlCores, Allowed: control, Mechanism: byList},
 		{What: "list: processor for changes", Value: cpu, Unit: Cores, How: changeHow + ", for each change", Budget: b.ControlCores, Allowed: control, Mechanism: byList},
 		{What: "list: the same, all changes of a day in one hour", Value: 24 * b.Changes * change / day, Unit: Cores, How: "24 times as many a second",
 			Budget: b.ControlCores, Allowed: control, Mechanism: byList},
 		{What: "settings: in force everywhere", Value: math.NaN(), Unit: Seconds, How: "a relay reads its own file at SIGHUP; nothing takes a change to all of them", Budget: b.InForce, Allowed: control},
 		join,
 		{What: "membership and what is shared: messages out", Value: messages, Unit: Rate, How: messagesHow, Mechanism: byFleet},
+		{What: "membership alone: bytes out", Value: rest, Unit: ByteRate, How: restHow, Budget: b.ControlBytes, Allowed: control, Mechanism: byFleet},
 		{What: "membership and what is shared: bytes out", Value: bytes, Unit: ByteRate, How: bytesHow, Budget: b.ControlBytes, Allowed: control, Mechanism: byFleet},
 		{What: "membership and what is shared: processor", Value: cores, Unit: Cores, How: coresHow, Budget: b.ControlCores, Allowed: control, Mechanism: byFleet},
 		{What: "membership and what is shared: memory", Value: fleetMemory, Unit: Bytes, How: fleetMemoryHow, Budget: b.ControlMemory, Allowed: control, Mechanism: byFleet},
