--- /dev/null
+++ b/policy/room_test.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Where room is short so many messages are looked at for one to refuse, and no more: a restart finds a full house of which none may be
+// refused, and would look through all of it for each message that it takes up, and for each new one.
+func TestRoomIsLookedForOnlySoFar(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		behind  int // messages that may not be refused, behind one that may
+		refused bool
+	}{
+		{"near the end", scanDepth - 1, true},
+		{"beyond the depth", scanDepth, false},
+	} {
+		s, err := New(Settings{Classes: []Class{{Effect: Safe, Aim: 3 * time.Second, GiveUp: 16 * time.Second}}, MaxHeld: (c.behind*10 + 8) / 9}, 1) // short with the last
+		if err != nil {
+			t.Fatal(err)
+		}
+		evs := []Event{{Kind: Taken, ID: 1, Destination: 5, Left: 8 * time.Second}}
+		for i := range c.behind {
+			evs = append(evs, Event{Kind: Taken, ID: uint32(i + 2), Destination: 5, Left: 9 * time.Second, Resumed: &Resumed{}})
+		}
+		refused := false
+		for _, a := range s.Step(time.Second, evs) {
+			refused = refused || a.Kind == Refuse && a.ID == 1
+		}
+		if refused != c.refused {
+			t.Errorf("%s: refused %v, want %v", c.name, refused, c.refused)
+		}
+	}
+}
+
+// A long queue stays where it is when its first message leaves: moved for each, as where all that a restart finds miss their aims, it takes
+// the square of its length. Whichever leave, the order stays.
+func TestALongQueueIsNotMovedForItsFirst(t *testing.T) {
+	s, err := New(Settings{Classes: []Class{{Effect: Safe, Aim: 3 * time.Second, GiveUp: 16 * time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var evs []Event
+	for i := range uint32(3 * scanDepth) {
+		evs = append(evs, Event{Kind: Taken, ID: i + 1, Destination: 5, Left: 9 * time.Second})
+	}
+	s.Step(time.Second, evs)
+	d := s.dests[5]
+	for range scanDepth {
+		second := &d.queue[1]
+		if s.unqueue(d.queue[0]); &d.queue[0] != second {
+			t.Fatal("the queue was moved")
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	left := slices.Clone(d.queue)
+	for len(left) > 0 {
+		i := rng.IntN(len(left))
+		if i%3 == 0 {
+			i = 0
+		}
+		s.unqueue(left[i])
+		if left = slices.Delete(left, i, i+1); !slices.Equal(d.queue, left) {
+			t.Fatalf("with %d left another order", len(left))
+		}
+	}
+}
