--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -50,12 +50,21 @@
 	Snapshot []byte        // policy.Sender.Snapshot
 	Terms    terms.Terms   // that hold
 	Version  int64         // of the list
+	Large    bool          // the list is too long to be told as a whole: what follows of it is what the module knows
 	Routes   []Route
-	Cells    []int // destinations that the list has named
+	Cells    []int // destinations that the list has named; of a long one none are told
 	LastID   uint32
 	Messages []Message
 	Attempts []Attempt // out
 	Later    []policy.Event
+	Ended    []Ended `json:",omitempty"` // in that order
+}
+
+// Ended is a message of which nothing is owed, and what its client is told if it hands it in once more until then.
+type Ended struct {
+	Trace  string
+	Status int
+	Until  time.Time
 }
 
 // Route is a listed host.
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,7 @@
 	sent     []time.Duration // sends of the last second
 	credit   float64         // calls that routes in doubt may take now, as of coldAt; one at most
 	coldAt   time.Duration
+	failSent time.Duration // latest send of a call that failed at once
 	coldLeft time.Duration // when a route in doubt last left the list; long ago if none
 	limit    float64       // reported, calls a second
 	got      float64       // own deliveries a second, in the mean, as of gotAt
@@ -56,7 +57,8 @@
 	cold      bool          // may be in an outage or coming back from one
 	lost      bool          // an answer was, and none came since
 	slight    bool          // on one failure alone: one delivery clears it
-	back      time.Duration // first delivery since the last failure while cold; 0: none yet
+	failSent  time.Duration // gate's, as of the last doubt
+	back      time.Duration // first delivery of a call sent since then, while cold; 0: none yet
 	run       int           // deliveries in a row since the last doubt
 	streak    int           // failures in a row
 	recent    uint8         // last 8 deliveries, errors and failed connections, a bit set for a failure
@@ -395,8 +397,15 @@
 	}
 	m.queued = false
 	d := m.dest
-	i := slices.Index(d.queue, m)
-	d.queue = slices.Delete(d.queue, i, i+1)
+	i := sort.Search(len(d.queue), func(i int) bool { return !before(d.queue[i], m) })
+	if len(d.queue) > scanDepth && i < len(d.queue)/2 {
+		// Most leave at the front. Guards against a long queue that is moved for each of its messages, as when all miss their aims.
+		copy(d.queue[1:i+1], d.queue[:i])
+		d.queue[0] = nil
+		d.queue = d.queue[1:]
+	} else {
+		d.queue = slices.Delete(d.queue, i, i+1)
+	}
 	if len(d.queue) == 0 {
 		last := s.active[len(s.active)-1]
 		s.active[d.at-1], last.at = last, d.at
