--- a/cmd/cherrytrestle/scale_test.go
+++ b/cmd/cherrytrestle/scale_test.go
@@ -65,37 +65,44 @@
 // catalogAgent is discovery's agent with a list that is written once, however large it is.
 type catalogAgent struct {
 	*httptest.Server
-	whole   []byte // is sent to who has another version
-	changes chan string
+	whole   []byte // is sent to who has an older version
+	version int    // of it
 
-	mu     sync.Mutex
-	finals map[string]string // status by id
+	mu      sync.Mutex
+	changes [][]byte          // by version, from the next on
+	told    chan struct{}     // closed, and made anew, with each
+	finals  map[string]string // status by id
 }
 
 func newCatalogAgent(t *testing.T, version int, list []member) *catalogAgent {
 	t.Helper()
 	whole, err := json.Marshal(map[string]any{"version": version, "full": true, "servers": list})
 	must(t, err)
-	a := &catalogAgent{whole: append(whole, '\n'), changes: make(chan string, 16), finals: map[string]string{}}
+	a := &catalogAgent{whole: append(whole, '\n'), version: version, told: make(chan struct{}), finals: map[string]string{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog/members", func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("stream") == "" || r.URL.Query().Get("index") != strconv.Itoa(version) {
+		has, err := strconv.Atoi(r.URL.Query().Get("index"))
+		if err != nil || has < version {
+			has = version
 			w.Write(a.whole)
 		}
-		if r.URL.Query().Get("stream") == "" {
-			return
-		}
-		w.(http.Flusher).Flush()
-		for {
+		for beat := time.NewTicker(500 * time.Millisecond); r.URL.Query().Get("stream") != ""; {
+			a.mu.Lock()
+			lines, more := a.changes[has-version:], a.told
+			a.mu.Unlock()
+			for _, line := range lines {
+				w.Write(line)
+			}
+			has += len(lines)
+			w.(http.Flusher).Flush()
 			select {
-			case line := <-a.changes:
-				fmt.Fprintln(w, line)
-			case <-time.After(500 * time.Millisecond):
+			case <-more:
+			case <-beat.C:
 				fmt.Fprintln(w)
 			case <-r.Context().Done():
+				beat.Stop()
 				return
 			}
-			w.(http.Flusher).Flush()
 		}
 	})
 	mux.HandleFunc("POST /v2/finals", func(w http.ResponseWriter, r *http.Request) {
@@ -269,7 +276,7 @@
 				}
 				values["ready"], values["ready_s"] = 1, time.Duration(follow.ready.Load()).Seconds()
 				// A destination more: from when it is told until a message to it is taken.
-				must(t, a.tell(3, catalog(n, n+1, h.addr())...))
+				a.tell(t, catalog(n, n+1, h.addr())...)
 				told := time.Now()
 				to := func(q *http.Request) { q.Header.Set("Envelope", fmt.Sprintf("dest=%d", n)) }
 				for i := 0; ; i++ {
@@ -291,10 +298,16 @@
 	}
 }
 
-func (a *catalogAgent) tell(version int, changes ...member) error {
-	line, err := json.Marshal(map[string]any{"version": version, "full": false, "servers": changes})
-	a.changes <- string(line)
-	return err
+// tell has all that watch told of a change.
+func (a *catalogAgent) tell(t *testing.T, changes ...member) {
+	t.Helper()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	line, err := json.Marshal(map[string]any{"version": a.version + len(a.changes) + 1, "full": false, "servers": changes})
+	must(t, err)
+	a.changes = append(a.changes, append(line, '\n'))
+	close(a.told)
+	a.told = make(chan struct{})
 }
 
 // hold hands in messages from first to last over so many connections, to destinations in turn, and returns how many were not taken.
@@ -399,3 +412,104 @@
 		t.Errorf("only %d of %d are held: the test shows little", held, n)
 	}
 }
+
+// Many relays follow one large list under load. An endpoint is drained right behind a change of half of all entries: nothing new goes to it from
+// 1 s after that was told, at any of them, and what was taken is delivered.
+func TestManyRelaysOfOneCatalog(t *testing.T) {
+	destinations := 2000
+	if *full {
+		destinations = 50000
+	}
+	for _, n := range scale(t, []int{3}, 30) {
+		t.Run(fmt.Sprintf("%d relays, %d destinations", n, destinations), func(t *testing.T) { manyRelays(t, n, destinations) })
+	}
+}
+
+func manyRelays(t *testing.T, n, destinations int) {
+	values := map[string]float64{}
+	defer func() { tell(t, fmt.Sprintf("relays of %d destinations", destinations), n, values) }()
+	leaves, stays := newHost(t, nil), newHost(t, nil)
+	list := catalog(0, destinations, "")
+	list[0]["addr"], list[1]["addr"], list[0]["weight"], list[1]["weight"] = leaves.addr(), stays.addr(), 9000.0, 5000.0
+	a := newCatalogAgent(t, 2, list)
+	p := &platform{Server: a.Server}
+	relays, follow := make([]*relayProcess, n), make([]*health, n)
+	for i := range relays {
+		relays[i] = prepareRelay(t, nil, func(set map[string]any) { set["fleet_size"] = n })
+		relays[i].launch(p)
+		follow[i] = relays[i].followHealth()
+	}
+	for i, h := range follow {
+		if !h.untilReady(readyWithin) {
+			t.Fatalf("relay %d is not ready after %v", i, readyWithin)
+		}
+		values["ready_s"] = max(values["ready_s"], time.Duration(h.ready.Load()).Seconds())
+	}
+	var load sync.WaitGroup
+	var taken, turnedAway atomic.Int64
+	stop := make(chan struct{})
+	for i, r := range relays {
+		load.Go(func() {
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+				res, err := r.client.Do(r.request(fmt.Sprintf("m-%d-%d", i, k), 15*time.Second, func(q *http.Request) { q.Header.Set("Envelope", "dest=0") }))
+				if err != nil {
+					turnedAway.Add(1)
+					continue
+				}
+				if res.Body.Close(); res.StatusCode == http.StatusAccepted {
+					taken.Add(1)
+				} else {
+					turnedAway.Add(1)
+				}
+			}
+		})
+	}
+	calls := func(h *host) int { h.mu.Lock(); defer h.mu.Unlock(); return h.calls }
+	eventually(t, "the endpoint that will leave is called", func() bool { return calls(leaves) >= 5*n })
+	half := list[2 : 2+destinations]
+	for _, m := range half {
+		m["weight"] = 9.1
+	}
+	list[0]["state"] = "draining"
+	a.tell(t, half...)
+	a.tell(t, list[0])
+	told := time.Now()
+	time.Sleep(3 * time.Second)
+	close(stop)
+	load.Wait()
+	ids := map[string]bool{}
+	eventually(t, "all that was taken is delivered", func() bool {
+		for _, h := range []*host{leaves, stays} {
+			h.mu.Lock()
+			for _, id := range h.seen {
+				ids[id] = true
+			}
+			h.mu.Unlock()
+		}
+		return len(ids) >= int(taken.Load())
+	})
+	leaves.mu.Lock()
+	last := slices.MaxFunc(leaves.at, time.Time.Compare).Sub(told)
+	leaves.mu.Unlock()
+	if calls(stays) == 0 {
+		t.Error("nothing goes to the endpoint that stays")
+	}
+	if last > time.Second {
+		t.Errorf("called %v after its drain was told", last)
+	}
+	values["last_call_to_the_drained_ms"], values["taken"], values["turned_away"] = float64(last.Milliseconds()), float64(taken.Load()), float64(turnedAway.Load())
+	for i, r := range relays {
+		follow[i].end()
+		values["memory_most_mb"] = max(values["memory_most_mb"], r.memory("VmHWM"))
+		values["health_longest_ms"] = max(values["health_longest_ms"], float64(follow[i].longest.Load())/1e6)
+		values["processor_s"] += r.spentSoFar().Seconds() / float64(n)
+	}
+	if most := values["memory_most_mb"]; most > catalogMemoryMost {
+		t.Errorf("%.0f MB at the most, %d wanted", most, catalogMemoryMost)
+	}
+}
