--- a/internal/hollow/rights.go
+++ b/internal/hollow/rights.go
@@ -94,16 +94,18 @@
 	values := map[string]float64{}
 	var err error
 	var used time.Duration
+	loans := 0
 	for now := time.Duration(0); now < settle+window; now += rightsStep {
 		if now == settle {
 			values["start_datagrams_per_s"] = sent.datagrams / settle.Seconds()
 			*sent, *heard = post{codec: c}, post{codec: c}
-			used = 0
+			used, loans = 0, 0
 		}
 		var told []rights.Message
 		used += spent(func() { told, _ = b.Step(now) })
 		var answers []rights.Message
 		for _, m := range told {
+			loans += len(m.Loans)
 			var got rights.Message
 			used += spent(func() { got, err = sent.pass(me, life.Boot, now, m) }) // with the reading, which is another's: as much as the writing of an answer
 			if err != nil {
@@ -145,6 +147,7 @@
 	}
 	s := window.Seconds()
 	values["sent_datagrams_per_s"], values["sent_bytes_per_s"] = sent.datagrams/s, sent.bytes/s
+	values["loans_per_s"] = float64(loans) / s
 	values["heard_datagrams_per_s"], values["heard_bytes_per_s"] = heard.datagrams/s, heard.bytes/s
 	values["processor_ms_per_s"] = float64(used.Microseconds()) / 1000 / s
 	after := heap()
