--- a/cmd/cherrytrestle/longlist_test.go
+++ b/cmd/cherrytrestle/longlist_test.go
@@ -30,7 +30,9 @@
 			t.Parallel()
 			p := newPlatform(t)
 			h := newHost(t, func(w http.ResponseWriter, _ *http.Request, _ []string) { w.WriteHeader(http.StatusOK) })
-			live := func(state string) []member { return append(restingMembers(dests, 1000), listed("s-1", h.addr(), "a", "gateway", state)) }
+			live := func(state string) []member {
+				return append(restingMembers(dests, 1000), listed("s-1", h.addr(), "a", "gateway", state))
+			}
 			r := newRelay(t, p, live("draining"), nil)
 			r.take("waits", 12*time.Second)
 			whole := fmt.Appendf(nil, `{"version":50,"full":true,"servers":[`)
