--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -91,7 +91,11 @@
 			name := strings.ToLower(strings.SplitN(role.Name, " (", 2)[0]) + ", " + f.What
 			switch v {
 			case Over:
-				over = append(over, fmt.Sprintf("%s: %s of %s (%s)", name, Format(f.Value, f.Unit), Format(f.Budget, f.Unit), strings.ReplaceAll(f.Says(), "*", "")))
+				line := fmt.Sprintf("%s: %s of %s (%s)", name, Format(f.Value, f.Unit), Format(f.Budget, f.Unit), strings.ReplaceAll(f.Says(), "*", ""))
+				if strings.Contains(f.How, "bends") {
+					line += "; the line bends: a coarse figure"
+				}
+				over = append(over, line)
 			case NoMechanism:
 				if math.IsNaN(f.Value) {
 					none = append(none, name)
@@ -108,6 +112,11 @@
 	} else {
 		s.WriteString("**Nothing that was measured breaks below its target.**\n\n")
 	}
+	if was, ok := d.Run(Before); ok && r.Program != Before {
+		if x, ok := Missing(Breaks(t, was)); ok {
+			fmt.Fprintf(&s, "Of the program before (%s) it was %s: at %s of %s %s (%.2g %%) %s: %s.\n\n", was.Commit, mechanism(x), Format(x.At, Count), exact(x.Target), x.Axis, 100*x.Share(), x.What, x.Effect)
+		}
+	}
 	fmt.Fprintf(&s, "Of %d figures %d are carried, %d over, %d not measured, and %d have no mechanism yet.\n\n", all, counts[Carried], counts[Over], counts[NotMeasured], counts[NoMechanism])
 	t1 := table{}
 	t1.head("axis", "target", "first break", "at", "share of the target", "effect")
