--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -235,6 +235,10 @@
 			t.Errorf("%s: %g, %s; want %g, %v, %q", name, f.Value, f.Says(), want.value, want.verdict, want.says)
 		}
 	}
+	run.Series = append(run.Series, straight(FleetCores, Cores, 0.001, 1e-4, 10, 30, 100))
+	if f := figures(target, run)[control+"all: processor"]; !near(f.Value, 0.1*1.1e-3+0.02+0.011) || f.Verdict() != Carried {
+		t.Errorf("all control: %g, %s", f.Value, f.Says())
+	}
 	run.AtRest = true
 	busy := 1 - math.Exp(-30.0/(100/10.0)) // an event to a destination in ten seconds
 	if f := figures(target, run)[sending+"state: destinations that the module knows"]; !near(f.Value, 1000*(0.02+0.98*busy)) {
