The first message for a destination at rest no longer waits as at a start

Change: what is told again says so (Listing.Again), and its tokens grow from the sender's start, as if it had always been known. What was added to the list within the last three seconds does not (WorkingSet.Added, Settled; of more than 4,096 at a time none does): its calls spread. Sites of up to 4,096 hosts are not touched.

--- a/internal/catalog/working.go
+++ b/internal/catalog/working.go
@@ -2,14 +2,19 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
+
+	"onyxroad.dev/onyxroad/policy"
 )
 
 // WorkingSet is which destinations a module has been told of: those that were used of late, or that it must not forget.
 type WorkingSet struct {
-	rest time.Duration
-	byID map[int]*list.Element
-	idle list.List // of *used, the one that was not used for longest first
+	rest  time.Duration
+	young map[int]time.Duration // destinations of which an endpoint was added of late, and when
+	crowd time.Duration         // all that were listed by then count as added then
+	byID  map[int]*list.Element
+	idle  list.List // of *used, the one that was not used for longest first
 }
 
 type used struct {
@@ -19,7 +24,7 @@
 
 // NewWorkingSet returns an empty one, whose destinations may be put to rest when they were not used for rest.
 func NewWorkingSet(rest time.Duration) *WorkingSet {
-	return &WorkingSet{rest: rest, byID: map[int]*list.Element{}}
+	return &WorkingSet{rest: rest, byID: map[int]*list.Element{}, young: map[int]time.Duration{}, crowd: math.MinInt64 / 2}
 }
 
 // Has tells whether a destination is awake.
@@ -38,6 +43,29 @@
 	return true
 }
 
+// Added notes that an endpoint of a destination was added to the list at now. Beyond WholeMost of late all destinations count as added.
+func (w *WorkingSet) Added(dest int, now time.Duration) {
+	if w.young[dest] = now; len(w.young) <= WholeMost {
+		return
+	}
+	for d, at := range w.young {
+		if now >= at+policy.FirstSpread {
+			delete(w.young, d)
+		}
+	}
+	if len(w.young) > WholeMost {
+		clear(w.young)
+		w.crowd = now
+	}
+}
+
+// Settled tells whether a destination has been listed for as long as first calls to what is new spread: one that wakes then stands as if its
+// module had always known it.
+func (w *WorkingSet) Settled(dest int, now time.Duration) bool {
+	at, young := w.young[dest]
+	return now >= w.crowd+policy.FirstSpread && (!young || now >= at+policy.FirstSpread)
+}
+
 // Touch has a destination count as used at now, which must not go back. One at rest stays so.
 func (w *WorkingSet) Touch(dest int, now time.Duration) {
 	if e := w.byID[dest]; e != nil {
--- a/internal/emulate/list.go
+++ b/internal/emulate/list.go
@@ -130,6 +130,9 @@
 		return // the next process begins with it
 	}
 	w.see(record.Event{Kind: record.Told, Relay: r.name, Host: h.ID, State: c.state, Dest: h.Dest})
+	if r.large() && c.more > 0 {
+		r.working.Added(h.Dest, r.now())
+	}
 	if r.large() && !r.working.Has(h.Dest) {
 		return // it is at rest: what the list has is told when it wakes
 	}
--- a/internal/emulate/working.go
+++ b/internal/emulate/working.go
@@ -53,7 +53,11 @@
 	wake := func(dest int) {
 		if r.working.Wake(dest, now) {
 			w.Woken++
+			from := len(woken)
 			woken = w.listed(woken, dest, r.heard)
+			for i := range woken[from:] {
+				woken[from+i].Again = r.working.Settled(dest, now)
+			}
 		}
 	}
 	for i := range evs {
--- a/internal/emulate/working_test.go
+++ b/internal/emulate/working_test.go
@@ -137,3 +137,15 @@
 		t.Errorf("%d destinations awake long after the last message", w.relays[0].working.Len())
 	}
 }
+
+// The first message for a destination at rest is delivered as soon as where modules are told all: also by one of many relays, whose
+// calls spread over the first seconds after a start.
+func TestWhatWakesIsNotLate(t *testing.T) {
+	f := loaded(t, "quiet-day")
+	f.Relays, f.Troubles = 40, nil
+	f.Destinations = []scenario.Destination{{Kind: f.Destinations[0].Kind, Rate: 20, Weight: 1, Count: 500, Endpoints: 2, Zones: f.Zones}}
+	whole, working := played(t, f.DrawWorld(1), Options{}), played(t, f.DrawWorld(1), Options{WholeMost: 1})
+	if a, b := whole.Late(50), working.Late(50); b > a+a/10 {
+		t.Errorf("half of the messages are delivered within %v, where modules are told all within %v", b, a)
+	}
+}
--- a/internal/flight/form.go
+++ b/internal/flight/form.go
@@ -228,6 +228,9 @@
 	if l.Gone {
 		has |= 2
 	}
+	if l.Again {
+		has |= 4
+	}
 	e.byte(has)
 	e.name(l.Route)
 	e.int(int64(l.Destination))
@@ -408,7 +411,7 @@
 
 func (d *decoder) listing() policy.Listing {
 	has := d.byte()
-	l := policy.Listing{InService: has&1 != 0, Gone: has&2 != 0, Route: d.name()}
+	l := policy.Listing{InService: has&1 != 0, Gone: has&2 != 0, Again: has&4 != 0, Route: d.name()}
 	l.Destination, l.Kind, l.Zone, l.Weight = int(d.int()), int(d.int()), int(d.int()), d.float()
 	return l
 }
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -40,7 +40,7 @@
 		"policy.paceRestart", "policy.paceLeast", "policy.paceSure", "policy.paceCreep", "policy.paceCrawl", "policy.creepSteps", "policy.paceNear",
 		"policy.paceFree", "policy.paceBurst", "policy.manyBurst", "policy.calmSpan", "policy.manyCreep", "policy.manyMost", "policy.manyLeast",
 		"policy.takenSpan", "policy.takenPrior", "policy.takenShare", "policy.askEvery", "policy.askAhead", "policy.tightMost", "policy.tightRest",
-		"policy.scarceSpan", "policy.aliveSpan", "policy.fewSenders", "policy.manySpread", "herd.few", "herd.share", "herd.pauseFirst", "herd.jitter",
+		"policy.scarceSpan", "policy.aliveSpan", "policy.fewSenders", "policy.manySpread", "policy.FirstSpread", "herd.few", "herd.share", "herd.pauseFirst", "herd.jitter",
 	},
 	"statistics: deviations, mixes, spans of a mean": {
 		"policy.scatter", "policy.ownPart", "policy.roughFactor", "policy.ownSpan", "policy.devs", "policy.lateDevs",
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -130,6 +130,9 @@
 
 // changed books a change of the catalog: calls go to no address that a host has left.
 func (r *Relay) changed(c *catalog.Change) {
+	if r.awake != nil && (c.Kind == catalog.Added || c.Kind == catalog.Moved && c.Was.Destination != c.Is.Destination) {
+		r.awake.Added(c.Is.Destination, r.now())
+	}
 	if c.Kind == catalog.Removed || c.Kind == catalog.Moved && c.Was.Addr != c.Is.Addr {
 		r.hosts.closeIdle(c.Was.Route)
 	}
@@ -308,8 +311,10 @@
 		if !r.awake.Wake(dest, now) {
 			return
 		}
+		settled := r.awake.Settled(dest, now)
 		r.of = r.catalog.Of(dest, r.of[:0])
 		for _, e := range r.of {
+			e.Again = settled
 			woken = append(woken, e.Listing)
 		}
 	}
--- /dev/null
+++ b/policy/again_test.go
@@ -0,0 +1,50 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// Of many senders' first calls to what is listed anew spread; what is told again stands as if it had been known all along, and is
+// free for the same calls as that: no more.
+func TestWhatIsToldAgainStandsAsIfKnown(t *testing.T) {
+	calls := func(seed uint64, again, whole bool, after time.Duration) (n int) {
+		set := settings()
+		set.Senders = 300
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := Listing{Route: "a", Destination: 1, Kind: 1, Weight: 60, InService: true, Again: again}
+		known := Event{Kind: ListWhole}
+		if whole {
+			known.List = []Listing{l}
+		}
+		s.Step(time.Second, []Event{known})
+		events := []Event{{Kind: ListChanges, List: []Listing{l}}}
+		for id := range uint32(10) {
+			events = append(events, Event{Kind: Taken, ID: id + 1, Destination: 1, Left: time.Second})
+		}
+		for _, a := range s.Step(time.Second+after, events) {
+			if a.Kind == Send {
+				n++
+			}
+		}
+		return n
+	}
+	for _, after := range []time.Duration{0, time.Second, FirstSpread, time.Minute} {
+		fresh, again, known := 0, 0, 0
+		for seed := range uint64(50) {
+			fresh += calls(seed, false, false, after)
+			again += calls(seed, true, false, after)
+			known += calls(seed, false, true, after)
+		}
+		t.Logf("%v after a start, 50 senders: %d calls to what is new, %d to what is told again, %d where it was known", after, fresh, again, known)
+		if again != known {
+			t.Errorf("%v after a start: %d calls to what is told again, %d to what was known", after, again, known)
+		}
+		if after >= FirstSpread && fresh >= again {
+			t.Errorf("%v after a start: %d calls to what is new, %d to what is told again: this shows nothing", after, fresh, again)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -79,6 +79,7 @@
 	Weight      float64 // calls a second from all senders together; 0: not told
 	InService   bool    // false: draining
 	Gone        bool    // removed
+	Again       bool    // as it was listed before, and forgotten since (Resting); of a route that is known it says nothing
 }
 
 // EventKind names what an Event tells.
@@ -113,6 +114,9 @@
 	RanZone  int           // and to which zone
 }
 
+// FirstSpread is the longest time over which the first calls of many senders to what is listed anew spread.
+const FirstSpread = manySpread
+
 // RetryAdvice is the least time that a client turned away is told to stay away.
 const RetryAdvice = retryAdvice
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -355,7 +355,12 @@
 	if separate || len(d.gates) == 0 {
 		d.gates = append(d.gates, &gate{dest: d, separate: separate, kind: l.Kind, tokens: 1, tokensAt: s.now,
 			coldLeft: math.MinInt64 / 2})
+		if l.Again {
+			// As if it had stood here since. Guards against a first message that waits as at a start each time that it is told of again.
+			d.gates[len(d.gates)-1].tokensAt = s.began
+		}
 	}
+	r.Again = false
 	r.gate = d.gates[len(d.gates)-1]
 	r.gate.routes = append(r.gate.routes, r)
 }
