--- a/internal/fleet/rights/rights.go
+++ b/internal/fleet/rights/rights.go
@@ -270,9 +270,11 @@
 		b.mint(s, a)
 		a.Limit = limits[s.Dest][s.Route]
 	}
-	for dest, routes := range limits {
-		for route, limit := range routes {
-			s := Scope{Dest: dest, Route: route}
+	// In their order: beyond the bound the same limits are lent for equal events.
+	for _, dest := range slices.Sorted(maps.Keys(limits)) {
+		routes := limits[dest]
+		for _, route := range slices.Sorted(maps.Keys(routes)) {
+			s, limit := Scope{Dest: dest, Route: route}, routes[route]
 			if _, apart := routes[""]; apart && len(routes) > 1 && route == "" || limit <= 0 {
 				continue // the sum of routes that stand apart: no limit of anything
 			}
--- a/internal/fleet/rights/rights_test.go
+++ b/internal/fleet/rights/rights_test.go
@@ -412,3 +412,27 @@
 		t.Errorf("raised again %.1f a second, %.2f refused", rate, share)
 	}
 }
+
+// Of more limits than are lent, equal events lend the same.
+func TestTheSameLimitsAreLentBeyondTheBound(t *testing.T) {
+	limits := ledger.Limits{}
+	for dest := range scopesMost + 100 {
+		limits[dest] = map[string]float64{"": 10, "a": 5, "b": 5}
+	}
+	var first map[Scope]*Account
+	for range 3 {
+		b := New(0, Settings{})
+		b.SetLimits(time.Second, limits)
+		if len(b.Accounts) != scopesMost {
+			t.Fatalf("%d limits are lent, want %d", len(b.Accounts), scopesMost)
+		}
+		if first == nil {
+			first = b.Accounts
+		}
+		for s := range b.Accounts {
+			if first[s] == nil {
+				t.Fatalf("%v is lent by one of two equal books alone", s)
+			}
+		}
+	}
+}
