--- a/cmd/emulate/main_test.go
+++ b/cmd/emulate/main_test.go
@@ -64,7 +64,8 @@
 		{"faults zone --judged", exitHeld, "3 relays ended"},
 		{"faults zone --judged --mutant restart-forgets-sends", exitBroken, "no effect happens twice: BROKEN"},
 		{"faults restarts --judged", exitHeld, "2 relays ended"},
-		{"faults restarts --judged --mutant journal-not-restored", exitBroken, "no message is lost: BROKEN"},
+		{"faults restarts --judged --relays 400 --rate 4000 --length 20s", exitHeld, "20 relays ended"},
+		{"faults restarts --judged --relays 400 --rate 4000 --length 20s --mutant journal-not-restored", exitBroken, "no message is lost: BROKEN"},
 		{"--help", exitHeld, "experiment"},
 	} {
 		if status, out := do(t, strings.Fields(c.args)...); status != c.status || !strings.Contains(out, c.says) {
