Log and count what happens on connections to endpoints, and each message's history

Change: metrics for connections opened and closed by reason, surplus bytes by when they were found, attempts by outcome, notifications confirmed and repeated; a warning that names the endpoint which sent surplus bytes; at level debug one line for each message, call, attempt and connection. The golden page of metrics has the new lines; no old line changed.

--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -31,6 +31,12 @@
 	registry.Pending.Store(14)
 	registry.Members.Store(15)
 	registry.UnavailableMembers.Store(16)
+	registry.ConnectionsOpened.Store(17)
+	registry.ConnectionsClosed.Add("peer", 18)
+	registry.SurplusReceived.Add("idle", 19)
+	registry.Attempts.Add("ok", 20)
+	registry.NotificationsSent.Store(21)
+	registry.NotificationRetries.Store(22)
 	return registry
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -47,6 +47,14 @@
 	Members            atomic.Int64 // endpoints in the list
 	UnavailableMembers atomic.Int64 // endpoints in the list that receive no messages at the moment
 
+	ConnectionsOpened atomic.Int64   // connections to endpoints that were established
+	ConnectionsClosed LabeledCounter // connections to endpoints that the relay closed, by reason
+	SurplusReceived   LabeledCounter // times that endpoints sent bytes which belong to no request, by when
+	Attempts          LabeledCounter // attempts that ended, by outcome
+
+	NotificationsSent   atomic.Int64 // final notifications that the platform confirmed
+	NotificationRetries atomic.Int64 // requests with final notifications that were not confirmed
+
 	mu      sync.Mutex
 	classes map[string]*classResults // by class name; bounded by the number of classes that configurations have named
 }
@@ -54,6 +62,38 @@
 // classResults counts the messages of a class by their result.
 type classResults [resultCount]int64
 
+// LabeledCounter counts events by a label. The zero value is ready to use. The number of labels must be bounded.
+type LabeledCounter struct {
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+// Add adds n to the counter of a label. With 0 it adds the label, so that WriteTo includes it.
+func (c *LabeledCounter) Add(label string, n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[string]int64{}
+	}
+	c.counts[label] += n
+}
+
+// Get returns the count of a label.
+func (c *LabeledCounter) Get(label string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[label]
+}
+
+// writeTo writes the counters, ordered by label.
+func (c *LabeledCounter) writeTo(text *strings.Builder, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, label := range slices.Sorted(maps.Keys(c.counts)) {
+		writeMetric(text, name+"."+label, c.counts[label], counter)
+	}
+}
+
 // RegisterClass adds the counters of a class, so that WriteTo includes them before the first message of the class ends.
 func (r *Registry) RegisterClass(name string) {
 	r.mu.Lock()
@@ -91,6 +131,12 @@
 	writeMetric(&text, "members_unavailable", r.UnavailableMembers.Load(), gauge)
 	writeMetric(&text, "config_reloads", r.Reloads.Load(), counter)
 	writeMetric(&text, "config_reload_errors", r.ReloadErrors.Load(), counter)
+	writeMetric(&text, "connections_opened", r.ConnectionsOpened.Load(), counter)
+	r.ConnectionsClosed.writeTo(&text, "connections_closed")
+	r.SurplusReceived.writeTo(&text, "surplus_received")
+	r.Attempts.writeTo(&text, "attempts")
+	writeMetric(&text, "notifications_sent", r.NotificationsSent.Load(), counter)
+	writeMetric(&text, "notification_retries", r.NotificationRetries.Load(), counter)
 	n, err := io.WriteString(w, text.String())
 	return int64(n), err
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -18,18 +18,25 @@
 router.members_unavailable:0|g
 router.config_reloads:0|c
 router.config_reload_errors:1|c
+router.connections_opened:0|c
+router.connections_closed.keep_alive:0|c
+router.connections_closed.peer:100|c
+router.notifications_sent:0|c
+router.notification_retries:7|c
 `
 
 // TestWriteTo counts and writes in many goroutines at once, then checks the totals and the order of the lines.
 func TestWriteTo(t *testing.T) {
 	var registry Registry
 	registry.RegisterClass("b")
+	registry.ConnectionsClosed.Add("keep_alive", 0)
 	var wg sync.WaitGroup
 	for range 100 {
 		wg.Go(func() {
 			registry.CountResult("a", Completed)
 			registry.CountResult("b", Failed)
 			registry.UpstreamRequests.Add(2)
+			registry.ConnectionsClosed.Add("peer", 1)
 			if _, err := registry.WriteTo(&strings.Builder{}); err != nil {
 				t.Error(err)
 			}
@@ -39,6 +46,7 @@
 	registry.CountResult("a", Rejected)
 	registry.Pending.Store(14)
 	registry.ReloadErrors.Add(1)
+	registry.NotificationRetries.Add(7)
 	var text strings.Builder
 	if _, err := registry.WriteTo(&text); err != nil {
 		t.Fatal(err)
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -49,6 +49,7 @@
 	err := r.journal.Accept(records...)
 	for _, s := range waiting {
 		s.acceptedAs.accepting = false
+		r.logAccepted(s.message)
 	}
 	if err != nil {
 		// A full disk must not stop the relay: pending messages go on, and only new ones are rejected.
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -194,6 +194,7 @@
 func (r *Relay) attemptEnded(events []policy.Event, a *attempt, result egress.Result) []policy.Event {
 	m := a.message
 	delivered := result.Outcome == policy.OK
+	r.observeAttempt(a, result)
 	if a.finished {
 		// The attempt timed out while its call went on for other messages. A delivery still ends the message.
 		if delivered {
--- a/internal/relay/egress/client.go
+++ b/internal/relay/egress/client.go
@@ -35,9 +35,9 @@
 	ConnectTimeout time.Duration
 	KeepAlive      time.Duration // time after which endpoints close an idle connection
 	MaxConns       int
-	ReportFields   []string           // fields to read from the endpoints' load reports; empty: endpoints send none
-	OnWritten      func(messages int) // called after a request was written completely
-	Dial           DialFunc           // nil: dial TCP without keep-alive probes
+	ReportFields   []string // fields to read from the endpoints' load reports; empty: endpoints send none
+	Observer       Observer
+	Dial           DialFunc // nil: dial TCP without keep-alive probes
 	Log            *slog.Logger
 }
 
@@ -45,8 +45,6 @@
 type Client struct {
 	*pool
 	reportFields       []string
-	onWritten          func(messages int)
-	log                *slog.Logger
 	malformedResponses ratelog.Warning
 }
 
@@ -55,8 +53,6 @@
 	return &Client{
 		pool:               newPool(config),
 		reportFields:       config.ReportFields,
-		onWritten:          config.OnWritten,
-		log:                config.Log,
 		malformedResponses: ratelog.Warning{Message: "malformed response"},
 	}
 }
@@ -107,17 +103,23 @@
 	// When ctx ends, the reads and writes of the connection fail, and the call ends without a response.
 	stop := context.AfterFunc(ctx, func() { conn.ExpireAt(netconn.Past) })
 	began := time.Now()
+	conn.calls++
 	written := writeRequest(conn, request) == nil
 	if written {
-		c.onWritten(len(call.Attempts))
+		c.observer.RequestWritten(len(call.Attempts))
 	}
 	batch := len(call.Attempts) > 1
 	read := readResponse(conn, request, batch) // the endpoint may respond to an incomplete request
-	if stop() && read.err == nil && written {
+	usable := stop() && read.err == nil && written
+	if read.surplus {
+		conn.reportSurplus(SurplusBehindResponse)
+	}
+	c.logResponse(call, conn, read, written)
+	if usable {
 		conn.ExpireAt(time.Time{})
 		conn.release()
 	} else {
-		conn.close()
+		conn.close(read.closeReason())
 	}
 	if read.firstByteAt.IsZero() {
 		read.firstByteAt = time.Now()
@@ -141,6 +143,24 @@
 	return sameResults(call, result)
 }
 
+// logResponse logs how a call ended, for the level debug: which messages it carried, on which connection, as which call
+// of that connection, and what was read.
+func (c *Client) logResponse(call *Call, conn *pooledConn, read response, written bool) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	var ids []string
+	for _, a := range call.Attempts {
+		ids = append(ids, a.TraceID)
+	}
+	status := 0
+	if read.header != nil {
+		status = read.header.StatusCode
+	}
+	c.log.Debug("call ended", "endpoint", call.EndpointID, "conn", conn.id, "call", conn.calls, "messages", ids,
+		"written", written, "status", status, "err", read.err)
+}
+
 // isConnFailure reports whether a response could not be read because the connection ended, failed or timed out, and
 // not because the peer sent malformed data.
 func isConnFailure(err error) bool {
--- a/internal/relay/egress/client_test.go
+++ b/internal/relay/egress/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,11 +22,39 @@
 		KeepAlive:      time.Minute,
 		MaxConns:       368,
 		ReportFields:   []string{"x0", "x1"},
-		OnWritten:      func(int) {},
+		Observer:       &countingObserver{},
 		Log:            slog.New(slog.DiscardHandler),
 	}
 }
 
+// countingObserver counts what happens on connections.
+type countingObserver struct {
+	mu      sync.Mutex
+	opened  int
+	closed  [closeReasonCount]int
+	surplus [surplusCount]int
+}
+
+func (*countingObserver) RequestWritten(int) {}
+
+func (o *countingObserver) ConnOpened() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.opened++
+}
+
+func (o *countingObserver) ConnClosed(reason CloseReason) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed[reason]++
+}
+
+func (o *countingObserver) SurplusReceived(when Surplus) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.surplus[when]++
+}
+
 // newTestClient returns a client that is closed at the end of the test.
 func newTestClient(t *testing.T, config Config) *Client {
 	t.Helper()
--- a/internal/relay/egress/pool.go
+++ b/internal/relay/egress/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/relay/netconn"
+	"cherrytrestle.example/cherrytrestle/internal/relay/ratelog"
 )
 
 const (
@@ -35,8 +37,12 @@
 	connectTimeout time.Duration
 	idleTimeout    time.Duration
 	maxConns       int
+	observer       Observer
+	log            *slog.Logger
+	surplus        ratelog.Warning
 
 	mu        sync.Mutex
+	lastID    uint64                         // ID of the connection opened last
 	idle      map[endpointAddr][]*pooledConn // the most recently used is the last
 	idleAddrs map[string]int                 // by endpoint ID: number of addresses with idle connections
 	open      int                            // number of connections that are being opened, in use or idle
@@ -47,6 +53,8 @@
 type pooledConn struct {
 	*netconn.Conn
 	pool      *pool
+	id        uint64 // counts the connections of this process, for logs
+	calls     int    // number of requests written, or begun to be
 	target    endpointAddr
 	idleSince time.Time
 	idleTimer *time.Timer
@@ -62,6 +70,9 @@
 		connectTimeout: config.ConnectTimeout,
 		idleTimeout:    time.Duration(idleRatio * float64(config.KeepAlive)),
 		maxConns:       config.MaxConns,
+		observer:       config.Observer,
+		log:            config.Log,
+		surplus:        ratelog.Warning{Message: "endpoint sent bytes that no request asked for"},
 		idle:           map[endpointAddr][]*pooledConn{},
 		idleAddrs:      map[string]int{},
 	}
@@ -70,10 +81,11 @@
 // getConn returns an idle connection to target, or opens a new one. dialed is true if the connection is new.
 func (p *pool) getConn(ctx context.Context, target endpointAddr) (conn *pooledConn, dialed bool, err error) {
 	for c := p.takeIdle(target); c != nil; c = p.takeIdle(target) {
-		if _, quiet := c.Unwatch(); quiet && time.Since(c.idleSince) < p.idleTimeout {
+		reason, usable := c.endIdle()
+		if usable {
 			return c, false, nil
 		}
-		c.close() // the endpoint closed it or sent unexpected bytes, or it was idle too long
+		c.close(reason)
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
@@ -91,6 +103,29 @@
 	}
 }
 
+// endIdle ends the watch of a connection that was taken out of the pool. It reports whether the connection can be
+// used, and otherwise why not.
+func (c *pooledConn) endIdle() (reason CloseReason, usable bool) {
+	open, quiet := c.Unwatch()
+	switch {
+	case !open:
+		return CloseByPeer, false
+	case !quiet:
+		c.reportSurplus(SurplusBeforeRequest)
+		return CloseSurplus, false
+	case time.Since(c.idleSince) >= c.pool.idleTimeout:
+		return CloseKeepAlive, false
+	}
+	return 0, true
+}
+
+// reportSurplus reports bytes that belong to no request of this connection.
+func (c *pooledConn) reportSurplus(when Surplus) {
+	c.pool.observer.SurplusReceived(when)
+	c.pool.surplus.Log(c.pool.log, "endpoint", c.target.endpointID, "addr", c.target.addr, "conn", c.id,
+		"calls", c.calls, "when", when.String())
+}
+
 // isLocalShortage reports whether a connection could not be opened because this relay lacks connections,
 // descriptors, ports or memory. Such an error is no failure of the endpoint.
 func isLocalShortage(err error) bool {
@@ -110,7 +145,16 @@
 		p.open--
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	return &pooledConn{Conn: netconn.New(conn), pool: p, target: target}, nil
+	p.observer.ConnOpened()
+	return &pooledConn{Conn: netconn.New(conn), pool: p, id: p.nextID(), target: target}, nil
+}
+
+// nextID returns the ID of a new connection.
+func (p *pool) nextID() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastID++
+	return p.lastID
 }
 
 // reserve counts a connection that is about to be opened. It returns false if the pool is closed, or if the limit
@@ -148,33 +192,48 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		p.drop(c)
+		p.drop(c, CloseNotWanted)
 		return
 	}
-	closeIfIdle := c.closeIfIdle
 	c.idleSince = time.Now()
-	c.idleTimer = time.AfterFunc(p.idleTimeout, closeIfIdle)
+	c.idleTimer = time.AfterFunc(p.idleTimeout, c.closeExpired)
 	if len(p.idle[c.target]) == 0 {
 		p.idleAddrs[c.target.endpointID]++
 	}
 	p.idle[c.target] = append(p.idle[c.target], c)
-	c.Watch(closeIfIdle)
+	c.Watch(c.closeNoticed)
 }
 
-// closeIfIdle closes a connection unless a call has taken it out of the pool.
-func (c *pooledConn) closeIfIdle() {
+// closeExpired closes a connection that was idle for too long, unless a call has taken it out of the pool.
+func (c *pooledConn) closeExpired() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	if c.pool.remove(c) {
-		c.pool.drop(c)
+		c.pool.drop(c, CloseKeepAlive)
 	}
 }
 
+// closeNoticed closes an idle connection on which the watch noticed something, unless a call has taken it out of the
+// pool.
+func (c *pooledConn) closeNoticed() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if !c.pool.remove(c) {
+		return
+	}
+	reason := CloseByPeer
+	if c.Reader.Buffered() > 0 {
+		reason = CloseSurplus
+		c.reportSurplus(SurplusIdle)
+	}
+	c.pool.drop(c, reason)
+}
+
 // close closes a connection that is not in the pool.
-func (c *pooledConn) close() {
+func (c *pooledConn) close(reason CloseReason) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	c.pool.drop(c)
+	c.pool.drop(c, reason)
 }
 
 // CloseIdle closes the idle connections to an endpoint at all its addresses.
@@ -211,9 +270,14 @@
 // The methods below require that the caller holds p.mu.
 
 // drop closes a connection and no longer counts it.
-func (p *pool) drop(c *pooledConn) {
+func (p *pool) drop(c *pooledConn, reason CloseReason) {
 	p.open--
 	c.Discard()
+	p.observer.ConnClosed(reason)
+	if p.log.Enabled(context.Background(), slog.LevelDebug) {
+		p.log.Debug("connection closed", "endpoint", c.target.endpointID, "conn", c.id, "calls", c.calls,
+			"reason", reason.String())
+	}
 }
 
 // remove removes an idle connection from the pool. It returns false if the connection was not in the pool.
@@ -245,7 +309,7 @@
 	}
 	if oldest != nil {
 		p.remove(oldest)
-		p.drop(oldest)
+		p.drop(oldest, CloseEvicted)
 	}
 }
 
@@ -253,6 +317,6 @@
 func (p *pool) dropIdleAt(target endpointAddr) {
 	for _, c := range slices.Clone(p.idle[target]) {
 		p.remove(c)
-		p.drop(c)
+		p.drop(c, CloseNotWanted)
 	}
 }
--- a/internal/relay/egress/pool_test.go
+++ b/internal/relay/egress/pool_test.go
@@ -97,7 +97,7 @@
 	if r := doCall(t, client, newCall(addrOf(two), "a")); r[0].Outcome != policy.NotSent {
 		t.Errorf("beyond the connection limit: outcome %v", r[0].Outcome)
 	}
-	busy.close()
+	busy.close(CloseNotWanted)
 }
 
 // The idle connections of a removed endpoint are closed. A new endpoint at the same address never uses them.
--- a/internal/relay/egress/response.go
+++ b/internal/relay/egress/response.go
@@ -40,9 +40,21 @@
 	header      *http.Response // only the status line if the rest is malformed; nil: no valid status line
 	body        []byte         // set only for a batch with status 200
 	firstByteAt time.Time      // zero: nothing was received
+	surplus     bool           // bytes were received behind the response
 	err         error          // why the response is incomplete, or errConnNotReusable; nil: reusable
 }
 
+// closeReason returns why the connection of the response is closed.
+func (r *response) closeReason() CloseReason {
+	switch {
+	case r.surplus:
+		return CloseSurplus
+	case errors.Is(r.err, errConnNotReusable):
+		return CloseByResponse
+	}
+	return CloseFailed
+}
+
 // readResponse reads the response to a request. batch is true if the request carried several messages.
 func readResponse(conn *pooledConn, request *http.Request, batch bool) (r response) {
 	conn.AllowBytes(netconn.MaxHeaderSize)
@@ -69,6 +81,7 @@
 		if header.StatusCode >= http.StatusOK {
 			r.header = header
 			r.body, r.err = readBody(conn, header, batch)
+			r.surplus = conn.Reader.Buffered() > 0 && (r.err == nil || errors.Is(r.err, errConnNotReusable))
 			return r
 		}
 	}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -79,6 +79,7 @@
 func (e notificationsAcked) apply(r *Relay, _ *stepState) {
 	for _, id := range e.messageIDs {
 		if m := r.messages[id]; m != nil {
+			r.logNotified(m.Message)
 			r.journal.Remove(m.Message)
 			r.remove(m)
 		}
--- a/internal/relay/execute.go
+++ b/internal/relay/execute.go
@@ -85,6 +85,7 @@
 	r.markCompleted(m)
 	final := journal.FinalAnswer{Retryable: a.Kind == policy.Reject, RetryAfter: a.Delay}
 	r.countResult(m.Message, finalResult(final))
+	r.logFinal(m.Message, final)
 	if _, waiting := replies[a.MessageID]; waiting {
 		replies[a.MessageID] = finalAnswer(final)
 		r.release(m)
--- a/internal/relay/netconfig.go
+++ b/internal/relay/netconfig.go
@@ -21,7 +21,7 @@
 		KeepAlive:      r.cfg.KeepAlive,
 		MaxConns:       max(minEndpointConns, r.cfg.Limits.Sockets*3/8-reservedDescriptors),
 		ReportFields:   r.cfg.LoadReportFields,
-		OnWritten:      func(messages int) { r.metrics.UpstreamRequests.Add(int64(messages)) },
+		Observer:       newConnObserver(&r.metrics),
 		Log:            r.log,
 	}
 }
--- a/internal/relay/notify/sender.go
+++ b/internal/relay/notify/sender.go
@@ -56,6 +56,7 @@
 	log         *slog.Logger
 	agent       *discovery.Client
 	onConfirmed func(ids []policy.MessageID)
+	onRetry     func()
 	unconfirmed ratelog.Warning
 
 	mu     sync.Mutex
@@ -64,12 +65,16 @@
 }
 
 // NewSender returns a sender that posts notifications to the discovery agent, which forwards them to the platform.
-// onConfirmed receives the IDs of the messages whose notifications the platform has confirmed.
-func NewSender(log *slog.Logger, agent *discovery.Client, onConfirmed func(ids []policy.MessageID)) *Sender {
+// onConfirmed receives the IDs of the messages whose notifications the platform has confirmed. onRetry is called for
+// each request that was not confirmed.
+func NewSender(
+	log *slog.Logger, agent *discovery.Client, onConfirmed func(ids []policy.MessageID), onRetry func(),
+) *Sender {
 	return &Sender{
 		log:         log,
 		agent:       agent,
 		onConfirmed: onConfirmed,
+		onRetry:     onRetry,
 		unconfirmed: ratelog.Warning{Message: "notifications not confirmed"},
 		signal:      make(chan struct{}, 1),
 	}
@@ -113,6 +118,7 @@
 			s.confirm(batch)
 			continue
 		}
+		s.onRetry()
 		s.unconfirmed.Log(s.log, "count", len(batch), "err", err)
 		if errors.Is(err, discovery.ErrMoved) {
 			delay = minRetryDelay
--- a/internal/relay/notify/sender_test.go
+++ b/internal/relay/notify/sender_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,7 +56,9 @@
 	defer server.Close()
 	confirmed := make(chan []policy.MessageID, 10)
 	agent := discovery.NewClient(server.Listener.Addr().String())
-	s := NewSender(slog.New(slog.DiscardHandler), agent, func(ids []policy.MessageID) { confirmed <- ids })
+	var retries atomic.Int32
+	s := NewSender(slog.New(slog.DiscardHandler), agent,
+		func(ids []policy.MessageID) { confirmed <- ids }, func() { retries.Add(1) })
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	s.Add(
@@ -67,8 +70,9 @@
 	case ids := <-confirmed:
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if len(ids) != 2 || p.lines != 2 || p.posts != 3 || len(s.Pending()) != 0 {
-			t.Errorf("confirmed %v after %d requests, %d lines; pending %v", ids, p.posts, p.lines, s.Pending())
+		if len(ids) != 2 || p.lines != 2 || p.posts != 3 || len(s.Pending()) != 0 || retries.Load() != 2 {
+			t.Errorf("confirmed %v after %d requests, %d retries, %d lines; pending %v",
+				ids, p.posts, retries.Load(), p.lines, s.Pending())
 		}
 	case <-time.After(nettest.Patience):
 		t.Fatal("never confirmed")
--- /dev/null
+++ b/internal/relay/observer.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+
+	"cherrytrestle.example/cherrytrestle/internal/metrics"
+	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
+	"cherrytrestle.example/cherrytrestle/internal/state/journal"
+	"cherrytrestle.example/cherrytrestle/policy"
+)
+
+// connObserver counts what happens on connections to endpoints in the metrics.
+type connObserver struct{ metrics *metrics.Registry }
+
+// newConnObserver returns an observer whose counters are all in the metrics from the start.
+func newConnObserver(registry *metrics.Registry) connObserver {
+	for _, reason := range egress.CloseReasons() {
+		registry.ConnectionsClosed.Add(reason, 0)
+	}
+	for _, when := range egress.Surpluses() {
+		registry.SurplusReceived.Add(when, 0)
+	}
+	return connObserver{registry}
+}
+
+// RequestWritten implements egress.Observer.
+func (o connObserver) RequestWritten(messages int) { o.metrics.UpstreamRequests.Add(int64(messages)) }
+
+// ConnOpened implements egress.Observer.
+func (o connObserver) ConnOpened() { o.metrics.ConnectionsOpened.Add(1) }
+
+// ConnClosed implements egress.Observer.
+func (o connObserver) ConnClosed(reason egress.CloseReason) {
+	o.metrics.ConnectionsClosed.Add(reason.String(), 1)
+}
+
+// SurplusReceived implements egress.Observer.
+func (o connObserver) SurplusReceived(when egress.Surplus) {
+	o.metrics.SurplusReceived.Add(when.String(), 1)
+}
+
+// debugEnabled reports whether the history of each message is logged.
+func (r *Relay) debugEnabled() bool { return r.log.Enabled(context.Background(), slog.LevelDebug) }
+
+// observeAttempt counts and logs the outcome of an attempt.
+func (r *Relay) observeAttempt(a *attempt, result egress.Result) {
+	r.metrics.Attempts.Add(result.Outcome.String(), 1)
+	if r.debugEnabled() {
+		r.log.Debug("attempt ended", "message", a.message.TraceID, "attempt", a.number, "endpoint", a.call.EndpointID,
+			"zone", a.call.zone, "outcome", result.Outcome.String(), "message_ended", result.MessageEnded,
+			"retry_after", result.RetryAfter, "latency", result.Latency)
+	}
+}
+
+// logAccepted logs a message that was accepted.
+func (r *Relay) logAccepted(m *journal.Message) {
+	if r.debugEnabled() {
+		r.log.Debug("message accepted", "message", m.TraceID, "class", m.ClassName, "destination", m.Destination,
+			"deadline", m.Deadline)
+	}
+}
+
+// logFinal logs the final answer to a message that was not delivered.
+func (r *Relay) logFinal(m *journal.Message, final journal.FinalAnswer) {
+	if r.debugEnabled() {
+		r.log.Debug("message not delivered", "message", m.TraceID, "retryable", final.Retryable,
+			"uncertain_attempts", len(m.UncertainAttempts))
+	}
+}
+
+// logNotified logs that the platform has confirmed a final notification.
+func (r *Relay) logNotified(m *journal.Message) {
+	if r.debugEnabled() {
+		r.log.Debug("notification confirmed", "message", m.TraceID)
+	}
+}
+
+// notificationRetried counts a request with final notifications that was not confirmed.
+func (r *Relay) notificationRetried() { r.metrics.NotificationRetries.Add(1) }
+
+// notificationsConfirmed counts notifications that the platform has confirmed, and tells the loop.
+func (r *Relay) notificationsConfirmed(ids []policy.MessageID) {
+	r.metrics.NotificationsSent.Add(int64(len(ids)))
+	r.post(notificationsAcked{ids})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -91,7 +91,7 @@
 	}
 	r.ingress = ingress.New(r.ingressConfig())
 	r.egress = egress.New(r.egressConfig())
-	r.notifier = notify.NewSender(log, r.agent, func(ids []policy.MessageID) { r.post(notificationsAcked{ids}) })
+	r.notifier = notify.NewSender(log, r.agent, r.notificationsConfirmed, r.notificationRetried)
 	r.joinFleet()
 	r.sharedRecorder.Store(r.recorder)
 	if cfg.InheritedFD != "" {
