Believe a response only if it cannot belong to another call of its connection

Cause: egress matched responses to requests by their order alone. A second copy of a 200 or 503 that arrived while the next request was out ended that call; the call's own response then waited for the next one, so every later call on the connection was shifted by one, with an empty buffer whenever the connection went back into the pool. Change: kinds that take batches always get the batch form. A 200 on a used connection that does not name its call's messages says nothing: may have run, no feedback, connection closed. Bytes before the request close the connection. A batch response that contradicts itself on a message says nothing of it. Why it works: a copy repeats an earlier response of its connection. All of those named their messages, none of which the present call carries; so a copy is recognized whenever it comes, and a 503, 429 or 500 cannot be a copy. Tests: those of reuse now use batches, since single messages no longer share a connection; fakes answer batches of one; TestEarlyResponseCounts reads a byte before it responds early (a response before any byte has a test of its own); TestRecordingOfAProcess waits for deliveries, not arrivals: it dumped before the last response, seen once.

--- a/cmd/cherrytrestle/fakeendpoint_test.go
+++ b/cmd/cherrytrestle/fakeendpoint_test.go
@@ -23,9 +23,28 @@
 	seen   []string    // the ids of the messages, in the order of their arrival
 	at     []time.Time // the arrival time of each message in seen
 	calls  int
-	answer answerFunc // nil: the status is always 200
+	answer answerFunc // nil: the status is always 200; a batch is then answered with "ok" for each message
 }
 
+// answerWriter is a response that knows its status and whether it has a body.
+type answerWriter struct {
+	http.ResponseWriter
+	status  int
+	hasBody bool
+}
+
+func (w *answerWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *answerWriter) Write(b []byte) (int, error) {
+	w.hasBody = true
+	return w.ResponseWriter.Write(b)
+}
+
+func (w *answerWriter) Flush() { w.ResponseWriter.(http.Flusher).Flush() }
+
 // newEndpoint starts an endpoint, which is closed at the end of the test.
 func newEndpoint(t testing.TB, answer answerFunc) *fakeEndpoint {
 	endpoint := &fakeEndpoint{answer: answer}
@@ -52,8 +71,12 @@
 			endpoint.at = append(endpoint.at, time.Now())
 		}
 		endpoint.mu.Unlock()
+		answer := &answerWriter{ResponseWriter: w, status: http.StatusOK}
 		if endpoint.answer != nil {
-			endpoint.answer(w, r, ids)
+			endpoint.answer(answer, r, ids)
+		}
+		if strings.HasSuffix(r.URL.Path, "/bundle") && answer.status == http.StatusOK && !answer.hasBody {
+			writeStates(w, ids, "ok")
 		}
 	}))
 	t.Cleanup(func() { endpoint.CloseClientConnections(); endpoint.Close() })
@@ -126,12 +149,8 @@
 	return func(w http.ResponseWriter, _ *http.Request, _ []string) { w.WriteHeader(status) }
 }
 
-// writeStates writes the answer to a call with several messages. The messages get the given states in turn. For a
-// call with one message it writes nothing.
+// writeStates writes the answer to a batch. The messages get the given states in turn.
 func writeStates(w io.Writer, ids []string, states ...string) {
-	if len(ids) == 1 {
-		return
-	}
 	var answers []string
 	for i, id := range ids {
 		answers = append(answers, fmt.Sprintf(`{"id":%q,"state":%q}`, id, states[i%len(states)]))
--- a/cmd/cherrytrestle/recording_test.go
+++ b/cmd/cherrytrestle/recording_test.go
@@ -43,14 +43,14 @@
 			w.WriteHeader(http.StatusTooManyRequests)
 		}
 	})
-	r = newRelay(t, platform, endpoint.list(singleKind, "ready"), nil)
+	r = prepareRelay(t, endpoint.list(singleKind, "ready"), nil)
+	management := r.setManagement()
+	r.start(platform)
 	for _, id := range []string{"m1", "m2", "m3", "m4"} {
 		r.mustAccept(id, 10*time.Second)
 	}
 	eventually(t, "all messages are delivered after the rejections", func() bool {
-		endpoint.mu.Lock()
-		defer endpoint.mu.Unlock()
-		return len(endpoint.seen) >= 7
+		return metric(t, management, "completed.order") == "4"
 	})
 	return r
 }
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -78,8 +78,12 @@
 	maxBatch := r.activeConfig.Settings.DestinationKind(endpoint.Kind).BatchSize()
 	c := findCall(calls, a.Endpoint, maxBatch, size)
 	if c == nil {
-		outgoing := egress.Call{EndpointID: a.Endpoint, Addr: endpoint.Addr, SentAt: time.Now()}
-		c = newCall(outgoing, endpoint.Zone)
+		c = newCall(egress.Call{
+			EndpointID: a.Endpoint,
+			Addr:       endpoint.Addr,
+			Batch:      maxBatch > 1 && size <= netconn.MaxBodySize,
+			SentAt:     time.Now(),
+		}, endpoint.Zone)
 		calls = append(calls, c)
 	}
 	deadline := r.started.Add(a.TimeoutAt)
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -18,14 +18,15 @@
 		"relay.envelopeHeader", "netconn.MaxBodySize", "ingress.requestTimeout", "ingress.lateRequestTimeout",
 		"relay.shutdownAcceptTime", "relay.shutdownAnswerTime", "relay.shutdownSendTime", "relay.shutdownTimeout",
 		"discovery.WatchIdleTimeout", "relay.drainConnectionsTimeout", "notify.postTimeout", "backoff.maxInterval",
-		"policy.recoveryPushRatio",
+		"policy.recoveryPushRatio", "egress.stateOK", "egress.stateError", "egress.stateLater", "egress.stateGone",
+		"egress.stateExhausted",
 	},
 	"the relay's own bound on what a peer may use of its resources": {
 		"netconn.MaxWireSize", "relay.maxIDSize", "ingress.idleTimeout", "ingress.writeTimeout",
 		"ingress.lingerTimeout", "ingress.maxLingerSize", "netconn.MaxHeaderSize", "netconn.readBufferSize",
 		"discovery.MaxEntries", "discovery.MaxEntrySize", "discovery.ListTimeout", "notify.maxNotificationsPerPost",
 		"notify.maxResponseSize", "egress.responseTimeout", "egress.maxReportedValue", "egress.maxInformational",
-		"egress.maxRetryAfterSeconds", "discovery.fetchIdleTimeout",
+		"egress.maxRetryAfterSeconds", "discovery.fetchIdleTimeout", "egress.maxMessagesPerConn",
 	},
 	"the relay's own bound on its work": {
 		"hotrestart.dialTimeout", "hotrestart.sendTimeout", "hotrestart.maxFrameSize", "hotrestart.headerSize",
--- a/internal/relay/egress/call.go
+++ b/internal/relay/egress/call.go
@@ -17,9 +17,10 @@
 type Call struct {
 	EndpointID string
 	Addr       string
+	Batch      bool       // the request has the form for several messages, even if it carries one
 	SentAt     time.Time  // when the relay decided on the call and recorded it
 	Deadline   time.Time  // when the relay gives up the call
-	Attempts   []*Attempt // one for each message; several are sent as one batch
+	Attempts   []*Attempt // one for each message; one only, unless Batch is set
 }
 
 // Attempt is one try to deliver a message, as part of a call.
@@ -45,13 +46,12 @@
 	return last.Deadline
 }
 
-// Body returns the body of the call's request: the body of its only message, or the encoded batch of all its
-// messages.
+// Body returns the body of the call's request: the encoded batch of its messages, or the body of its only message.
 func (c *Call) Body() []byte {
-	if len(c.Attempts) == 1 {
-		return c.Attempts[0].Body
+	if c.Batch {
+		return encodeBatch(c)
 	}
-	return encodeBatch(c)
+	return c.Attempts[0].Body
 }
 
 // newRequest returns the HTTP request for a call.
@@ -59,7 +59,7 @@
 	path := "/events"
 	timeLeft := max(1, time.Until(c.Deadline).Milliseconds())
 	header := http.Header{"X-Expires-In-Ms": {strconv.FormatInt(timeLeft, 10)}}
-	if len(c.Attempts) > 1 {
+	if c.Batch {
 		path = "/events/bundle"
 		header.Set("Content-Type", "application/json")
 	} else {
--- a/internal/relay/egress/client.go
+++ b/internal/relay/egress/client.go
@@ -63,7 +63,7 @@
 func (c *Client) Do(ctx context.Context, call *Call, check func() []*Attempt) []Result {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	conn, dialed, err := c.getConn(ctx, endpointAddr{call.EndpointID, call.Addr})
+	conn, dialed, err := c.getConn(ctx, call)
 	switch {
 	case err != nil && isLocalShortage(err):
 		return sameResults(call, Result{Outcome: policy.NotSent})
@@ -100,52 +100,76 @@
 
 // exchange writes the request and reads its response. It then returns the connection to the pool or closes it.
 func (c *Client) exchange(ctx context.Context, request *http.Request, call *Call, conn *pooledConn) []Result {
+	if reason, quiet := conn.checkQuiet(); !quiet {
+		conn.close(reason)
+		return sameResults(call, Result{Outcome: policy.ConnectFailed})
+	}
 	// When ctx ends, the reads and writes of the connection fail, and the call ends without a response.
 	stop := context.AfterFunc(ctx, func() { conn.ExpireAt(netconn.Past) })
 	began := time.Now()
-	conn.calls++
+	conn.usage.add(call)
 	written := writeRequest(conn, request) == nil
 	if written {
 		c.observer.RequestWritten(len(call.Attempts))
 	}
-	batch := len(call.Attempts) > 1
-	read := readResponse(conn, request, batch) // the endpoint may respond to an incomplete request
+	read := readResponse(conn, request, call.Batch) // the endpoint may respond to an incomplete request
+	read.identify(call, conn)
 	usable := stop() && read.err == nil && written
-	if read.surplus {
-		conn.reportSurplus(SurplusBehindResponse)
-	}
-	c.logResponse(call, conn, read, written)
-	if usable {
+	c.report(call, conn, &read, written)
+	results := c.results(ctx, call, &read, written, began)
+	if usable && read.identified && !conn.usage.full() {
 		conn.ExpireAt(time.Time{})
 		conn.release()
 	} else {
 		conn.close(read.closeReason())
 	}
+	return results
+}
+
+// results returns the results of a call from what was read on its connection.
+func (c *Client) results(
+	ctx context.Context, call *Call, read *response, written bool, began time.Time,
+) []Result {
 	if read.firstByteAt.IsZero() {
 		read.firstByteAt = time.Now()
 	}
-	result := c.readFeedback(read.header)
-	result.Latency = read.firstByteAt.Sub(began)
-	incomplete := read.err != nil && !errors.Is(read.err, errConnNotReusable)
-	if incomplete && !isConnFailure(read.err) {
-		c.malformedResponses.Log(c.log, "endpoint", call.EndpointID, "err", read.err)
+	latency := read.firstByteAt.Sub(began)
+	if read.foreign {
+		// Nothing is known of the call, and nothing in the response is about it.
+		return sameResults(call, Result{Outcome: policy.Reset, Latency: latency})
 	}
+	result := c.readFeedback(read.header)
+	result.Latency = latency
 	switch {
-	case read.header != nil && read.header.StatusCode == http.StatusOK && !batch:
+	case read.header != nil && read.header.StatusCode == http.StatusOK && !call.Batch:
 		result.Outcome = policy.OK // decided by the status line, even if the rest is malformed
-	case incomplete:
+	case !read.complete():
 		result.Outcome = failureOutcome(ctx, written)
 	case read.header.StatusCode == http.StatusOK:
-		return batchResults(call, result, read.body)
+		return batchResults(call, result, read.states)
 	default:
 		result.Outcome, result.MessageEnded = statusOutcome(read.header)
 	}
 	return sameResults(call, result)
 }
 
+// report reports what was read for a call, as far as it is not as expected.
+func (c *Client) report(call *Call, conn *pooledConn, read *response, written bool) {
+	if read.surplus {
+		conn.reportSurplus(SurplusBehindResponse)
+	}
+	if read.foreign {
+		conn.reportSurplus(SurplusOtherCall)
+	}
+	if !read.complete() && !isConnFailure(read.err) {
+		c.malformedResponses.Log(c.log, "endpoint", call.EndpointID, "conn", conn.id, "err", read.err)
+	}
+	c.logResponse(call, conn, read, written)
+}
+
 // logResponse logs how a call ended, for the level debug: which messages it carried, on which connection, as which call
 // of that connection, and what was read.
-func (c *Client) logResponse(call *Call, conn *pooledConn, read response, written bool) {
+func (c *Client) logResponse(call *Call, conn *pooledConn, read *response, written bool) {
 	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
@@ -157,7 +181,7 @@
 	if read.header != nil {
 		status = read.header.StatusCode
 	}
-	c.log.Debug("call ended", "endpoint", call.EndpointID, "conn", conn.id, "call", conn.calls, "messages", ids,
+	c.log.Debug("call ended", "endpoint", call.EndpointID, "conn", conn.id, "call", conn.usage.calls, "messages", ids,
 		"written", written, "status", status, "err", read.err)
 }
 
--- a/internal/relay/egress/client_test.go
+++ b/internal/relay/egress/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -63,9 +65,15 @@
 	return client
 }
 
-// newCall returns a call to addr with one message for each id.
+// newCall returns a call to addr with one message for each id. With several ids it has the form for several messages.
 func newCall(addr string, ids ...string) *Call {
-	c := &Call{EndpointID: "s-1", Addr: addr, SentAt: time.Now(), Deadline: time.Now().Add(nettest.Patience)}
+	c := &Call{
+		EndpointID: "s-1",
+		Addr:       addr,
+		Batch:      len(ids) > 1,
+		SentAt:     time.Now(),
+		Deadline:   time.Now().Add(nettest.Patience),
+	}
 	for _, id := range ids {
 		c.Attempts = append(c.Attempts, &Attempt{
 			TraceID:        id,
@@ -77,6 +85,36 @@
 	return c
 }
 
+// newBatchCall returns a call to addr in the form for several messages, with one message for each id.
+func newBatchCall(addr string, ids ...string) *Call {
+	c := newCall(addr, ids...)
+	c.Batch = true
+	return c
+}
+
+// okBatchBody returns the body of the response that reports each message of a batch as delivered.
+func okBatchBody(t testing.TB, request io.Reader) string {
+	var items []batchItem
+	if err := json.NewDecoder(request).Decode(&items); err != nil {
+		t.Errorf("the request is no batch: %v", err)
+	}
+	states := make([]batchState, 0, len(items))
+	for _, item := range items {
+		states = append(states, batchState{item.ID, stateOK})
+	}
+	body, err := json.Marshal(states)
+	if err != nil {
+		t.Error(err)
+	}
+	return string(body)
+}
+
+// okBatch returns the response that reports each message of a batch as delivered.
+func okBatch(t testing.TB, request *http.Request) string {
+	body := okBatchBody(t, request.Body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // allow returns a check that permits all attempts of a call.
 func allow(c *Call) func() []*Attempt {
 	return func() []*Attempt { return c.Attempts }
@@ -132,14 +170,14 @@
 // run.
 func TestNoAutomaticResend(t *testing.T) {
 	for _, body := range []string{"some", ""} {
-		addr, requests := nettest.RawServer(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		addr, requests := nettest.RawServer(t, func(n int, conn net.Conn, r *http.Request) bool {
 			if n == 1 {
-				nettest.Send(conn, nettest.OKResponse)
+				nettest.Send(conn, okBatch(t, r))
 			}
 			return n == 1
 		})
 		client := newTestClient(t, testConfig())
-		first, second := newCall(addr, "a"), newCall(addr, "b")
+		first, second := newBatchCall(addr, "a"), newBatchCall(addr, "b")
 		second.Attempts[0].Body = []byte(body)
 		if r := doCall(t, client, first); r[0].Outcome != policy.OK {
 			t.Fatalf("first call: %v", r[0].Outcome)
@@ -255,6 +293,9 @@
 		if err != nil {
 			return
 		}
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			return
+		}
 		nettest.Send(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 		nettest.CloseWrite(conn)
 		_, _ = io.Copy(io.Discard, conn) // until the relay closes
--- a/internal/relay/egress/observer.go
+++ b/internal/relay/egress/observer.go
@@ -33,10 +33,11 @@
 	SurplusIdle           Surplus = iota // while the connection was idle
 	SurplusBeforeRequest                 // just before a request was written
 	SurplusBehindResponse                // behind a complete response
+	SurplusOtherCall                     // in place of the response to a call: a response to another one
 	surplusCount
 )
 
-var surplusNames = [surplusCount]string{"idle", "before_request", "behind_response"}
+var surplusNames = [surplusCount]string{"idle", "before_request", "behind_response", "other_call"}
 
 // String returns the time as it is written in logs and in the names of metrics.
 func (s Surplus) String() string { return surplusNames[s] }
--- a/internal/relay/egress/pool.go
+++ b/internal/relay/egress/pool.go
@@ -54,7 +54,7 @@
 	*netconn.Conn
 	pool      *pool
 	id        uint64 // counts the connections of this process, for logs
-	calls     int    // number of requests written, or begun to be
+	usage     connUsage
 	target    endpointAddr
 	idleSince time.Time
 	idleTimer *time.Timer
@@ -78,9 +78,11 @@
 	}
 }
 
-// getConn returns an idle connection to target, or opens a new one. dialed is true if the connection is new.
-func (p *pool) getConn(ctx context.Context, target endpointAddr) (conn *pooledConn, dialed bool, err error) {
-	for c := p.takeIdle(target); c != nil; c = p.takeIdle(target) {
+// getConn returns an idle connection that the call may use, or opens a new one. dialed is true if the connection is
+// new.
+func (p *pool) getConn(ctx context.Context, call *Call) (conn *pooledConn, dialed bool, err error) {
+	target := endpointAddr{call.EndpointID, call.Addr}
+	for c := p.takeIdle(target, call); c != nil; c = p.takeIdle(target, call) {
 		reason, usable := c.endIdle()
 		if usable {
 			return c, false, nil
@@ -119,11 +121,24 @@
 	return 0, true
 }
 
+// checkQuiet reports whether the endpoint has sent nothing and not closed the connection just before a request is
+// written. Otherwise it also returns the reason to close the connection.
+func (c *pooledConn) checkQuiet() (reason CloseReason, quiet bool) {
+	switch c.Pending() {
+	case netconn.PendingBytes:
+		c.reportSurplus(SurplusBeforeRequest)
+		return CloseSurplus, false
+	case netconn.PendingEnd:
+		return CloseByPeer, false
+	}
+	return 0, true
+}
+
 // reportSurplus reports bytes that belong to no request of this connection.
 func (c *pooledConn) reportSurplus(when Surplus) {
 	c.pool.observer.SurplusReceived(when)
 	c.pool.surplus.Log(c.pool.log, "endpoint", c.target.endpointID, "addr", c.target.addr, "conn", c.id,
-		"calls", c.calls, "when", when.String())
+		"calls", c.usage.calls, "when", when.String())
 }
 
 // isLocalShortage reports whether a connection could not be opened because this relay lacks connections,
@@ -172,18 +187,18 @@
 	return true
 }
 
-// takeIdle removes the most recently used idle connection to target from the pool and returns it, or nil if there
-// is none.
-func (p *pool) takeIdle(target endpointAddr) *pooledConn {
+// takeIdle removes an idle connection to target from the pool and returns it: of those that the call may use, the most
+// recently used one. It returns nil if there is none.
+func (p *pool) takeIdle(target endpointAddr, call *Call) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[target]
-	if len(conns) == 0 {
-		return nil
+	for _, c := range slices.Backward(p.idle[target]) {
+		if c.mayCarry(call) {
+			p.remove(c)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.remove(c)
-	return c
+	return nil
 }
 
 // release returns a connection to the pool for the next call, or closes it if the pool is closed.
@@ -275,7 +290,7 @@
 	c.Discard()
 	p.observer.ConnClosed(reason)
 	if p.log.Enabled(context.Background(), slog.LevelDebug) {
-		p.log.Debug("connection closed", "endpoint", c.target.endpointID, "conn", c.id, "calls", c.calls,
+		p.log.Debug("connection closed", "endpoint", c.target.endpointID, "conn", c.id, "calls", c.usage.calls,
 			"reason", reason.String())
 	}
 }
--- a/internal/relay/egress/pool_test.go
+++ b/internal/relay/egress/pool_test.go
@@ -21,10 +21,10 @@
 	const calls = 6
 	var opened atomic.Int32
 	var together sync.WaitGroup // holds each handler until all calls of its round have arrived
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		together.Done()
 		together.Wait()
-		nettest.Send(w, strings.Repeat("x", 9000))
+		nettest.Send(w, okBatchBody(t, r.Body)+strings.Repeat(" ", 9000))
 	}))
 	s.Config.ConnState = func(_ net.Conn, st http.ConnState) {
 		if st == http.StateNew {
@@ -34,12 +34,12 @@
 	s.Start()
 	defer s.Close()
 	client := newTestClient(t, testConfig())
-	for range 3 {
+	for round := range 3 {
 		together.Add(calls)
 		var done sync.WaitGroup
 		for i := range calls {
 			done.Go(func() {
-				if r := doCall(t, client, newCall(addrOf(s), fmt.Sprint(i))); r[0].Outcome != policy.OK {
+				if r := doCall(t, client, newBatchCall(addrOf(s), fmt.Sprint(round, i))); r[0].Outcome != policy.OK {
 					t.Errorf("outcome %v", r[0].Outcome)
 				}
 			})
@@ -53,7 +53,9 @@
 
 func TestIdleConnsCloseBeforeKeepAliveEnds(t *testing.T) {
 	closed := make(chan struct{}, 1)
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		nettest.Send(w, okBatchBody(t, r.Body))
+	}))
 	s.Config.ConnState = func(_ net.Conn, st http.ConnState) {
 		if st == http.StateClosed {
 			closed <- struct{}{}
@@ -64,7 +66,7 @@
 	config := testConfig()
 	config.KeepAlive = 50 * time.Millisecond
 	client := newTestClient(t, config)
-	if r := doCall(t, client, newCall(addrOf(s), "a")); r[0].Outcome != policy.OK {
+	if r := doCall(t, client, newBatchCall(addrOf(s), "a")); r[0].Outcome != policy.OK {
 		t.Fatalf("outcome %v", r[0].Outcome)
 	}
 	select {
@@ -75,7 +77,9 @@
 }
 
 func TestConnsAreBounded(t *testing.T) {
-	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	ok := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		nettest.Send(w, okBatchBody(t, r.Body))
+	})
 	one, two := httptest.NewServer(ok), httptest.NewServer(ok)
 	defer one.Close()
 	defer two.Close()
@@ -84,12 +88,12 @@
 	config.ConnectTimeout = 100 * time.Millisecond
 	client := newTestClient(t, config)
 	for i, s := range []*httptest.Server{one, two, one} { // each call evicts the idle connection of the one before
-		r := doCall(t, client, newCall(addrOf(s), "a"))
+		r := doCall(t, client, newBatchCall(addrOf(s), fmt.Sprint(i)))
 		if n := openConns(client); r[0].Outcome != policy.OK || n != 1 {
 			t.Errorf("call %d: outcome %v, %d open", i, r[0].Outcome, n)
 		}
 	}
-	busy, _, err := client.getConn(t.Context(), endpointAddr{"s-1", addrOf(one)})
+	busy, _, err := client.getConn(t.Context(), newCall(addrOf(one), "b"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,13 +106,13 @@
 
 // The idle connections of a removed endpoint are closed. A new endpoint at the same address never uses them.
 func TestRemovedEndpointLosesConns(t *testing.T) {
-	addr, _ := nettest.RawServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
-		nettest.Send(conn, nettest.OKResponse)
+	addr, _ := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		nettest.Send(conn, okBatch(t, r))
 		return true
 	})
 	client := newTestClient(t, testConfig())
-	doCall(t, client, newCall(addr, "a"))
-	other := newCall(addr, "b")
+	doCall(t, client, newBatchCall(addr, "a"))
+	other := newBatchCall(addr, "b")
 	other.EndpointID = "s-2"
 	checked := false
 	client.Do(t.Context(), other, func() []*Attempt {
@@ -126,13 +130,13 @@
 
 // The client detects that an endpoint has closed an idle connection before it writes the next request on it.
 func TestIdleCloseIsNoticed(t *testing.T) {
-	addr, _ := nettest.RawServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
-		nettest.Send(conn, nettest.OKResponse)
+	addr, _ := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		nettest.Send(conn, okBatch(t, r))
 		return false
 	})
 	client := newTestClient(t, testConfig())
 	for range 3 {
-		if r := doCall(t, client, newCall(addr, "a")); r[0].Outcome != policy.OK {
+		if r := doCall(t, client, newBatchCall(addr, "a")); r[0].Outcome != policy.OK {
 			t.Errorf("outcome %v", r[0].Outcome)
 		}
 		nettest.Eventually(t, "the client drops the closed connection", func() bool { return openConns(client) == 0 })
@@ -152,12 +156,12 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			served := make(chan net.Conn, 2)
-			addr, requests := nettest.RawServer(t, func(n int, conn net.Conn, _ *http.Request) bool {
+			addr, requests := nettest.RawServer(t, func(n int, conn net.Conn, r *http.Request) bool {
 				served <- conn
 				if n > 1 {
 					nettest.Send(conn, "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n")
 				} else {
-					nettest.Send(conn, nettest.OKResponse)
+					nettest.Send(conn, okBatch(t, r))
 				}
 				return true
 			})
@@ -175,10 +179,10 @@
 				return dialed, nil
 			}
 			client := newTestClient(t, config)
-			if r := doCall(t, client, newCall(addr, "a")); r[0].Outcome != policy.OK {
+			if r := doCall(t, client, newBatchCall(addr, "a")); r[0].Outcome != policy.OK {
 				t.Fatalf("the first call: %v", r[0].Outcome)
 			}
-			kept := client.takeIdle(endpointAddr{"s-1", addr})
+			kept := client.takeIdle(endpointAddr{"s-1", addr}, newBatchCall(addr, "b"))
 			kept.Unwatch()
 			failedBefore := observed.FailedReads()
 			kept.ExpireReadsAt(netconn.Past) // ends the watch before the endpoint's action
@@ -188,7 +192,7 @@
 			})
 			c.act(<-served)
 			nettest.Eventually(t, "input arrives", func() bool { return kept.Pending() != netconn.PendingNone })
-			if r := doCall(t, client, newCall(addr, "b")); r[0].Outcome != policy.Overloaded {
+			if r := doCall(t, client, newBatchCall(addr, "b")); r[0].Outcome != policy.Overloaded {
 				t.Errorf("the second call: %v, want the endpoint's own response to it", r[0].Outcome)
 			}
 		})
--- a/internal/relay/egress/recheck_test.go
+++ b/internal/relay/egress/recheck_test.go
@@ -37,12 +37,12 @@
 // A call that is delayed before it uses an idle connection, for example by a slow journal, is checked again before
 // it is sent.
 func TestCheckAfterDelay(t *testing.T) {
-	addr, requests := nettest.RawServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
-		nettest.Send(conn, nettest.OKResponse)
+	addr, requests := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		nettest.Send(conn, okBatch(t, r))
 		return true
 	})
 	client := newTestClient(t, testConfig())
-	if r := doCall(t, client, newCall(addr, "a")); r[0].Outcome != policy.OK {
+	if r := doCall(t, client, newBatchCall(addr, "a")); r[0].Outcome != policy.OK {
 		t.Fatalf("the first call: %v", r[0].Outcome)
 	}
 	for _, c := range []struct {
@@ -54,7 +54,7 @@
 		{time.Second, true, policy.NotSent},
 	} {
 		checked := false
-		again := newCall(addr, "b")
+		again := newBatchCall(addr, "after "+c.delay.String())
 		again.SentAt = time.Now().Add(-c.delay)
 		r := client.Do(t.Context(), again, func() []*Attempt {
 			checked = true
--- a/internal/relay/egress/response.go
+++ b/internal/relay/egress/response.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"cmp"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -39,23 +38,29 @@
 type response struct {
 	header      *http.Response // only the status line if the rest is malformed; nil: no valid status line
 	body        []byte         // set only for a batch with status 200
+	states      []batchState   // parsed from body
 	firstByteAt time.Time      // zero: nothing was received
 	surplus     bool           // bytes were received behind the response
+	identified  bool           // the response names exactly the messages of its call
+	foreign     bool           // the response may belong to an earlier call of its connection
 	err         error          // why the response is incomplete, or errConnNotReusable; nil: reusable
 }
 
+// complete reports whether the response was received completely.
+func (r *response) complete() bool { return r.err == nil || errors.Is(r.err, errConnNotReusable) }
+
 // closeReason returns why the connection of the response is closed.
 func (r *response) closeReason() CloseReason {
 	switch {
 	case r.surplus:
 		return CloseSurplus
-	case errors.Is(r.err, errConnNotReusable):
+	case r.complete():
 		return CloseByResponse
 	}
 	return CloseFailed
 }
 
-// readResponse reads the response to a request. batch is true if the request carried several messages.
+// readResponse reads the response to a request. batch is true if the request had the form for several messages.
 func readResponse(conn *pooledConn, request *http.Request, batch bool) (r response) {
 	conn.AllowBytes(netconn.MaxHeaderSize)
 	if _, err := conn.Reader.Peek(1); err != nil {
@@ -81,7 +86,7 @@
 		if header.StatusCode >= http.StatusOK {
 			r.header = header
 			r.body, r.err = readBody(conn, header, batch)
-			r.surplus = conn.Reader.Buffered() > 0 && (r.err == nil || errors.Is(r.err, errConnNotReusable))
+			r.surplus = r.complete() && conn.Reader.Buffered() > 0
 			return r
 		}
 	}
@@ -168,49 +173,6 @@
 	return policy.Error, false // 500 or an unknown status: the message may have run
 }
 
-// batchResults returns the result of each message of a batch. common holds the fields that all results share. A
-// message whose state is missing or unreadable may have run, so its outcome is policy.Error.
-func batchResults(call *Call, common Result, body []byte) []Result {
-	states := parseBatchStates(body)
-	common.Outcome = policy.Error
-	results := sameResults(call, common)
-	for i, a := range call.Attempts {
-		switch states[a.TraceID] {
-		case "ok":
-			results[i].Outcome = policy.OK
-		case "error":
-			results[i].Outcome = policy.Error
-		case "later":
-			results[i].Outcome = policy.Overloaded
-		case "gone":
-			results[i].Outcome = policy.NotSent
-			results[i].MessageEnded = true
-		case "exhausted":
-			results[i].Outcome = policy.NotSent
-		}
-	}
-	return results
-}
-
-// parseBatchStates returns the states in the response to a batch by trace ID. It skips unreadable items.
-func parseBatchStates(body []byte) map[string]string {
-	var items []json.RawMessage
-	if json.Unmarshal(body, &items) != nil {
-		return nil
-	}
-	states := make(map[string]string, len(items))
-	for _, text := range items {
-		var item struct {
-			ID    string `json:"id"`
-			State string `json:"state"`
-		}
-		if json.Unmarshal(text, &item) == nil {
-			states[item.ID] = item.State
-		}
-	}
-	return states
-}
-
 // parseLimitReport parses the load report of an endpoint. It skips fields that are not configured, and values that
 // are not numbers from 0 to maxReportedValue.
 func (c *Client) parseLimitReport(text string) policy.LimitReport {
--- a/internal/relay/egress/response_test.go
+++ b/internal/relay/egress/response_test.go
@@ -170,6 +170,33 @@
 	}
 }
 
+// A connection with bytes behind a response that would leave it in use carries no other call.
+func TestBytesBehindBatchResponseEndTheConnection(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		addr, _ := nettest.RawServer(t, func(n int, conn net.Conn, r *http.Request) bool {
+			response := okBatch(t, r)
+			switch {
+			case n > 1:
+				nettest.Send(conn, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+			case late:
+				nettest.Send(conn, response)
+				nettest.Send(conn, response)
+			default:
+				nettest.Send(conn, response+response)
+			}
+			return true
+		})
+		client := newTestClient(t, testConfig())
+		if r := doCall(t, client, newBatchCall(addr, "a")); r[0].Outcome != policy.OK {
+			t.Fatalf("late %v: outcome %v", late, r[0].Outcome)
+		}
+		nettest.Eventually(t, "the connection is closed", func() bool { return openConns(client) == 0 })
+		if r := doCall(t, client, newBatchCall(addr, "b")); r[0].Outcome != policy.Error {
+			t.Errorf("late %v: second call %v, want an error", late, r[0].Outcome)
+		}
+	}
+}
+
 // A message may have run if its response is malformed. A single message counts as delivered if the status line says
 // 200. In all cases the call ends before its deadline, and its connection is closed.
 func TestMalformedResponses(t *testing.T) {
@@ -231,14 +258,14 @@
 
 // 1xx responses before the final response are skipped, and their connection can be reused.
 func TestInformationalResponses(t *testing.T) {
-	addr, _ := nettest.RawServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+	addr, _ := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
 		const informational = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-		nettest.Send(conn, informational+nettest.OKResponse)
+		nettest.Send(conn, informational+okBatch(t, r))
 		return true
 	})
 	client := newTestClient(t, testConfig())
-	for range 2 {
-		r := doCall(t, client, newCall(addr, "a"))
+	for _, id := range []string{"a", "b"} {
+		r := doCall(t, client, newBatchCall(addr, id))
 		if n := openConns(client); r[0].Outcome != policy.OK || n != 1 {
 			t.Errorf("outcome %v, %d connections", r[0].Outcome, n)
 		}
--- /dev/null
+++ b/internal/relay/egress/reuse_test.go
@@ -0,0 +1,190 @@
+package egress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"cherrytrestle.example/cherrytrestle/internal/relay/netconn"
+	"cherrytrestle.example/cherrytrestle/internal/testkit/nettest"
+	"cherrytrestle.example/cherrytrestle/policy"
+)
+
+const (
+	busyResponse  = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+	laterResponse = "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + `[{"id":"b","state":"later"}]` + "  "
+)
+
+// scriptedServer answers the first request of a connection with "ok" for each message, and each later one with the next
+// text of the script.
+func scriptedServer(t *testing.T, script ...string) (addr string) {
+	addr, _ = nettest.RawServer(t, func(n int, conn net.Conn, r *http.Request) bool {
+		if n == 1 {
+			nettest.Send(conn, okBatch(t, r))
+		} else if n-2 < len(script) {
+			nettest.Send(conn, script[n-2])
+		}
+		return true
+	})
+	return addr
+}
+
+// batchResponse returns a response with status 200, extra header lines and a body.
+func batchResponse(header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+}
+
+// A response on a used connection is believed only if it cannot be a copy of an earlier one, whole or cut.
+func TestCopiedResponseSaysNothing(t *testing.T) {
+	const okA, okB = `[{"id":"a","state":"ok"}]`, `[{"id":"b","state":"ok"}]`
+	const wait = "Retry-After: 7\r\nEndpoint-Load-Metrics: TEXT x0=1, x1=5\r\n"
+	for _, c := range []struct {
+		name, response string
+		want           policy.Outcome
+	}{
+		{"its own response", batchResponse("", okB), policy.OK},
+		{"its own rejection", busyResponse, policy.Overloaded},
+		{"a copy", batchResponse(wait, okA), policy.Reset},
+		{"a copy and its own response", batchResponse(wait, okA) + batchResponse("", okB), policy.Reset},
+		{"a copy and its own rejection", batchResponse(wait, okA) + busyResponse, policy.Reset},
+		{"a copy cut in the status line and a rejection", "HTTP/1.1 20" + busyResponse, policy.Reset},
+		{"a copy cut in the header and a rejection", "HTTP/1.1 200 OK\r\nDate:" + busyResponse, policy.Reset},
+		{"a copy cut in the body and a rejection", batchResponse("", okA)[:45] + busyResponse, policy.Reset},
+		{"a response without names", batchResponse(wait, ""), policy.Reset},
+		{"a response with another message too", batchResponse(wait, okB[:len(okB)-1]+","+okA[1:]), policy.Reset},
+		{"a response with the message twice", batchResponse(wait, okB[:len(okB)-1]+","+okB[1:]), policy.Reset},
+		{
+			"surplus 1xx responses and its own response",
+			strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 3) + batchResponse("", okB), policy.OK,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr := scriptedServer(t, c.response)
+			client := newTestClient(t, testConfig())
+			if r := doCall(t, client, newBatchCall(addr, "a")); r[0].Outcome != policy.OK {
+				t.Fatalf("first call: %v", r[0].Outcome)
+			}
+			r := doCall(t, client, newBatchCall(addr, "b"))[0]
+			if r.Outcome != c.want {
+				t.Errorf("outcome %v, want %v", r.Outcome, c.want)
+			}
+			feedback := r.RetryAfter != 0 || r.LimitReport != (policy.LimitReport{}) || r.MessageEnded
+			if r.Outcome == policy.Reset && feedback {
+				t.Errorf("believed of a response that may be another call's: %+v", r)
+			}
+			if kept := openConns(client) > 0; kept != (c.want == policy.OK) {
+				t.Errorf("connection kept: %v", kept)
+			}
+		})
+	}
+}
+
+// A message that is sent again uses a connection that has not carried it, since a copy of its first response names it.
+func TestRepeatedMessageUsesAnotherConnection(t *testing.T) {
+	addr := scriptedServer(t, laterResponse, batchResponse("", `[{"id":"b","state":"ok"}]`))
+	observer := &countingObserver{}
+	config := testConfig()
+	config.Observer = observer
+	client := newTestClient(t, config)
+	for i, want := range []policy.Outcome{policy.OK, policy.Overloaded, policy.OK} {
+		id := []string{"a", "b", "b"}[i]
+		if r := doCall(t, client, newBatchCall(addr, id)); r[0].Outcome != want {
+			t.Errorf("call %d: %v, want %v", i+1, r[0].Outcome, want)
+		}
+	}
+	if observer.opened != 2 {
+		t.Errorf("%d connections opened, want 2", observer.opened)
+	}
+}
+
+// A call whose request does not name its message uses a connection that has carried no other call.
+func TestSingleMessageUsesNewConnection(t *testing.T) {
+	addr, requests := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/events" {
+			nettest.Send(conn, nettest.OKResponse)
+		} else {
+			nettest.Send(conn, okBatch(t, r))
+		}
+		return true
+	})
+	observer := &countingObserver{}
+	config := testConfig()
+	config.Observer = observer
+	client := newTestClient(t, config)
+	calls := []*Call{newBatchCall(addr, "a"), newCall(addr, "b"), newCall(addr, "c"), newBatchCall(addr, "d")}
+	for i, call := range calls {
+		if r := doCall(t, client, call); r[0].Outcome != policy.OK {
+			t.Errorf("call %d: %v", i+1, r[0].Outcome)
+		}
+	}
+	if observer.opened != 3 || requests.Load() != 4 {
+		t.Errorf("%d connections opened for %d requests, want 3 for 4", observer.opened, requests.Load())
+	}
+}
+
+// A response that arrives before the request was written belongs to no call.
+func TestResponseBeforeItsRequestSaysNothing(t *testing.T) {
+	named := batchResponse("", `[{"id":"a","state":"ok"}]`)
+	for _, response := range []string{nettest.OKResponse, busyResponse, named} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		nettest.CloseAtEnd(t, listener)
+		received := make(chan int64, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			nettest.Send(conn, response)
+			n, _ := io.Copy(io.Discard, conn) // an error shows that the relay closed
+			received <- n
+		}()
+		config := testConfig()
+		config.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if err == nil {
+				dialed := netconn.New(conn)
+				nettest.Eventually(t, "the response arrives", func() bool {
+					return dialed.Pending() == netconn.PendingBytes
+				})
+			}
+			return conn, err
+		}
+		client := newTestClient(t, config)
+		if r := doCall(t, client, newBatchCall(listener.Addr().String(), "a")); r[0].Outcome != policy.ConnectFailed {
+			t.Errorf("%q: outcome %v", response, r[0].Outcome)
+		}
+		if n := <-received; n != 0 {
+			t.Errorf("%q: %d bytes of a request were written", response, n)
+		}
+	}
+}
+
+// A connection is retired once it has carried as many messages as it may remember.
+func TestFullConnectionIsRetired(t *testing.T) {
+	addr, _ := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		nettest.Send(conn, okBatch(t, r))
+		return true
+	})
+	client := newTestClient(t, testConfig())
+	const perCall = 64
+	for call := range maxMessagesPerConn / perCall {
+		if n := openConns(client); call > 0 && n != 1 {
+			t.Fatalf("%d connections open before call %d, want 1", n, call)
+		}
+		ids := make([]string, perCall)
+		for i := range ids {
+			ids[i] = fmt.Sprint(call, "-", i)
+		}
+		doCall(t, client, newBatchCall(addr, ids...))
+	}
+	if n := openConns(client); n != 0 {
+		t.Errorf("%d connections open after %d messages, want none", n, maxMessagesPerConn)
+	}
+}
