Two calls share a connection where no names tell responses apart; rejections prove less

And a rejection on a used connection was still believed: it cannot be a copy, but an answer that an endpoint writes before it reads the request can be one. Change: the second call of such a connection asks to close it (Connection: close), at endpoints that are known to say so in their response; only a response that says so is believed, which no copy of the first does, whole or cut. A rejection without names on a used connection is policy.UnprovenRejection: it paces and its Retry-After binds, but the message may have run. An outcome more, at the end of the enumeration: stored values keep their meaning.

--- a/internal/fleet/agent/observe.go
+++ b/internal/fleet/agent/observe.go
@@ -72,7 +72,7 @@
 	case policy.OK:
 		counter.Deliveries++
 		a.recordOutcome(event.Endpoint, false)
-	case policy.Overloaded:
+	case policy.Overloaded, policy.UnprovenRejection:
 		counter.Rejections++
 		a.recordOutcome(event.Endpoint, true)
 	case policy.Error, policy.Timeout, policy.ConnectFailed, policy.Reset:
--- a/internal/recording/explain/names.go
+++ b/internal/recording/explain/names.go
@@ -43,6 +43,8 @@
 	policy.Reset:         "reset",
 	policy.Cancelled:     "cancelled",
 	policy.NotSent:       "not sent",
+
+	policy.UnprovenRejection: "refused, may have run",
 }
 
 // OutcomeName returns the name of an outcome in reports.
--- a/internal/recording/explain/report.go
+++ b/internal/recording/explain/report.go
@@ -101,7 +101,7 @@
 	switch outcome {
 	case policy.OK:
 		return e.Delivered
-	case policy.Overloaded:
+	case policy.Overloaded, policy.UnprovenRejection:
 		return e.Rejected
 	default:
 		return e.Failed
--- a/internal/recording/explain/text.go
+++ b/internal/recording/explain/text.go
@@ -39,15 +39,14 @@
 		"dest", "accept", "sent", "ok", "busy", "errors", "reject", "fail", "waited", "queue", "blocked by",
 	)
 	for _, d := range DestinationsByWait(report) {
-		failedCalls := 0
-		for outcome, n := range d.Calls {
-			if outcome != policy.OK && outcome != policy.Overloaded {
-				failedCalls += n
-			}
+		rejectedCalls := d.Calls[policy.Overloaded] + d.Calls[policy.UnprovenRejection]
+		failedCalls := -d.Calls[policy.OK] - rejectedCalls
+		for _, n := range d.Calls {
+			failedCalls += n
 		}
 		p.line(
 			"%-6d %6d %6d %6d %6d %6d %6d %6d %7.1fs %6d  %s",
-			d.ID, d.Accepted, d.Sent, d.Calls[policy.OK], d.Calls[policy.Overloaded], failedCalls,
+			d.ID, d.Accepted, d.Sent, d.Calls[policy.OK], rejectedCalls, failedCalls,
 			d.Rejected, d.Failed, d.Waits.Sum(), d.MaxQueued, FormatShares(d.Waits),
 		)
 	}
--- a/internal/recording/fleetstats/reader.go
+++ b/internal/recording/fleetstats/reader.go
@@ -202,7 +202,8 @@
 		return
 	}
 	delete(r.calls, event.MessageID)
-	finished.rejected = finished.rejected || event.Outcome == policy.Overloaded
+	rejected := event.Outcome == policy.Overloaded || event.Outcome == policy.UnprovenRejection
+	finished.rejected = finished.rejected || rejected
 	finished.retryAfter = finished.retryAfter || event.RetryAfter > 0
 	finished.delivered = finished.delivered || event.Outcome == policy.OK
 	finished.unfinished--
--- a/internal/relay/egress/call.go
+++ b/internal/relay/egress/call.go
@@ -54,8 +54,8 @@
 	return c.Attempts[0].Body
 }
 
-// newRequest returns the HTTP request for a call.
-func newRequest(c *Call) (*http.Request, error) {
+// newRequest returns the HTTP request for a call. closing asks the endpoint to close the connection after its response.
+func newRequest(c *Call, closing bool) (*http.Request, error) {
 	path := "/events"
 	timeLeft := max(1, time.Until(c.Deadline).Milliseconds())
 	header := http.Header{"X-Expires-In-Ms": {strconv.FormatInt(timeLeft, 10)}}
@@ -74,6 +74,7 @@
 		return nil, err
 	}
 	request.Header = header
+	request.Close = closing
 	body := c.Body()
 	request.ContentLength = int64(len(body))
 	if len(body) > 0 {
--- a/internal/relay/egress/client.go
+++ b/internal/relay/egress/client.go
@@ -87,11 +87,13 @@
 		ctx, cancelSendable = context.WithDeadline(ctx, last)
 		defer cancelSendable()
 	}
-	request, err := newRequest(&sendable)
+	closing := conn.closesAfter(&sendable)
+	request, err := newRequest(&sendable, closing)
 	if err != nil {
 		conn.release()
 		return results
 	}
+	conn.usage.add(&sendable, closing)
 	for i, result := range c.exchange(ctx, request, &sendable, conn) {
 		results[slices.Index(call.Attempts, sendable.Attempts[i])] = result
 	}
@@ -107,17 +109,19 @@
 	// When ctx ends, the reads and writes of the connection fail, and the call ends without a response.
 	stop := context.AfterFunc(ctx, func() { conn.ExpireAt(netconn.Past) })
 	began := time.Now()
-	conn.usage.add(call)
 	written := writeRequest(conn, request) == nil
 	if written {
 		c.observer.RequestWritten(len(call.Attempts))
 	}
 	read := readResponse(conn, request, call.Batch) // the endpoint may respond to an incomplete request
-	read.identify(call, conn)
+	read.identify(call, &conn.usage)
 	usable := stop() && read.err == nil && written
 	c.report(call, conn, &read, written)
 	results := c.results(ctx, call, &read, written, began)
-	if usable && read.identified && !conn.usage.full() {
+	if conn.usage.closing && read.complete() {
+		c.learnClose(conn.target, read.announcesClose)
+	}
+	if usable && conn.reusable(&read) {
 		conn.ExpireAt(time.Time{})
 		conn.release()
 	} else {
@@ -134,9 +138,8 @@
 		read.firstByteAt = time.Now()
 	}
 	latency := read.firstByteAt.Sub(began)
-	if read.foreign {
-		// Nothing is known of the call, and nothing in the response is about it.
-		return sameResults(call, Result{Outcome: policy.Reset, Latency: latency})
+	if read.origin != originCall {
+		return sameResults(call, c.unprovenResult(ctx, read, written, latency))
 	}
 	result := c.readFeedback(read.header)
 	result.Latency = latency
@@ -153,12 +156,27 @@
 	return sameResults(call, result)
 }
 
+// unprovenResult returns the result of a call whose response may not be its own: the messages may have run. A rejection
+// and its Retry-After still concern the endpoint, unless they may be a copy of an earlier one.
+func (c *Client) unprovenResult(ctx context.Context, read *response, written bool, latency time.Duration) Result {
+	result := Result{Outcome: failureOutcome(ctx, written), Latency: latency}
+	if read.origin == originOther {
+		return result
+	}
+	result.RetryAfter = c.readFeedback(read.header).RetryAfter
+	outcome, _ := statusOutcome(read.header)
+	if written && outcome == policy.Overloaded {
+		result.Outcome = policy.UnprovenRejection
+	}
+	return result
+}
+
 // report reports what was read for a call, as far as it is not as expected.
 func (c *Client) report(call *Call, conn *pooledConn, read *response, written bool) {
 	if read.surplus {
 		conn.reportSurplus(SurplusBehindResponse)
 	}
-	if read.foreign {
+	if read.origin == originOther && read.complete() {
 		conn.reportSurplus(SurplusOtherCall)
 	}
 	if !read.complete() && !isConnFailure(read.err) {
--- a/internal/relay/egress/pool.go
+++ b/internal/relay/egress/pool.go
@@ -45,7 +45,8 @@
 	lastID    uint64                         // ID of the connection opened last
 	idle      map[endpointAddr][]*pooledConn // the most recently used is the last
 	idleAddrs map[string]int                 // by endpoint ID: number of addresses with idle connections
-	open      int                            // number of connections that are being opened, in use or idle
+	closing   closingEndpoints
+	open      int // number of connections that are being opened, in use or idle
 	closed    bool
 }
 
@@ -75,6 +76,7 @@
 		surplus:        ratelog.Warning{Message: "endpoint sent bytes that no request asked for"},
 		idle:           map[endpointAddr][]*pooledConn{},
 		idleAddrs:      map[string]int{},
+		closing:        closingEndpoints{},
 	}
 }
 
--- a/internal/relay/egress/response.go
+++ b/internal/relay/egress/response.go
@@ -38,12 +38,15 @@
 type response struct {
 	header      *http.Response // only the status line if the rest is malformed; nil: no valid status line
 	body        []byte         // set only for a batch with status 200
-	states      []batchState   // parsed from body
 	firstByteAt time.Time      // zero: nothing was received
 	surplus     bool           // bytes were received behind the response
-	identified  bool           // the response names exactly the messages of its call
-	foreign     bool           // the response may belong to an earlier call of its connection
 	err         error          // why the response is incomplete, or errConnNotReusable; nil: reusable
+
+	// The fields below are set by identify.
+	states         []batchState // parsed from body
+	named          bool         // the response names exactly the messages of its call
+	announcesClose bool         // the response announces the end of the connection
+	origin         origin
 }
 
 // complete reports whether the response was received completely.
--- a/internal/relay/egress/response_test.go
+++ b/internal/relay/egress/response_test.go
@@ -302,7 +302,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n[{\"id\":\"a\"}]"), true)
 	f.Fuzz(func(t *testing.T, data []byte, batch bool) {
 		conn := &pooledConn{Conn: netconn.New(readConn{r: bytes.NewReader(data)})}
-		request, err := newRequest(newCall("x:1", "a"))
+		request, err := newRequest(newCall("x:1", "a"), false)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/relay/egress/reuse.go
+++ b/internal/relay/egress/reuse.go
@@ -4,21 +4,28 @@
 	"hash/maphash"
 	"net/http"
 	"slices"
+	"strings"
 )
 
 // HTTP/1.1 matches responses to requests by their order alone. An endpoint, or what stands between, may write a
 // response twice, and the second copy may arrive at any later time, also while the next request is out. No look at the
-// connection before that request, and no pause, shows whether a copy is still to come. A call may therefore use a
-// connection that has carried other calls only if no response to those can be taken for its own:
+// connection before that request, and no pause, shows whether a copy is still to come. The first call of a connection
+// cannot receive a copy. A later one believes only a response that no earlier call can have received:
 //
-//   - Only a response with status 200 that names exactly the messages of its call leaves a connection in use. All other
-//     responses name no messages, also those to calls with a single message.
-//   - So a copy on a used connection is a 200 that names messages of an earlier call. A connection never carries the
-//     same message twice, and the copy names none of the present call's.
-//   - Any response without names on a used connection, such as a 503, thus belongs to the present call.
+//   - A response with status 200 that names exactly the messages of its call. A connection never carries a message
+//     twice in calls that rely on this.
+//   - A response that announces the end of the connection, if the request asked for it. It is the last call of its
+//     connection, and no earlier response announced the end. Only endpoints that are known to announce it get such
+//     calls on a connection that was used before.
+//
+// Any other response leaves open whether the messages have run.
 
-// maxMessagesPerConn bounds the messages that a connection carries, since it remembers each of them.
-const maxMessagesPerConn = 1024
+const (
+	// maxMessagesPerConn bounds the messages that a connection carries, since it remembers each of them.
+	maxMessagesPerConn = 1024
+	// maxClosingEndpoints bounds the endpoints that are known to announce the end of a connection.
+	maxClosingEndpoints = 4096
+)
 
 // messageSeed is the seed of the hashes of messages that connections remember.
 var messageSeed = maphash.MakeSeed()
@@ -27,19 +34,25 @@
 type connUsage struct {
 	calls    int      // number of requests that were written, or begun to be
 	messages []uint64 // hashes of the messages in these requests
+	unnamed  bool     // a response named no messages: only one more call is possible, which closes the connection
+	closing  bool     // the last request asked to close the connection
 }
 
 // add records a call whose request is about to be written.
-func (u *connUsage) add(call *Call) {
+func (u *connUsage) add(call *Call, closing bool) {
 	u.calls++
+	u.closing = closing
 	for _, a := range call.Attempts {
 		u.messages = append(u.messages, maphash.String(messageSeed, a.TraceID))
 	}
 }
 
-// carried reports whether the connection has carried a message of the call. It may be wrong in saying that it has.
-func (u *connUsage) carried(call *Call) bool {
-	return slices.ContainsFunc(call.Attempts, func(a *Attempt) bool {
+// namesSuffice reports whether a response that names the messages of the call cannot be a response to an earlier call.
+func (u *connUsage) namesSuffice(call *Call) bool {
+	if !call.Batch || u.unnamed {
+		return false
+	}
+	return !slices.ContainsFunc(call.Attempts, func(a *Attempt) bool {
 		return slices.Contains(u.messages, maphash.String(messageSeed, a.TraceID))
 	})
 }
@@ -47,16 +60,117 @@
 // full reports whether the connection has carried as many messages as it may.
 func (u *connUsage) full() bool { return len(u.messages) >= maxMessagesPerConn }
 
-// mayCarry reports whether the responses to the connection's earlier calls can be told from the response to this call.
+// closingEndpoints holds the endpoints that announce the end of a connection when a request asks for it. The pool's
+// mutex guards it.
+type closingEndpoints map[endpointAddr]struct{}
+
+// learn records whether an endpoint has announced the end of a connection.
+func (e closingEndpoints) learn(target endpointAddr, announced bool) {
+	if !announced {
+		delete(e, target)
+		return
+	}
+	if len(e) >= maxClosingEndpoints {
+		clear(e)
+	}
+	e[target] = struct{}{}
+}
+
+// knows reports whether an endpoint is known to announce the end of a connection.
+func (e closingEndpoints) knows(target endpointAddr) bool {
+	_, known := e[target]
+	return known
+}
+
+// mayCarry reports whether the response to the call can be told from the responses to earlier calls of the connection.
+// The caller holds the pool's mutex.
 func (c *pooledConn) mayCarry(call *Call) bool {
-	return c.usage.calls == 0 || call.Batch && !c.usage.carried(call)
+	return c.usage.calls == 0 || c.usage.namesSuffice(call) || c.pool.closing.knows(c.target)
+}
+
+// closesAfter reports whether the request of the call asks to close the connection: if nothing else can show that its
+// response is its own, or to learn whether the endpoint announces the end.
+func (c *pooledConn) closesAfter(call *Call) bool {
+	if c.usage.calls > 0 {
+		return !c.usage.namesSuffice(call)
+	}
+	return !call.Batch && !c.pool.announcesClose(c.target)
+}
+
+// announcesClose reports whether an endpoint is known to announce the end of a connection.
+func (p *pool) announcesClose(target endpointAddr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closing.knows(target)
 }
 
-// identify determines whether a response names exactly the messages of its call, and whether it may be a copy of a
-// response to an earlier call of its connection: a 200 that does not.
-func (r *response) identify(call *Call, conn *pooledConn) {
+// learnClose records whether an endpoint has announced the end of a connection as a request had asked.
+func (p *pool) learnClose(target endpointAddr, announced bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing.learn(target, announced)
+}
+
+// origin is what is known of which call a response belongs to.
+type origin int
+
+const (
+	originCall    origin = iota // the call whose response is awaited
+	originUnknown               // perhaps another source than that call, but no copy of an earlier response
+	originOther                 // perhaps an earlier call of the connection
+)
+
+// identify determines which call the response belongs to.
+func (r *response) identify(call *Call, usage *connUsage) {
 	r.states = parseBatchStates(r.body)
 	ok := r.header != nil && r.header.StatusCode == http.StatusOK
-	r.identified = ok && call.Batch && r.complete() && namesMessages(r.states, call)
-	r.foreign = ok && !r.identified && conn.usage.calls > 1
+	r.named = ok && call.Batch && r.complete() && namesMessages(r.states, call)
+	r.announcesClose = r.complete() && r.header.Close && !isSpliced(r.header)
+	nameless := ok && call.Batch && !r.named
+	switch {
+	case usage.calls == 1:
+		r.origin = originCall
+	case !r.complete() || nameless:
+		r.origin = originOther
+	case usage.closing:
+		r.origin = r.closingOrigin()
+	case r.named:
+		r.origin = originCall
+	default:
+		r.origin = originUnknown
+	}
+}
+
+// closingOrigin returns the origin of a response on a used connection whose request asked to close the connection.
+func (r *response) closingOrigin() origin {
+	if r.announcesClose {
+		return originCall
+	}
+	return originOther
+}
+
+// isSpliced reports whether a header seems to consist of the beginning of one response and the end of another.
+func isSpliced(header *http.Response) bool {
+	const version = "HTTP/"
+	if strings.Contains(header.Status, version) {
+		return true
+	}
+	for name, values := range header.Header {
+		if strings.Contains(name+strings.Join(values, " "), version) {
+			return true
+		}
+	}
+	return false
+}
+
+// reusable reports whether another call may use the connection after the response, and records how.
+func (c *pooledConn) reusable(r *response) bool {
+	switch {
+	case c.usage.closing || c.usage.full() || r.origin != originCall:
+		return false
+	case r.named:
+		return true
+	}
+	c.usage.unnamed = true
+	return c.usage.calls == 1 && c.pool.announcesClose(c.target)
 }
--- a/internal/relay/egress/reuse_test.go
+++ b/internal/relay/egress/reuse_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/relay/netconn"
 	"cherrytrestle.example/cherrytrestle/internal/testkit/nettest"
@@ -47,7 +48,8 @@
 		want           policy.Outcome
 	}{
 		{"its own response", batchResponse("", okB), policy.OK},
-		{"its own rejection", busyResponse, policy.Overloaded},
+		{"a rejection, perhaps its own", busyResponse, policy.UnprovenRejection},
+		{"an error, perhaps its own", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", policy.Reset},
 		{"a copy", batchResponse(wait, okA), policy.Reset},
 		{"a copy and its own response", batchResponse(wait, okA) + batchResponse("", okB), policy.Reset},
 		{"a copy and its own rejection", batchResponse(wait, okA) + busyResponse, policy.Reset},
@@ -73,7 +75,7 @@
 				t.Errorf("outcome %v, want %v", r.Outcome, c.want)
 			}
 			feedback := r.RetryAfter != 0 || r.LimitReport != (policy.LimitReport{}) || r.MessageEnded
-			if r.Outcome == policy.Reset && feedback {
+			if r.Outcome != policy.OK && feedback {
 				t.Errorf("believed of a response that may be another call's: %+v", r)
 			}
 			if kept := openConns(client) > 0; kept != (c.want == policy.OK) {
@@ -83,6 +85,17 @@
 	}
 }
 
+// A Retry-After on a used connection binds, since it is no copy, but the messages may have run.
+func TestRetryAfterOnUsedConnectionBinds(t *testing.T) {
+	addr := scriptedServer(t, "HTTP/1.1 429 Busy\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n")
+	client := newTestClient(t, testConfig())
+	doCall(t, client, newBatchCall(addr, "a"))
+	r := doCall(t, client, newBatchCall(addr, "b"))[0]
+	if r.Outcome != policy.UnprovenRejection || r.RetryAfter != 1500*time.Millisecond {
+		t.Errorf("%+v", r)
+	}
+}
+
 // A message that is sent again uses a connection that has not carried it, since a copy of its first response names it.
 func TestRepeatedMessageUsesAnotherConnection(t *testing.T) {
 	addr := scriptedServer(t, laterResponse, batchResponse("", `[{"id":"b","state":"ok"}]`))
@@ -101,7 +114,8 @@
 	}
 }
 
-// A call whose request does not name its message uses a connection that has carried no other call.
+// A call whose request does not name its message uses a connection that has carried no other call, at an endpoint that
+// does not announce the end of a connection.
 func TestSingleMessageUsesNewConnection(t *testing.T) {
 	addr, requests := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
 		if r.URL.Path == "/events" {
@@ -126,6 +140,100 @@
 	}
 }
 
+// closingServer answers single messages with 200, and announces the end of the connection if the request asks for it.
+// spoil returns what is written instead of the response to the n-th request, or "".
+func closingServer(t *testing.T, spoil func(n int, own string) string) (addr string) {
+	addr, _ = nettest.RawServer(t, func(n int, conn net.Conn, r *http.Request) bool {
+		own := nettest.OKResponse
+		if r.Close {
+			own = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+		}
+		if spoilt := spoil(n, own); spoilt != "" {
+			own = spoilt
+		}
+		nettest.Send(conn, own)
+		return !r.Close
+	})
+	return addr
+}
+
+// An endpoint that announces the end of a connection gets two calls on each. The second asks for the end.
+func TestClosingCallSharesConnection(t *testing.T) {
+	addr := closingServer(t, func(int, string) string { return "" })
+	observer := &countingObserver{}
+	config := testConfig()
+	config.Observer = observer
+	client := newTestClient(t, config)
+	for i := range 7 {
+		if r := doCall(t, client, newCall(addr, fmt.Sprint(i)))[0]; r.Outcome != policy.OK {
+			t.Errorf("call %d: %v", i+1, r.Outcome)
+		}
+	}
+	if observer.opened != 4 || openConns(client) != 0 {
+		t.Errorf("%d connections opened and %d kept, want 4 and none", observer.opened, openConns(client))
+	}
+}
+
+// The second call of a connection believes only a response that announces the end, which no copy of the first does.
+func TestClosingCallBelievesNoCopy(t *testing.T) {
+	const date = "HTTP/1.1 200 OK\r\nDate: Mon, 0"
+	for _, c := range []struct {
+		name  string
+		spoil func(own string) string
+		want  policy.Outcome
+	}{
+		{"its own response", func(own string) string { return own }, policy.OK},
+		{
+			"its own rejection",
+			func(own string) string { return strings.Replace(own, "200 OK", "503 Busy", 1) }, policy.Overloaded,
+		},
+		{"a copy", func(string) string { return nettest.OKResponse }, policy.Reset},
+		{"a copy of a rejection", func(string) string { return busyResponse }, policy.Reset},
+		{"a copy and its own response", func(own string) string { return nettest.OKResponse + own }, policy.Reset},
+		{"a copy cut in the version", func(own string) string { return "HTTP/1.1" + own }, policy.Reset},
+		{"a copy cut in the reason", func(own string) string { return "HTTP/1.1 200 O" + own }, policy.Reset},
+		{"a copy cut in the header", func(own string) string { return date + own }, policy.Reset},
+		{"a status line alone", func(string) string { return "HTTP/1.1 200 OK\r\nno colon\r\n\r\n" }, policy.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr := closingServer(t, func(n int, own string) string {
+				if n == 3 {
+					return c.spoil(own)
+				}
+				return ""
+			})
+			client := newTestClient(t, testConfig())
+			for _, id := range []string{"learns", "first"} {
+				if r := doCall(t, client, newCall(addr, id))[0]; r.Outcome != policy.OK {
+					t.Fatalf("%s: %v", id, r.Outcome)
+				}
+			}
+			if r := doCall(t, client, newCall(addr, "second"))[0]; r.Outcome != c.want {
+				t.Errorf("outcome %v, want %v", r.Outcome, c.want)
+			}
+			if n := openConns(client); n != 0 {
+				t.Errorf("%d connections kept", n)
+			}
+		})
+	}
+}
+
+// The number of endpoints that a client remembers is bounded.
+func TestClosingEndpointsAreBounded(t *testing.T) {
+	known := closingEndpoints{}
+	for i := range 2 * maxClosingEndpoints {
+		known.learn(endpointAddr{fmt.Sprint(i), "127.0.0.1:1"}, true)
+	}
+	last := endpointAddr{fmt.Sprint(2*maxClosingEndpoints - 1), "127.0.0.1:1"}
+	if len(known) > maxClosingEndpoints || !known.knows(last) {
+		t.Errorf("%d endpoints known, the last one: %v", len(known), known.knows(last))
+	}
+	known.learn(last, false)
+	if known.knows(last) {
+		t.Error("an endpoint that did not announce the end is still known to do so")
+	}
+}
+
 // A response that arrives before the request was written belongs to no call.
 func TestResponseBeforeItsRequestSaysNothing(t *testing.T) {
 	named := batchResponse("", `[{"id":"a","state":"ok"}]`)
--- a/internal/simulation/modelcheck/counterexample.go
+++ b/internal/simulation/modelcheck/counterexample.go
@@ -116,6 +116,8 @@
 	policy.Reset:         "connection reset",
 	policy.Cancelled:     "cancelled",
 	policy.NotSent:       "never sent",
+
+	policy.UnprovenRejection: "refused, may have run",
 }
 
 // describe returns a readable description of the move.
--- a/internal/simulation/modelcheck/transition.go
+++ b/internal/simulation/modelcheck/transition.go
@@ -98,7 +98,7 @@
 	case policy.Overloaded, policy.ConnectFailed, policy.NotSent:
 		m.possibleRuns = slices.DeleteFunc(m.possibleRuns, func(attempt int) bool { return attempt == call.attempt })
 		m.mayHaveRun = len(m.possibleRuns) > 0
-	case policy.Reset, policy.Timeout, policy.Cancelled:
+	case policy.Reset, policy.Timeout, policy.Cancelled, policy.UnprovenRejection:
 		m.hasUnknownOutcome, m.unknownOutcomeAt = true, s.now
 	}
 	endpoint := x.model.Endpoints[call.endpoint]
--- a/policy/event.go
+++ b/policy/event.go
@@ -15,6 +15,9 @@
 	Reset                        // the connection broke before the answer
 	Cancelled                    // the relay abandoned the attempt
 	NotSent                      // the call never left the relay
+	// UnprovenRejection is a rejection that may not be the answer to the attempt: it counts as a rejection by the
+	// endpoint, but does not prove that the message never ran.
+	UnprovenRejection
 )
 
 // DestinationID is the number of a destination in the endpoint list and in messages.
--- a/policy/names.go
+++ b/policy/names.go
@@ -13,6 +13,8 @@
 		Reset:         "reset",
 		Cancelled:     "cancelled",
 		NotSent:       "not sent",
+
+		UnprovenRejection: "unproven rejection",
 	}
 	eventKindNames = [...]string{
 		MessageAccepted:  "message accepted",
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -45,8 +45,11 @@
 func (e *Engine) callFinished(c *call, msg *message, event *Event) {
 	e.recordCallEnd(c)
 	outcome := event.Outcome
-	if c.delivered {
+	switch {
+	case c.delivered:
 		outcome = OK
+	case outcome == UnprovenRejection:
+		outcome = Overloaded
 	}
 	answerExpectedAt := c.sentAt + min(minLatencyBound, cmp.Or(msg.class.LatencyObjective, minLatencyBound))
 	e.observeOutcome(c.endpoint, observation{
@@ -65,7 +68,7 @@
 		return
 	case Overloaded, NotSent:
 		return
-	case Timeout, Reset, Cancelled:
+	case Timeout, Reset, Cancelled, UnprovenRejection:
 		msg.timeouts++
 		if msg.keyQueue != nil {
 			msg.keyQueue.pause(e.now + e.settings.OrderingPause)
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -15,6 +15,7 @@
 		{0, Timeout, Reject, false},    // idempotent: the client may retry
 		{1, Overloaded, Reject, false}, // idempotent by key, has not run
 		{1, Timeout, Fail, true},       // idempotent by key, may have run: no repeat is dropped after 10 s
+		{1, UnprovenRejection, Fail, true},
 		{2, ConnectFailed, Reject, false},
 	} {
 		h := newHarness(t, testSettings(), Endpoint{ID: "a"})
@@ -32,10 +33,34 @@
 			t.Errorf("%+v: %+v at the deadline", test, actions)
 		}
 	}
-	h := newHarness(t, testSettings(), Endpoint{ID: "a"})
-	h.accept(1, 2)
-	if actions := h.finish(1, "a", Timeout, time.Second, 0); !hasAction(actions, Fail) || hasAction(actions, Send) {
-		t.Errorf("a non-idempotent message that may have run: %+v", actions)
+	for _, outcome := range []Outcome{Timeout, UnprovenRejection} {
+		h := newHarness(t, testSettings(), Endpoint{ID: "a"})
+		h.accept(1, 2)
+		if actions := h.finish(1, "a", outcome, time.Second, 0); !hasAction(actions, Fail) || hasAction(actions, Send) {
+			t.Errorf("a non-idempotent message that may have run, %v: %+v", outcome, actions)
+		}
+	}
+}
+
+// An unproven rejection has the effect of a rejection on its endpoint's limit scope.
+func TestUnprovenRejectionPacesLikeARejection(t *testing.T) {
+	var rates [2]float64
+	for i, outcome := range []Outcome{Overloaded, UnprovenRejection} {
+		h := newHarness(t, testSettings(), Endpoint{ID: "a"})
+		for id := MessageID(1); id <= 5; id++ {
+			h.accept(id, 0)
+			h.finish(id, "a", OK, 10*ms, 0)
+		}
+		h.accept(6, 0)
+		h.finish(6, "a", outcome, 10*ms, 700*ms)
+		scope := h.engine.endpoints["a"].scope
+		rates[i] = scope.pacingRate
+		if scope.retryAfterUntil != h.now+700*ms {
+			t.Errorf("%v: Retry-After until %v, want %v", outcome, scope.retryAfterUntil, h.now+700*ms)
+		}
+	}
+	if rates[0] != rates[1] || rates[0] == 0 {
+		t.Errorf("pacing rates %v, want the same", rates)
 	}
 }
 
