Give each request to the discovery agent a connection of its own

Cause: the transport of net/http drops an idle connection that speaks, but believes a copy of a 204 or of a list that arrives once the next request is out. A copied 204 confirmed a batch that the platform had refused with 500. Change: DisableKeepAlives; the agent is on the relay's own machine, so that a connection costs next to nothing. Why it works: the first request of a connection has no earlier response whose copy it could receive.

--- a/internal/relay/discovery/client.go
+++ b/internal/relay/discovery/client.go
@@ -17,7 +17,8 @@
 // ErrMoved is the cancellation cause of calls that are in flight when a Client moves to another address.
 var ErrMoved = errors.New("discovery agent moved to another address")
 
-// Client calls the discovery agent. It is safe for concurrent use.
+// Client calls the discovery agent. It is safe for concurrent use. Each call has a connection of its own: responses are
+// matched to requests by their order alone, and a second copy of a response may arrive when the next request is out.
 type Client struct {
 	http *http.Client
 
@@ -32,8 +33,8 @@
 	c := &Client{addr: addr, http: &http.Client{Transport: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 		DisableCompression: true,
+		DisableKeepAlives:  true,
 		MaxConnsPerHost:    4,
-		IdleConnTimeout:    30 * time.Second,
 	}}}
 	c.targetCtx, c.cancelTarget = context.WithCancel(context.Background())
 	return c
@@ -50,7 +51,6 @@
 	c.addr = addr
 	c.cancelTarget()
 	c.targetCtx, c.cancelTarget = context.WithCancel(context.Background())
-	c.http.CloseIdleConnections()
 }
 
 // Target returns the agent's address and a context for calls to it. The context is cancelled when ctx ends, when the
--- a/internal/relay/notify/sender_test.go
+++ b/internal/relay/notify/sender_test.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -79,6 +81,59 @@
 	}
 }
 
+// copyingPlatform takes the first notifications of each connection. It rejects the next ones, and before that sends a
+// second copy of the confirmation.
+type copyingPlatform struct {
+	mu    sync.Mutex
+	conns map[net.Conn]bool // with a request that was confirmed
+	taken []string          // ids of notifications
+}
+
+func (p *copyingPlatform) serve(_ int, conn net.Conn, request *http.Request) bool {
+	const confirmation = "HTTP/1.1 204 No Content\r\n\r\n"
+	var n struct {
+		ID string `json:"id"`
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[conn] {
+		nettest.Send(conn, confirmation+"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	if json.NewDecoder(request.Body).Decode(&n) == nil {
+		p.taken = append(p.taken, n.ID)
+	}
+	p.conns[conn] = true
+	nettest.Send(conn, confirmation)
+	return true
+}
+
+// A second copy of a confirmation must not confirm the next notifications, which the platform did not take.
+func TestCopiedConfirmationConfirmsNothing(t *testing.T) {
+	p := &copyingPlatform{conns: map[net.Conn]bool{}}
+	addr, _ := nettest.RawServer(t, p.serve)
+	confirmed := make(chan []policy.MessageID, 10)
+	s := NewSender(slog.New(slog.DiscardHandler), discovery.NewClient(addr),
+		func(ids []policy.MessageID) { confirmed <- ids }, func() {})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.Run(ctx)
+	ids := []string{"a", "b", "c"}
+	for i, id := range ids {
+		s.Add(Notification{MessageID: policy.MessageID(i), TraceID: id, Status: Undeliverable})
+		select {
+		case <-confirmed:
+		case <-time.After(nettest.Patience):
+			t.Fatalf("notification %s was never confirmed", id)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Equal(p.taken, ids) {
+		t.Errorf("confirmed %v, taken %v", ids, p.taken)
+	}
+}
+
 // A notification is encoded in the form that the platform reads, without the relay's own message ID.
 func TestNotificationsOnTheWire(t *testing.T) {
 	for want, n := range map[string]Notification{
