A used connection that ends just before the write is no failure of its endpoint

The new look at the socket just before the write reported a used connection that its endpoint had ended meanwhile as a failed connect, which counts against the endpoint. Change: it is NotSent, like a call that never left the relay; a new connection is still a failed connect. Why it is right: nothing was written, so the message did not run. Result: TestUsedConnectionThatEndsBeforeTheWriteIsNotSent, which fails without the change (connect failed).

--- a/internal/relay/egress/client.go
+++ b/internal/relay/egress/client.go
@@ -104,7 +104,11 @@
 func (c *Client) exchange(ctx context.Context, request *http.Request, call *Call, conn *pooledConn) []Result {
 	if reason, quiet := conn.checkQuiet(); !quiet {
 		conn.close(reason)
-		return sameResults(call, Result{Outcome: policy.ConnectFailed})
+		outcome := policy.NotSent // the end of an idle connection says nothing about the endpoint
+		if conn.usage.calls == 1 {
+			outcome = policy.ConnectFailed
+		}
+		return sameResults(call, Result{Outcome: outcome})
 	}
 	// When ctx ends, the reads and writes of the connection fail, and the call ends without a response.
 	stop := context.AfterFunc(ctx, func() { conn.ExpireAt(netconn.Past) })
--- a/internal/relay/egress/reuse_test.go
+++ b/internal/relay/egress/reuse_test.go
@@ -274,6 +274,37 @@
 	}
 }
 
+// A used connection that its endpoint ends between the check of a delayed call and the write fails no endpoint.
+func TestUsedConnectionThatEndsBeforeTheWriteIsNotSent(t *testing.T) {
+	served := make(chan net.Conn, 1)
+	addr, requests := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
+		served <- conn
+		nettest.Send(conn, okBatch(t, r))
+		return true
+	})
+	var observed *netconn.Conn
+	config := testConfig()
+	config.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err == nil {
+			observed = netconn.New(conn)
+		}
+		return conn, err
+	}
+	client := newTestClient(t, config)
+	doCall(t, client, newBatchCall(addr, "a"))
+	delayed := newBatchCall(addr, "b")
+	delayed.SentAt = time.Now().Add(-time.Second)
+	r := client.Do(t.Context(), delayed, func() []*Attempt {
+		nettest.Close(<-served)
+		nettest.Eventually(t, "the end arrives", func() bool { return observed.Pending() == netconn.PendingEnd })
+		return delayed.Attempts
+	})
+	if r[0].Outcome != policy.NotSent || requests.Load() != 1 {
+		t.Errorf("outcome %v after %d requests, want not sent after 1", r[0].Outcome, requests.Load())
+	}
+}
+
 // A connection is retired once it has carried as many messages as it may remember.
 func TestFullConnectionIsRetired(t *testing.T) {
 	addr, _ := nettest.RawServer(t, func(_ int, conn net.Conn, r *http.Request) bool {
