Rehearse faults on the wire of answers, and soaks of scenarios drawn from seeds

Need: the incident's fault, and those of its kind, could not be rehearsed: the fakes answered every call once and whole. Free when off. The help page of rehearse has the new command.

--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -2,6 +2,7 @@
 // and reports for each of the six rules whether it held.
 //
 //	rehearse                        runs the small scenario first-run
+//	rehearse soak [flags]           plays scenarios that are drawn from seeds, with several faults at once
 //	rehearse list                   lists the built-in scenarios
 //	rehearse run [flags] NAME|FILE  runs one or several scenarios
 //	rehearse report [flags] DIR     checks the record of a run again and prints the report
@@ -48,6 +49,7 @@
 type commands struct {
 	Version kong.VersionFlag `help:"Print the version and exit."`
 	Run     runCommand       `cmd:"" default:"withargs" help:"Run scenarios, one after the other (the default)."`
+	Soak    soakCommand      `cmd:"" help:"Play scenarios that are drawn from seeds, with several faults at once."`
 	List    listCommand      `cmd:"" help:"List the built-in scenarios."`
 	Report  reportCommand    `cmd:"" help:"Check the record of a run again and print the report."`
 	Plan    planCommand      `cmd:"" help:"Print the plan of a scenario's events."`
--- /dev/null
+++ b/internal/testkit/fake/answerfault_test.go
@@ -0,0 +1,111 @@
+package fake
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cherrytrestle.example/cherrytrestle/internal/testkit/eventlog"
+	"cherrytrestle.example/cherrytrestle/internal/testkit/nettest"
+	"cherrytrestle.example/cherrytrestle/internal/testkit/scenario"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+// receive sends a call and returns what arrives until wanted does, or until the connection ends.
+func receive(t *testing.T, conn net.Conn, request, wanted string) string {
+	t.Helper()
+	nettest.Send(conn, request)
+	var received strings.Builder
+	buffer := make([]byte, 1)
+	for wanted == "" || !strings.HasSuffix(received.String(), wanted) {
+		if _, err := conn.Read(buffer); err != nil {
+			break
+		}
+		received.Write(buffer)
+	}
+	return received.String()
+}
+
+func TestFaultsOnTheWireOfAnswers(t *testing.T) {
+	for _, c := range []struct {
+		op     scenario.Op
+		wanted string // what arrives ends with this
+	}{
+		{scenario.OpCopyAnswers, okAnswer + okAnswer},
+		{scenario.OpInformational, informationalText + okAnswer + informationalText},
+		{scenario.OpTrickleAnswers, okAnswer},
+		{scenario.OpJunkAnswers, okAnswer + junkText},
+	} {
+		t.Run(string(c.op), func(t *testing.T) {
+			h := newHarness(t)
+			h.register("m")
+			h.must(h.SetAnswerFault(testService, c.op, 1, 5*time.Millisecond))
+			if got := receive(t, h.dialEndpoint(), callText("m"), c.wanted); !strings.HasSuffix(got, c.wanted) {
+				t.Errorf("received %q, want it to end with %q", got, c.wanted)
+			}
+		})
+	}
+}
+
+func TestStrayAnswerFollowsTheAnswer(t *testing.T) {
+	h := newHarness(t)
+	h.register("m")
+	h.must(h.SetAnswerFault(testService, scenario.OpStrayAnswers, 1, 0))
+	conn := h.dialEndpoint()
+	receive(t, conn, callText("m"), okAnswer)
+	if stray := receive(t, conn, "", "\r\n\r\n"); !strings.HasPrefix(stray, "HTTP/1.1 ") {
+		t.Errorf("received %q, want a second answer", stray)
+	}
+}
+
+// A cut answer to a single message counts if its first line was written whole.
+func TestCutAnswerCountsWithItsStatusLine(t *testing.T) {
+	h := newHarness(t)
+	h.must(h.SetAnswerFault(testService, scenario.OpCutAnswers, 1, 0))
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		h.register(id)
+		got := receive(t, h.dialEndpoint(), callText(id), "")
+		if strings.Contains(got, okAnswer) {
+			t.Errorf("the whole answer %q arrived", got)
+		}
+		call := h.waitFor(eventlog.CallReceived, withMessage(id)).Call
+		ofCall := func(e eventlog.Event) bool { return e.Call == call }
+		_, counts := h.find(eventlog.CallAnswered, ofCall)
+		if _, aborted := h.find(eventlog.CallAborted, ofCall); aborted == counts {
+			t.Errorf("answered %v, aborted %v", counts, aborted)
+		}
+		if !counts && strings.Contains(got, "200 OK\r\n") {
+			t.Errorf("%q does not count as an answer", got)
+		}
+	}
+}
+
+// A broken idle connection answers no call.
+func TestBrokenIdleConnectionAnswersNothing(t *testing.T) {
+	h := newHarness(t)
+	h.register("first", "second")
+	h.must(h.SetAnswerFault(testService, scenario.OpBreakIdle, 1, 0))
+	for range 8 {
+		conn := h.dialEndpoint()
+		receive(t, conn, callText("first"), okAnswer)
+		time.Sleep(20 * time.Millisecond) // the connection breaks as soon as it is idle
+		h.setDeadline(conn, 50*time.Millisecond)
+		if got := receive(t, conn, callText("second"), ""); got != "" {
+			t.Errorf("received %q", got)
+		}
+	}
+}
+
+func TestEndpointAnnouncesTheEndThatARelayAsksFor(t *testing.T) {
+	h := newHarness(t)
+	h.register("m")
+	conn := h.dialEndpoint()
+	nettest.Send(conn, postText("/events", "X-Trace-Id: m\r\nConnection: close\r\n", "body"))
+	got, err := io.ReadAll(conn)
+	if err != nil || !strings.Contains(string(got), "\r\nConnection: close\r\n") {
+		t.Errorf("received %q, %v", got, err)
+	}
+}
--- a/internal/testkit/fake/call.go
+++ b/internal/testkit/fake/call.go
@@ -23,6 +23,7 @@
 	number     uint64   // unique in the run
 	ids        []string // of the messages in the call
 	isBatch    bool
+	closing    bool          // the relay asked to close the connection after the answer
 	receivedAt time.Duration // when the last byte arrived, since the run began
 
 	rejectStatus int // HTTP status that rejects a malformed call; 0: the call is well formed
@@ -91,17 +92,25 @@
 	return a.status == http.StatusOK && (a.states == nil || a.states[i] == messageDelivered)
 }
 
-// text returns the HTTP response to a call whose messages have these ids.
-func (a answer) text(ids []string) string {
+// statusLine returns the first line of the HTTP response.
+func (a answer) statusLine() string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+}
+
+// text returns the HTTP response to a call.
+func (a answer) text(received call) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	b.WriteString(a.statusLine())
+	if received.closing {
+		b.WriteString("Connection: close\r\n")
+	}
 	if a.retryAfter > 0 {
 		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	if a.noSlot {
 		b.WriteString("Slots-Taken: 1\r\n")
 	}
-	body := a.body(ids)
+	body := a.body(received.ids)
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	return b.String()
 }
--- a/internal/testkit/fake/endpointconn.go
+++ b/internal/testkit/fake/endpointconn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/testkit/eventlog"
@@ -29,6 +30,10 @@
 	aborted  chan struct{} // closed when the endpoint ends the connection
 	endOnce  sync.Once
 	readDone bool // a read has failed; used only by the reading goroutine
+
+	writing   sync.Mutex  // held while something is written
+	busy      atomic.Bool // a call is being answered
+	forgotten atomic.Bool // nothing that arrives has an effect
 }
 
 // abort ends the connection with a reset.
@@ -49,12 +54,12 @@
 	})
 }
 
-// Read reads from the connection. Data that arrives while the machine is cut off does not reach the endpoint: Read
-// discards the data and waits until the connection is closed.
+// Read reads from the connection. Data that arrives while the machine is cut off, or once the connection is forgotten,
+// does not reach the endpoint: Read discards the data and waits until the connection is closed.
 func (c *endpointConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	c.readDone = c.readDone || err != nil
-	if c.endpoint.isIsolated() {
+	if c.endpoint.isIsolated() || c.forgotten.Load() {
 		<-c.aborted
 		return 0, net.ErrClosed
 	}
@@ -108,6 +113,7 @@
 		select {
 		case calls <- received:
 		case <-done:
+			c.recordAborted(received, eventlog.CauseEndpoint)
 			return
 		}
 	}
@@ -138,6 +144,7 @@
 	}
 	received := parseCall(request, body)
 	received.number = event.Call
+	received.closing = request.Close
 	event.Kind = eventlog.CallReceived
 	event.IDs = received.ids
 	event.Weight = c.endpoint.service.model.CallWeight(len(received.ids))
@@ -164,21 +171,22 @@
 
 // answer answers a call. It reports whether the connection can carry further calls.
 func (c *endpointConn) answer(received call, relayClosed <-chan struct{}) bool {
+	c.busy.Store(true)
+	defer c.busy.Store(false)
 	world := c.endpoint.world
 	answer := c.decide(received)
 	if answer.holdsSlot {
 		defer world.releaseSlot(c.relay)
 	}
 	if cause := c.awaitAnswer(received, answer, relayClosed); cause != "" {
-		world.events.Add(eventlog.Event{
-			Kind:     eventlog.CallAborted,
-			Call:     received.number,
-			Relay:    c.relay,
-			Endpoint: c.endpoint.spec.ID,
-			Cause:    cause,
-		})
+		c.recordAborted(received, cause)
 		return false
 	}
+	spoilt := c.endpoint.spoil(answer.text(received))
+	if !spoilt.counts(answer, received.isBatch) {
+		c.recordAborted(received, eventlog.CauseEndpoint)
+		return c.send(spoilt)
+	}
 	world.events.Add(eventlog.Event{
 		Kind:       eventlog.CallAnswered,
 		Call:       received.number,
@@ -188,8 +196,18 @@
 		RetryAfter: answer.retryAfter,
 		States:     answer.states,
 	})
-	_, err := io.WriteString(c, answer.text(received.ids))
-	return err == nil
+	return c.send(spoilt) && !received.closing
+}
+
+// recordAborted records that a call's connection ended before an answer.
+func (c *endpointConn) recordAborted(received call, cause string) {
+	c.endpoint.world.events.Add(eventlog.Event{
+		Kind:     eventlog.CallAborted,
+		Call:     received.number,
+		Relay:    c.relay,
+		Endpoint: c.endpoint.spec.ID,
+		Cause:    cause,
+	})
 }
 
 // awaitAnswer waits until the answer is due. It returns "" if the answer can be sent, and otherwise the side that ended
--- a/internal/testkit/fake/service.go
+++ b/internal/testkit/fake/service.go
@@ -19,6 +19,8 @@
 	destination int
 	outageCause string  // an Outage constant of package eventlog; "": no outage
 	slowdown    float64 // factor on service times; 1: none
+
+	answerFaults map[scenario.Op]answerFault // on the wire
 }
 
 // SetSlowdown multiplies the service times of a service by a factor; 1 ends the fault.
--- a/internal/testkit/fake/world.go
+++ b/internal/testkit/fake/world.go
@@ -4,6 +4,7 @@
 package fake
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"cherrytrestle.example/cherrytrestle/internal/testkit/eventlog"
@@ -14,6 +15,7 @@
 // World holds the services with their endpoints, and the messages that clients submitted.
 type World struct {
 	events     *eventlog.Writer
+	random     *rand.Rand // guarded by mu
 	settings   scenario.Settings
 	relays     []string // names
 	goroutines sync.WaitGroup
@@ -31,6 +33,7 @@
 func NewWorld(plan scenario.Plan, events *eventlog.Writer) *World {
 	w := &World{
 		events:      events,
+		random:      rand.New(rand.NewPCG(plan.Seed, answerFaultStream)),
 		settings:    plan.File.Settings,
 		services:    map[string]*service{},
 		endpoints:   map[string]*Endpoint{},
@@ -46,6 +49,8 @@
 			name:        planned.Name,
 			destination: planned.Destination,
 			slowdown:    1,
+
+			answerFaults: map[scenario.Op]answerFault{},
 		}
 	}
 	return w
--- a/internal/testkit/rehearsal/steps.go
+++ b/internal/testkit/rehearsal/steps.go
@@ -58,6 +58,9 @@
 }
 
 func (r *runner) executeOnService(step scenario.Step) error {
+	if step.Op.AffectsAnswers() {
+		return r.world.SetAnswerFault(step.Target, step.Op, step.Value, step.Duration)
+	}
 	switch step.Op {
 	case scenario.OpSlow:
 		return r.world.SetSlowdown(step.Target, step.Value)
--- a/internal/testkit/scenario/fault.go
+++ b/internal/testkit/scenario/fault.go
@@ -11,14 +11,16 @@
 	Share float64 `toml:"share"`
 	Zone  string  `toml:"zone"` // affects only endpoints or relays in the zone
 
-	CallRatio float64 `toml:"calls"` // fail, lost-answers: ratio of affected calls; default 1
+	CallRatio float64 `toml:"calls"` // fail, lost-answers, faults on the wire: ratio of affected calls; default 1
 	// Factor multiplies the service time of calls (slow) or divides the rate limit (lowered); default 10.
 	Factor           float64  `toml:"factor"`
 	DrainTime        Duration `toml:"drain"`        // drain: time from draining to removal; default 4s
 	BatchSize        int      `toml:"batch"`        // endpoints of a batch; batches are spread over Duration; default 1
 	ReplaceEndpoints bool     `toml:"replace"`      // drain, gone: replace each by a new endpoint
 	SameAddressRatio float64  `toml:"same_address"` // ratio of new endpoints that reuse the old one's address
-	Delay            Duration `toml:"delay"`        // discovery-late, link-delay: added delay
+	// Delay is the added delay (discovery-late, link-delay), or the longest time after an answer until something
+	// follows it (copied-answers, stray-answers, broken-idle).
+	Delay Duration `toml:"delay"`
 
 	Relays      []int    `toml:"relays"`  // numbers, counted from 1; default: as Share or RelayGroup selects, or all
 	ClockOffset Duration `toml:"by"`      // clock-step: added to the wall clocks; below 0: they are set back
@@ -61,6 +63,15 @@
 	FaultLinkDelay      FaultKind = "link-delay"     // all traffic is delayed
 	FaultLinkThrottle   FaultKind = "link-throttle"  // the bandwidth is low
 	FaultLinkReorder    FaultKind = "link-mix"       // datagrams are duplicated and reordered
+
+	// Faults on the wire of a ratio of the answers; only with real sockets.
+	FaultCopyAnswers    FaultKind = "copied-answers"   // a second copy of the answer follows
+	FaultStrayAnswers   FaultKind = "stray-answers"    // an answer that no call asked for follows
+	FaultInformational  FaultKind = "surplus-1xx"      // 1xx answers precede and follow the answer
+	FaultCutAnswers     FaultKind = "cut-answers"      // the connection ends within the answer
+	FaultTrickleAnswers FaultKind = "trickled-answers" // the answer arrives byte by byte
+	FaultJunkAnswers    FaultKind = "junk-answers"     // bytes that are no HTTP follow the answer
+	FaultBreakIdle      FaultKind = "broken-idle"      // the idle connection is reset, half-closed or forgotten
 )
 
 // faultKinds lists all kinds, in the order in which error messages list them.
@@ -87,6 +98,13 @@
 	FaultLinkDelay,
 	FaultLinkThrottle,
 	FaultLinkReorder,
+	FaultCopyAnswers,
+	FaultStrayAnswers,
+	FaultInformational,
+	FaultCutAnswers,
+	FaultTrickleAnswers,
+	FaultJunkAnswers,
+	FaultBreakIdle,
 }
 
 // RelayGroup selects how many relays a fault affects. The seed determines which ones.
--- a/internal/testkit/scenario/planner_faults.go
+++ b/internal/testkit/scenario/planner_faults.go
@@ -70,6 +70,10 @@
 		first.Op = OpCrash
 	case FaultCutOff:
 		first.Op = OpCutOff
+	case FaultCopyAnswers, FaultStrayAnswers, FaultInformational, FaultCutAnswers,
+		FaultTrickleAnswers, FaultJunkAnswers, FaultBreakIdle:
+		first.Op, first.Value, first.Duration = answerOps[fault.Kind], fault.CallRatio, fault.Delay.AsDuration()
+		last.Op = first.Op
 	}
 	p.addStepPair(fault.Start.AsDuration(), fault.end(), first, last)
 }
--- a/internal/testkit/scenario/step.go
+++ b/internal/testkit/scenario/step.go
@@ -50,6 +50,39 @@
 	OpRestore     Op = "back"  // the outage ends
 )
 
+// The operations on the answers of services, on the wire. The target is the name of a service. Each affects the ratio
+// Value of its answers; 0 ends it. What follows an answer does so within Duration.
+const (
+	OpCopyAnswers    Op = "copy"
+	OpStrayAnswers   Op = "stray"
+	OpInformational  Op = "1xx"
+	OpCutAnswers     Op = "cut-answer"
+	OpTrickleAnswers Op = "trickle"
+	OpJunkAnswers    Op = "junk"
+	OpBreakIdle      Op = "break-idle"
+)
+
+// answerOps are the operations of the faults on the wire.
+var answerOps = map[FaultKind]Op{
+	FaultCopyAnswers:    OpCopyAnswers,
+	FaultStrayAnswers:   OpStrayAnswers,
+	FaultInformational:  OpInformational,
+	FaultCutAnswers:     OpCutAnswers,
+	FaultTrickleAnswers: OpTrickleAnswers,
+	FaultJunkAnswers:    OpJunkAnswers,
+	FaultBreakIdle:      OpBreakIdle,
+}
+
+// AffectsAnswers reports whether the operation affects the answers of a service on the wire.
+func (o Op) AffectsAnswers() bool {
+	for _, op := range answerOps {
+		if op == o {
+			return true
+		}
+	}
+	return false
+}
+
 // The operations on relays. The target is the name of a relay.
 const (
 	OpSilenceDiscovery Op = "hush"   // discovery sends it no changes
--- a/internal/testkit/scenario/validate.go
+++ b/internal/testkit/scenario/validate.go
@@ -27,11 +27,12 @@
 	MaxRelays, MaxEndpoints, MaxArrivals int
 
 	SettableClocks bool // the runner can step the wall clocks of relays
+	Sockets        bool // calls and answers pass over sockets
 }
 
 // The bounds of rehearsals, with processes and sockets on one machine, and of the emulator, in virtual time.
 var (
-	RehearsalBounds = Bounds{MaxRelays: 20, MaxEndpoints: 500, MaxArrivals: 2_000_000}
+	RehearsalBounds = Bounds{MaxRelays: 20, MaxEndpoints: 500, MaxArrivals: 2_000_000, Sockets: true}
 	EmulatorBounds  = Bounds{MaxRelays: 5000, MaxEndpoints: 1_000_000, MaxArrivals: 100_000_000, SettableClocks: true}
 )
 
