Expect endpoints of a kind to announce the end of a connection alike

Need: each endpoint's first call to a kind without batches closed its connection to learn whether the endpoint announces the end. A relay of 300 makes few calls to each, so most never shared a connection. Change: one endpoint of a kind that announces the end suffices; an endpoint that does not is remembered (4,096 at most). The expectation decides only how connections are used; what a response proves does not depend on it.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -81,6 +81,7 @@
 		c = newCall(egress.Call{
 			EndpointID: a.Endpoint,
 			Addr:       endpoint.Addr,
+			Kind:       endpoint.Kind,
 			Batch:      maxBatch > 1 && size <= netconn.MaxBodySize,
 			SentAt:     time.Now(),
 		}, endpoint.Zone)
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -27,7 +27,7 @@
 		"discovery.MaxEntries", "discovery.MaxEntrySize", "discovery.ListTimeout", "notify.maxNotificationsPerPost",
 		"notify.maxResponseSize", "egress.responseTimeout", "egress.maxReportedValue", "egress.maxInformational",
 		"egress.maxRetryAfterSeconds", "discovery.fetchIdleTimeout", "egress.maxMessagesPerConn",
-		"egress.maxClosingEndpoints",
+		"egress.maxSilentEndpoints",
 	},
 	"the relay's own bound on its work": {
 		"hotrestart.dialTimeout", "hotrestart.sendTimeout", "hotrestart.maxFrameSize", "hotrestart.headerSize",
--- a/internal/relay/egress/call.go
+++ b/internal/relay/egress/call.go
@@ -17,6 +17,7 @@
 type Call struct {
 	EndpointID string
 	Addr       string
+	Kind       int        // of the endpoint; endpoints of a kind are expected to behave alike
 	Batch      bool       // the request has the form for several messages, even if it carries one
 	SentAt     time.Time  // when the relay decided on the call and recorded it
 	Deadline   time.Time  // when the relay gives up the call
--- a/internal/relay/egress/client.go
+++ b/internal/relay/egress/client.go
@@ -123,9 +123,9 @@
 	c.report(call, conn, &read, written)
 	results := c.results(ctx, call, &read, written, began)
 	if conn.usage.closing && read.complete() {
-		c.learnClose(conn.target, read.announcesClose)
+		c.learnAnnouncement(conn.target, call.Kind, read.announcesClose)
 	}
-	if usable && conn.reusable(&read) {
+	if usable && conn.reusable(call, &read) {
 		conn.ExpireAt(time.Time{})
 		conn.release()
 	} else {
--- a/internal/relay/egress/pool.go
+++ b/internal/relay/egress/pool.go
@@ -41,13 +41,13 @@
 	log            *slog.Logger
 	surplus        ratelog.Warning
 
-	mu        sync.Mutex
-	lastID    uint64                         // ID of the connection opened last
-	idle      map[endpointAddr][]*pooledConn // the most recently used is the last
-	idleAddrs map[string]int                 // by endpoint ID: number of addresses with idle connections
-	closing   closingEndpoints
-	open      int // number of connections that are being opened, in use or idle
-	closed    bool
+	mu            sync.Mutex
+	lastID        uint64                         // ID of the connection opened last
+	idle          map[endpointAddr][]*pooledConn // the most recently used is the last
+	idleAddrs     map[string]int                 // by endpoint ID: number of addresses with idle connections
+	announcements closeAnnouncements
+	open          int // number of connections that are being opened, in use or idle
+	closed        bool
 }
 
 // pooledConn is a connection to an endpoint that its pool counts, whether it is idle or in use.
@@ -76,7 +76,7 @@
 		surplus:        ratelog.Warning{Message: "endpoint sent bytes that no request asked for"},
 		idle:           map[endpointAddr][]*pooledConn{},
 		idleAddrs:      map[string]int{},
-		closing:        closingEndpoints{},
+		announcements:  newCloseAnnouncements(),
 	}
 }
 
--- a/internal/relay/egress/reuse.go
+++ b/internal/relay/egress/reuse.go
@@ -15,7 +15,7 @@
 //   - A response with status 200 that names exactly the messages of its call. A connection never carries a message
 //     twice in calls that rely on this.
 //   - A response that announces the end of the connection, if the request asked for it. It is the last call of its
-//     connection, and no earlier response announced the end. Only endpoints that are known to announce it get such
+//     connection, and no earlier response announced the end. Only endpoints that are expected to announce it get such
 //     calls on a connection that was used before.
 //
 // Any other response leaves open whether the messages have run.
@@ -23,8 +23,8 @@
 const (
 	// maxMessagesPerConn bounds the messages that a connection carries, since it remembers each of them.
 	maxMessagesPerConn = 1024
-	// maxClosingEndpoints bounds the endpoints that are known to announce the end of a connection.
-	maxClosingEndpoints = 4096
+	// maxSilentEndpoints bounds the endpoints that are remembered as not announcing the end of a connection.
+	maxSilentEndpoints = 4096
 )
 
 // messageSeed is the seed of the hashes of messages that connections remember.
@@ -60,32 +60,42 @@
 // full reports whether the connection has carried as many messages as it may.
 func (u *connUsage) full() bool { return len(u.messages) >= maxMessagesPerConn }
 
-// closingEndpoints holds the endpoints that announce the end of a connection when a request asks for it. The pool's
-// mutex guards it.
-type closingEndpoints map[endpointAddr]struct{}
+// closeAnnouncements holds which endpoints are expected to announce the end of a connection when a request asks for it:
+// those of a kind of which one has done so, except those that did not. The expectation decides only how connections are
+// used. What a response proves does not depend on it.
+type closeAnnouncements struct {
+	kinds  map[int]struct{}
+	silent map[endpointAddr]struct{}
+}
+
+func newCloseAnnouncements() closeAnnouncements {
+	return closeAnnouncements{kinds: map[int]struct{}{}, silent: map[endpointAddr]struct{}{}}
+}
 
-// learn records whether an endpoint has announced the end of a connection.
-func (e closingEndpoints) learn(target endpointAddr, announced bool) {
-	if !announced {
-		delete(e, target)
+// learn records whether an endpoint of a kind has announced the end of a connection.
+func (a *closeAnnouncements) learn(target endpointAddr, kind int, announced bool) {
+	if announced {
+		a.kinds[kind] = struct{}{}
+		delete(a.silent, target)
 		return
 	}
-	if len(e) >= maxClosingEndpoints {
-		clear(e)
+	if len(a.silent) >= maxSilentEndpoints {
+		clear(a.silent)
 	}
-	e[target] = struct{}{}
+	a.silent[target] = struct{}{}
 }
 
-// knows reports whether an endpoint is known to announce the end of a connection.
-func (e closingEndpoints) knows(target endpointAddr) bool {
-	_, known := e[target]
-	return known
+// expected reports whether an endpoint of a kind is expected to announce the end of a connection.
+func (a *closeAnnouncements) expected(target endpointAddr, kind int) bool {
+	_, known := a.kinds[kind]
+	_, silent := a.silent[target]
+	return known && !silent
 }
 
 // mayCarry reports whether the response to the call can be told from the responses to earlier calls of the connection.
 // The caller holds the pool's mutex.
 func (c *pooledConn) mayCarry(call *Call) bool {
-	return c.usage.calls == 0 || c.usage.namesSuffice(call) || c.pool.closing.knows(c.target)
+	return c.usage.calls == 0 || c.usage.namesSuffice(call) || c.pool.announcements.expected(c.target, call.Kind)
 }
 
 // closesAfter reports whether the request of the call asks to close the connection: if nothing else can show that its
@@ -94,21 +104,21 @@
 	if c.usage.calls > 0 {
 		return !c.usage.namesSuffice(call)
 	}
-	return !call.Batch && !c.pool.announcesClose(c.target)
+	return !call.Batch && !c.pool.expectsAnnouncement(c.target, call.Kind)
 }
 
-// announcesClose reports whether an endpoint is known to announce the end of a connection.
-func (p *pool) announcesClose(target endpointAddr) bool {
+// expectsAnnouncement reports whether an endpoint of a kind is expected to announce the end of a connection.
+func (p *pool) expectsAnnouncement(target endpointAddr, kind int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.closing.knows(target)
+	return p.announcements.expected(target, kind)
 }
 
-// learnClose records whether an endpoint has announced the end of a connection as a request had asked.
-func (p *pool) learnClose(target endpointAddr, announced bool) {
+// learnAnnouncement records whether an endpoint has announced the end of a connection as a request had asked.
+func (p *pool) learnAnnouncement(target endpointAddr, kind int, announced bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closing.learn(target, announced)
+	p.announcements.learn(target, kind, announced)
 }
 
 // origin is what is known of which call a response belongs to.
@@ -163,8 +173,8 @@
 	return false
 }
 
-// reusable reports whether another call may use the connection after the response, and records how.
-func (c *pooledConn) reusable(r *response) bool {
+// reusable reports whether another call may use the connection after the response to a call, and records how.
+func (c *pooledConn) reusable(call *Call, r *response) bool {
 	switch {
 	case c.usage.closing || c.usage.full() || r.origin != originCall:
 		return false
@@ -172,5 +182,5 @@
 		return true
 	}
 	c.usage.unnamed = true
-	return c.usage.calls == 1 && c.pool.announcesClose(c.target)
+	return c.usage.calls == 1 && c.pool.expectsAnnouncement(c.target, call.Kind)
 }
--- a/internal/relay/egress/reuse_test.go
+++ b/internal/relay/egress/reuse_test.go
@@ -218,19 +218,31 @@
 	}
 }
 
-// The number of endpoints that a client remembers is bounded.
-func TestClosingEndpointsAreBounded(t *testing.T) {
-	known := closingEndpoints{}
-	for i := range 2 * maxClosingEndpoints {
-		known.learn(endpointAddr{fmt.Sprint(i), "127.0.0.1:1"}, true)
+// An endpoint is expected to do what others of its kind do, until it does not. The number of exceptions is bounded.
+func TestAnnouncementsAreExpectedByKind(t *testing.T) {
+	const kind, otherKind = 1, 2
+	one, two := endpointAddr{"s-1", "127.0.0.1:1"}, endpointAddr{"s-2", "127.0.0.1:2"}
+	a := newCloseAnnouncements()
+	if a.expected(one, kind) {
+		t.Error("expected before any endpoint announced the end")
 	}
-	last := endpointAddr{fmt.Sprint(2*maxClosingEndpoints - 1), "127.0.0.1:1"}
-	if len(known) > maxClosingEndpoints || !known.knows(last) {
-		t.Errorf("%d endpoints known, the last one: %v", len(known), known.knows(last))
+	a.learn(one, kind, true)
+	if !a.expected(one, kind) || !a.expected(two, kind) || a.expected(two, otherKind) {
+		t.Error("not expected of endpoints of the kind alone")
 	}
-	known.learn(last, false)
-	if known.knows(last) {
-		t.Error("an endpoint that did not announce the end is still known to do so")
+	a.learn(two, kind, false)
+	if !a.expected(one, kind) || a.expected(two, kind) {
+		t.Error("expected of an endpoint that did not announce the end, or of no other")
+	}
+	a.learn(two, kind, true)
+	if !a.expected(two, kind) {
+		t.Error("not expected of an endpoint that announces the end again")
+	}
+	for i := range 2 * maxSilentEndpoints {
+		a.learn(endpointAddr{fmt.Sprint(i), "127.0.0.1:3"}, kind, false)
+	}
+	if len(a.silent) > maxSilentEndpoints {
+		t.Errorf("%d endpoints are remembered", len(a.silent))
 	}
 }
 
