Checker: an endpoint may observe late that a relay has given up a call

The trace shows the case is allowed: the relay closes the first connection before it decides on the next call; the second endpoint recorded the call at 8.62609 s, the first recorded the end, by the relay, at 8.62618 s. Both observe on goroutines of their own. Result: TestEndOfAGivenUpCallIsObservedLate has the four cases on both sides of the limit.

--- a/internal/testkit/checker/duplicate_test.go
+++ b/internal/testkit/checker/duplicate_test.go
@@ -59,6 +59,31 @@
 	wantViolated(t, s, NoDuplicateEffect)
 }
 
+// An endpoint may observe that a relay gave up a call after another endpoint has received the next one. A call that is
+// answered, or that its endpoint ends, was still out.
+func TestEndOfAGivenUpCallIsObservedLate(t *testing.T) {
+	const repeatAt = 3 * second
+	run := func(end func(s *script, call uint64)) *script {
+		s := newScript()
+		s.header.Rules.DuplicatesAllowed = false
+		s.submit("m", idempotent, second, 15*second, 202)
+		call := s.call("a1", "m", 2*second, 0, 0)
+		end(s, call)
+		s.call("a2", "m", repeatAt, 5*second, 200)
+		return s
+	}
+	wantViolated(t, run(func(s *script, call uint64) { s.abort(call, repeatAt+Tolerance) }), "")
+	wantViolated(t, run(func(s *script, call uint64) { s.abort(call, repeatAt+Tolerance+ms) }), NoDuplicateEffect)
+	wantViolated(t, run(func(s *script, call uint64) {
+		s.add(eventlog.Event{
+			At: repeatAt + ms, Kind: eventlog.CallAborted, Call: call, Relay: "r1", Cause: eventlog.CauseEndpoint,
+		})
+	}), NoDuplicateEffect)
+	wantViolated(t, run(func(s *script, call uint64) {
+		s.add(eventlog.Event{At: repeatAt + ms, Kind: eventlog.CallAnswered, Call: call, Relay: "r1", Status: 200})
+	}), NoDuplicateEffect)
+}
+
 // A call that ends before its last byte did not run, so its message may be sent to any endpoint. A call whose
 // connection ends after the last byte may have run.
 func TestRepeatsAfterAbortedCalls(t *testing.T) {
