--- a/internal/testkit/rehearsal/runner.go
+++ b/internal/testkit/rehearsal/runner.go
@@ -232,6 +232,7 @@
 		}
 		if err := r.execute(ctx, step); err != nil {
 			r.fail(err)
+			return // the steps that follow may need this one
 		}
 	}
 }
--- a/internal/testkit/soak/draw.go
+++ b/internal/testkit/soak/draw.go
@@ -39,10 +39,11 @@
 	scenario.FaultBreakIdle,
 }
 
-// otherFaults are the faults of services, endpoints, discovery and relays.
+// listFaults are the faults that replace endpoints. Two of them in a scenario could replace the same one.
+var listFaults = []scenario.FaultKind{scenario.FaultDrain, scenario.FaultRemove}
+
+// otherFaults are the faults of services, discovery and relays.
 var otherFaults = []scenario.FaultKind{
-	scenario.FaultDrain,
-	scenario.FaultRemove,
 	scenario.FaultFailCalls,
 	scenario.FaultSuspend,
 	scenario.FaultSlow,
@@ -187,6 +188,9 @@
 	for range d.count(minFaults, maxFaults) {
 		file.Faults = append(file.Faults, d.fault(oneOf(d, otherFaults...), file.Relays))
 	}
+	if d.IntN(2) == 0 {
+		file.Faults = append(file.Faults, d.fault(oneOf(d, listFaults...), file.Relays))
+	}
 	file.Faults = append(file.Faults, d.signals(file.Relays)...)
 }
 
