Checker: a Retry-After told in the place of a removed endpoint is not the new one's

The trace shows the case is allowed: the endpoint stood at the address of a removed one since 3.16 s; the relay was notified of it at 4.157 s, so that its calls from 3.41 to 3.59 s, and the 429 at 3.590 s, were the removed endpoint's for it. Each endpoint has limits of its own there. Change: the answer to a call that began before the relay was notified of the endpoint does not restrict an endpoint with limits of its own; a destination with shared limits is restricted as before.

--- a/internal/testkit/checker/retryafter.go
+++ b/internal/testkit/checker/retryafter.go
@@ -19,13 +19,34 @@
 // relayService is a map key for one relay and one service. A service is a rate-limit scope.
 type relayService struct{ relay, service string }
 
+// firstNotifications returns when each relay was first notified of each endpoint. Endpoints of which a relay was never
+// notified are missing.
+func (r *record) firstNotifications() map[relayEndpoint]time.Duration {
+	first := map[relayEndpoint]time.Duration{}
+	for _, e := range r.events {
+		key := relayEndpoint{e.Relay, e.Endpoint}
+		if _, known := first[key]; !known && e.Kind == eventlog.RelayNotified {
+			first[key] = e.At
+		}
+	}
+	return first
+}
+
 // checkRetryAfterRespected checks that a relay calls no endpoint of a service before the end of a Retry-After of
-// that service. A restart of the relay ends the restriction.
+// that service. A restart of the relay ends the restriction. The answer to a call that a relay made before it was
+// notified of the endpoint does not restrict that endpoint alone: the relay had called an earlier one at the same
+// address.
 func checkRetryAfterRespected(r *record, result *RuleResult) {
 	restrictions := map[relayService][]restriction{}
+	notifiedAt := r.firstNotifications()
+	misdirected := map[uint64]bool{} // calls to an endpoint of which the relay had not been notified
 	for i, e := range r.events {
 		key := relayService{e.Relay, r.endpoints[e.Endpoint].service}
+		if e.Kind == eventlog.CallReceived && e.FirstByteAt < notifiedAt[relayEndpoint{e.Relay, e.Endpoint}] {
+			misdirected[e.Call] = true
+		}
 		switch {
+		case e.Kind == eventlog.CallAnswered && misdirected[e.Call] && key.service == e.Endpoint:
 		case e.Kind == eventlog.CallAnswered && e.RetryAfter > retryAfterGrace:
 			result.Exercised++
 			span := timeSpan{from: e.At + retryAfterGrace, to: e.At + e.RetryAfter - retryAfterRounding}
--- a/internal/testkit/checker/retryafter_test.go
+++ b/internal/testkit/checker/retryafter_test.go
@@ -50,6 +50,31 @@
 	}
 }
 
+// A replaced endpoint at the same address answers calls that a relay means for the earlier one, until the relay is
+// notified. Its Retry-After then restricts the destination, but not the new endpoint alone.
+func TestRetryAfterOfAnUnknownEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		service    string
+		notifiedAt time.Duration // the call begins at 2 s
+		violated   Rule
+	}{
+		{"a1", 2*second + ms, ""},
+		{"a1", 2 * second, RetryAfterRespected},
+		{"a1", 0, RetryAfterRespected}, // never, or from the start
+		{"", 2*second + ms, RetryAfterRespected},
+	} {
+		s := newScript()
+		s.endpoint("a1", "a", 7, c.service)
+		if c.notifiedAt > 0 {
+			s.notify(eventlog.StateReady, c.notifiedAt)
+		}
+		s.submit("m", idempotent, second, 15*second, 202)
+		s.overloaded("m", 429, 5*second)
+		s.call("a1", "m", 4*second, 5*second, 200)
+		wantViolated(t, s, c.violated)
+	}
+}
+
 func TestARestartEndsRetryAfterAndOrder(t *testing.T) {
 	s := newScript()
 	s.submit("m1", ordered, second, 15*second, 202)
