--- a/internal/testkit/fake/answerfault.go
+++ b/internal/testkit/fake/answerfault.go
@@ -142,6 +142,7 @@
 		}
 		return false
 	}
+	c.busy.Store(false) // what follows at once finds the connection idle
 	for _, f := range s.followers {
 		time.AfterFunc(f.delay, func() { c.follow(f) })
 	}
--- a/internal/testkit/fake/discovery.go
+++ b/internal/testkit/fake/discovery.go
@@ -48,6 +48,7 @@
 	listener net.Listener
 	server   *http.Server
 	serving  sync.WaitGroup
+	faults   *agentFaults
 
 	mu           sync.Mutex                // guards the fields below
 	changed      chan struct{}             // closed and replaced when there may be something to send
@@ -80,6 +81,7 @@
 		events:   events,
 		world:    world,
 		listener: listener,
+		faults:   newAgentFaults(uint64(len(list))),
 		changed:  make(chan struct{}),
 		listed:   map[string]ListedEndpoint{},
 	}
@@ -95,7 +97,7 @@
 
 // serve serves requests until Close.
 func (a *DiscoveryAgent) serve() {
-	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := a.server.Serve(agentListener{a.listener, a.faults}); !errors.Is(err, http.ErrServerClosed) {
 		a.recordInvalid("", fmt.Sprintf("discovery agent: %v", err))
 	}
 }
--- a/internal/testkit/fake/discoveryhttp.go
+++ b/internal/testkit/fake/discoveryhttp.go
@@ -112,7 +112,7 @@
 		for _, u := range a.updates[version:] {
 			delta.Endpoints = append(delta.Endpoints, u.ListedEndpoint)
 		}
-		line = encodeLine(delta)
+		line = encodeLine(a.faults.repeatEntries(delta))
 	default:
 		line = []byte("\n")
 	}
@@ -122,7 +122,7 @@
 // snapshotLine returns the line with a snapshot of the list, and the list's version. The caller holds mu.
 func (a *DiscoveryAgent) snapshotLine() (line []byte, version int) {
 	version = len(a.updates)
-	return encodeLine(snapshot(version, a.listed)), version
+	return encodeLine(a.faults.repeatEntries(snapshot(version, a.listed))), version
 }
 
 func encodeLine(list EndpointList) []byte {
@@ -142,6 +142,9 @@
 
 // serveNotices accepts notices, even while the agent is silent.
 func (a *DiscoveryAgent) serveNotices(w http.ResponseWriter, r *http.Request) {
+	if a.faults.refuseNotices(w) {
+		return
+	}
 	decoder := json.NewDecoder(io.LimitReader(r.Body, maxNoticesSize))
 	for {
 		var n notice
--- a/internal/testkit/rehearsal/steps.go
+++ b/internal/testkit/rehearsal/steps.go
@@ -16,7 +16,8 @@
 		return nil
 	case scenario.OpAddEndpoint, scenario.OpDrainEndpoint, scenario.OpRemoveEndpoint, scenario.OpStopEndpoint:
 		return r.executeOnEndpoint(step)
-	case scenario.OpSilenceDiscovery, scenario.OpRestoreDiscovery, scenario.OpDelayDiscovery:
+	case scenario.OpSilenceDiscovery, scenario.OpRestoreDiscovery, scenario.OpDelayDiscovery,
+		scenario.OpCopyReplies, scenario.OpRefuseNotices, scenario.OpRepeatEntries:
 		r.executeOnDiscovery(step)
 		return nil
 	case scenario.OpTerminate, scenario.OpKill, scenario.OpStall, scenario.OpResume, scenario.OpReload:
@@ -85,6 +86,8 @@
 		r.relays[step.Target].agent.SetSilent(false)
 	case scenario.OpDelayDiscovery:
 		r.discovery.setExtraDelay(step.Target, step.Duration)
+	case scenario.OpCopyReplies, scenario.OpRefuseNotices, scenario.OpRepeatEntries:
+		r.relays[step.Target].agent.SetFault(step.Op, step.Value, step.Duration)
 	}
 }
 
--- a/internal/testkit/scenario/fault.go
+++ b/internal/testkit/scenario/fault.go
@@ -72,6 +72,11 @@
 	FaultTrickleAnswers FaultKind = "trickled-answers" // the answer arrives byte by byte
 	FaultJunkAnswers    FaultKind = "junk-answers"     // bytes that are no HTTP follow the answer
 	FaultBreakIdle      FaultKind = "broken-idle"      // the idle connection is reset, half-closed or forgotten
+
+	// Faults of a ratio of the answers of relays' discovery agents; only with real sockets.
+	FaultCopyReplies   FaultKind = "copied-replies"   // a second copy of the answer follows
+	FaultRefuseNotices FaultKind = "refused-notices"  // notices are answered with an error and not taken
+	FaultRepeatEntries FaultKind = "repeated-entries" // a list names each endpoint twice
 )
 
 // faultKinds lists all kinds, in the order in which error messages list them.
@@ -105,6 +110,9 @@
 	FaultTrickleAnswers,
 	FaultJunkAnswers,
 	FaultBreakIdle,
+	FaultCopyReplies,
+	FaultRefuseNotices,
+	FaultRepeatEntries,
 }
 
 // RelayGroup selects how many relays a fault affects. The seed determines which ones.
--- a/internal/testkit/scenario/planner_faults.go
+++ b/internal/testkit/scenario/planner_faults.go
@@ -32,7 +32,8 @@
 		end += fault.DrainTime.AsDuration()
 	case FaultRemove:
 		targets = p.addEndpointFault(random, fault)
-	case FaultDiscoveryDown, FaultDiscoveryDelay, FaultTerminate, FaultKill, FaultReload, FaultClockStep, FaultStall:
+	case FaultDiscoveryDown, FaultDiscoveryDelay, FaultTerminate, FaultKill, FaultReload, FaultClockStep, FaultStall,
+		FaultCopyReplies, FaultRefuseNotices, FaultRepeatEntries:
 		targets = p.addRelayFault(random, fault)
 	case FaultLinkCut, FaultLinkLoss, FaultLinkDelay, FaultLinkThrottle, FaultLinkReorder:
 		targets = p.addLinkFault(random, fault)
@@ -120,6 +121,15 @@
 	case FaultDiscoveryDelay:
 		step.Op, last.Op = OpDelayDiscovery, OpDelayDiscovery
 		step.Duration = fault.Delay.AsDuration()
+	case FaultCopyReplies:
+		step.Op, last.Op = OpCopyReplies, OpCopyReplies
+		step.Value, step.Duration = fault.CallRatio, fault.Delay.AsDuration()
+	case FaultRefuseNotices:
+		step.Op, last.Op = OpRefuseNotices, OpRefuseNotices
+		step.Value = fault.CallRatio
+	case FaultRepeatEntries:
+		step.Op, last.Op = OpRepeatEntries, OpRepeatEntries
+		step.Value = fault.CallRatio
 	case FaultStall:
 		step.Op, last.Op = OpStall, OpResume
 	case FaultTerminate:
--- a/internal/testkit/scenario/step.go
+++ b/internal/testkit/scenario/step.go
@@ -62,6 +62,14 @@
 	OpBreakIdle      Op = "break-idle"
 )
 
+// The operations on the answers of relays' discovery agents. The target is the name of a relay. Each affects the ratio
+// Value of the answers; 0 ends it. A copy follows within Duration.
+const (
+	OpCopyReplies   Op = "copy-replies"
+	OpRefuseNotices Op = "refuse-notices"
+	OpRepeatEntries Op = "repeat-entries"
+)
+
 // answerOps are the operations of the faults on the wire.
 var answerOps = map[FaultKind]Op{
 	FaultCopyAnswers:    OpCopyAnswers,
--- a/internal/testkit/scenario/validate_fault.go
+++ b/internal/testkit/scenario/validate_fault.go
@@ -78,6 +78,9 @@
 		fault.requireDuration(p, at)
 		p.require(hasTargets, "%s: needs destinations or a share of them", at)
 		p.require(bounds.Sockets, "%s: there are no answers on a wire in virtual time; use rehearse", at)
+	case FaultCopyReplies, FaultRefuseNotices, FaultRepeatEntries:
+		fault.requireDuration(p, at)
+		p.require(bounds.Sockets, "%s: there are no answers on a wire in virtual time; use rehearse", at)
 	case FaultDrain, FaultRemove:
 		p.require(hasTargets, "%s: needs destinations or a share of the endpoints", at)
 	case FaultClockStep:
--- a/internal/testkit/soak/draw.go
+++ b/internal/testkit/soak/draw.go
@@ -53,6 +53,8 @@
 	scenario.FaultCrash,
 	scenario.FaultDiscoveryDown,
 	scenario.FaultDiscoveryDelay,
+	scenario.FaultCopyReplies,
+	scenario.FaultRepeatEntries,
 	scenario.FaultReload,
 	scenario.FaultStall,
 }
@@ -205,6 +207,10 @@
 	case scenario.FaultDiscoveryDown, scenario.FaultDiscoveryDelay:
 		fault.Delay = d.between(100*time.Millisecond, 2*time.Second)
 		fault.Relays = []int{d.count(1, relays)}
+	case scenario.FaultCopyReplies, scenario.FaultRepeatEntries:
+		fault.CallRatio = d.ratio(0.2, 1)
+		fault.Delay = d.between(0, time.Second)
+		fault.Relays = []int{d.count(1, relays)}
 	case scenario.FaultReload:
 		fault.Duration = 0
 		fault.Relays = []int{d.count(1, relays)}
