Calls with messages that may run only once prove their rejections

Change: such calls use a used connection only as its last call, whose response announces the end, or else one of their own. A response that names the messages is believed on the last call too. Result: TestMessageThatMayRunOnlyOnceProvesItsRejection, with endpoints that announce the end and that do not; it fails without the change (unproven rejection).

--- a/internal/relay/egress/call.go
+++ b/internal/relay/egress/call.go
@@ -19,6 +19,7 @@
 	Addr       string
 	Kind       int        // of the endpoint; endpoints of a kind are expected to behave alike
 	Batch      bool       // the request has the form for several messages, even if it carries one
+	OnceOnly   bool       // a message must not be sent again once it may have run
 	SentAt     time.Time  // when the relay decided on the call and recorded it
 	Deadline   time.Time  // when the relay gives up the call
 	Attempts   []*Attempt // one for each message; one only, unless Batch is set
--- a/internal/relay/egress/reuse.go
+++ b/internal/relay/egress/reuse.go
@@ -18,7 +18,8 @@
 //     connection, and no earlier response announced the end. Only endpoints that are expected to announce it get such
 //     calls on a connection that was used before.
 //
-// Any other response leaves open whether the messages have run.
+// Any other response leaves open whether the messages have run. Calls with messages that may run only once rely on the
+// second alone, since a rejection names no messages.
 
 const (
 	// maxMessagesPerConn bounds the messages that a connection carries, since it remembers each of them.
@@ -36,27 +37,33 @@
 	messages []uint64 // hashes of the messages in these requests
 	unnamed  bool     // a response named no messages: only one more call is possible, which closes the connection
 	closing  bool     // the last request asked to close the connection
+	repeated bool     // the last request carried a message that an earlier one had carried
 }
 
 // add records a call whose request is about to be written.
 func (u *connUsage) add(call *Call, closing bool) {
 	u.calls++
 	u.closing = closing
+	u.repeated = u.carried(call)
 	for _, a := range call.Attempts {
 		u.messages = append(u.messages, maphash.String(messageSeed, a.TraceID))
 	}
 }
 
-// namesSuffice reports whether a response that names the messages of the call cannot be a response to an earlier call.
-func (u *connUsage) namesSuffice(call *Call) bool {
-	if !call.Batch || u.unnamed {
-		return false
-	}
-	return !slices.ContainsFunc(call.Attempts, func(a *Attempt) bool {
+// carried reports whether the connection has carried a message of the call.
+func (u *connUsage) carried(call *Call) bool {
+	return slices.ContainsFunc(call.Attempts, func(a *Attempt) bool {
 		return slices.Contains(u.messages, maphash.String(messageSeed, a.TraceID))
 	})
 }
 
+// namesSuffice reports whether the call needs no other proof that a response is its own than the names of its messages.
+// A rejection names none. That a message which may run only once was rejected must be proven, or it could not be sent
+// again.
+func (u *connUsage) namesSuffice(call *Call) bool {
+	return call.Batch && !call.OnceOnly && !u.unnamed && !u.carried(call)
+}
+
 // full reports whether the connection has carried as many messages as it may.
 func (u *connUsage) full() bool { return len(u.messages) >= maxMessagesPerConn }
 
@@ -104,7 +111,7 @@
 	if c.usage.calls > 0 {
 		return !c.usage.namesSuffice(call)
 	}
-	return !call.Batch && !c.pool.expectsAnnouncement(c.target, call.Kind)
+	return (!call.Batch || call.OnceOnly) && !c.pool.expectsAnnouncement(c.target, call.Kind)
 }
 
 // expectsAnnouncement reports whether an endpoint of a kind is expected to announce the end of a connection.
@@ -142,10 +149,10 @@
 		r.origin = originCall
 	case !r.complete() || nameless:
 		r.origin = originOther
+	case r.named && !usage.repeated:
+		r.origin = originCall
 	case usage.closing:
 		r.origin = r.closingOrigin()
-	case r.named:
-		r.origin = originCall
 	default:
 		r.origin = originUnknown
 	}
--- a/internal/relay/egress/reuse_test.go
+++ b/internal/relay/egress/reuse_test.go
@@ -218,6 +218,46 @@
 	}
 }
 
+// A message that may run only once can be sent again after a rejection, also on a used connection: its calls prove
+// their rejections by the end of the connection or, where endpoints do not announce it, by a connection of their own.
+func TestMessageThatMayRunOnlyOnceProvesItsRejection(t *testing.T) {
+	for _, announces := range []bool{true, false} {
+		addr, _ := nettest.RawServer(t, func(n int, conn net.Conn, r *http.Request) bool {
+			response := okBatch(t, r)
+			if n%3 == 0 {
+				response = busyResponse
+			}
+			if r.Close && announces {
+				response = strings.Replace(response, "\r\n", "\r\nConnection: close\r\n", 1)
+			}
+			nettest.Send(conn, response)
+			return !r.Close
+		})
+		observer := &countingObserver{}
+		config := testConfig()
+		config.Observer = observer
+		client := newTestClient(t, config)
+		for n := 1; n <= 9; n++ {
+			call := newBatchCall(addr, fmt.Sprint(n))
+			call.OnceOnly = true
+			want := policy.OK
+			if n%3 == 0 {
+				want = policy.Overloaded
+			}
+			if r := doCall(t, client, call); r[0].Outcome != want {
+				t.Errorf("announces %v, call %d: %v, want %v", announces, n, r[0].Outcome, want)
+			}
+		}
+		want := 9
+		if announces {
+			want = 5 // the first connection shows that the endpoint announces the end; the others carry two calls
+		}
+		if observer.opened != want {
+			t.Errorf("announces %v: %d connections opened, want %d", announces, observer.opened, want)
+		}
+	}
+}
+
 // An endpoint is expected to do what others of its kind do, until it does not. The number of exceptions is bounded.
 func TestAnnouncementsAreExpectedByKind(t *testing.T) {
 	const kind, otherKind = 1, 2
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -155,6 +155,12 @@
 	return known && class.Effect == policy.Idempotent
 }
 
+// isNonIdempotent reports whether a message must not run twice. Nothing is known of a message of a removed class.
+func (r *Relay) isNonIdempotent(m *journal.Message) bool {
+	class, known := r.classOf(m)
+	return !known || class.Effect == policy.NonIdempotent
+}
+
 // failUnreadable fails a message whose body can no longer be read from the disk.
 func (r *Relay) failUnreadable(m *message, err error) {
 	r.log.Error("message body unreadable, message failed", "message_id", m.TraceID, "err", err)
