Rehearsals: an answer whose junk is cut, but not the answer itself, counts

The trace: a batch of four ended at 3.234 s by a cut, while junk followed each answer; the cut was within the junk, so the relay had read a whole 200 that names the four, and rightly forgot them. The record said that the call had no answer. Change: an answer counts once its own bytes are written, whatever follows. Result: TestWhatIsWrittenOfACutAnswerCounts has each side of each limit.

--- a/internal/testkit/fake/answerfault.go
+++ b/internal/testkit/fake/answerfault.go
@@ -76,6 +76,7 @@
 // spoiltAnswer is an answer as it is written, with the faults that were drawn for it.
 type spoiltAnswer struct {
 	preceding int // length of the 1xx answers that precede it
+	ownLength int // length of the answer itself
 	text      string
 	cut       bool // the connection ends after the text
 	reset     bool // it ends with a reset
@@ -87,7 +88,7 @@
 func (e *Endpoint) spoil(text string) spoiltAnswer {
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
-	s := spoiltAnswer{text: text}
+	s := spoiltAnswer{text: text, ownLength: len(text)}
 	for _, op := range answerFaultOps {
 		fault := e.service.answerFaults[op]
 		if fault.ratio > 0 && e.world.random.Float64() < fault.ratio {
@@ -122,13 +123,14 @@
 	}
 }
 
-// counts reports whether what is written of an answer is an answer by the platform's rules: the whole text or, of an
-// answer to a single message with status 200, its first line.
+// counts reports whether what is written of an answer is an answer by the platform's rules: all of it or, of an answer
+// to a single message with status 200, its first line. Whether what follows it is cut does not matter.
 func (s *spoiltAnswer) counts(a answer, isBatch bool) bool {
-	if !s.cut {
-		return true
+	needed := s.ownLength
+	if !isBatch && a.delivers(0) {
+		needed = len(a.statusLine())
 	}
-	return a.delivers(0) && !isBatch && len(s.text) >= s.preceding+len(a.statusLine())
+	return len(s.text) >= s.preceding+needed
 }
 
 // send writes an answer, and schedules what follows it. It reports whether the connection can carry further calls.
--- a/internal/testkit/fake/answerfault_test.go
+++ b/internal/testkit/fake/answerfault_test.go
@@ -109,3 +109,33 @@
 		t.Errorf("received %q, %v", got, err)
 	}
 }
+
+// An answer counts as far as the platform's rules ask, also if junk behind it is cut.
+func TestWhatIsWrittenOfACutAnswerCounts(t *testing.T) {
+	delivered := answer{status: 200, states: []string{messageDelivered}}
+	rejected := answer{status: 503}
+	own := len(okAnswer)
+	for _, c := range []struct {
+		answer  answer
+		isBatch bool
+		written int
+		counts  bool
+	}{
+		{delivered, true, own - 1, false},
+		{delivered, true, own, true},
+		{delivered, true, own + 2, true},
+		{answer{status: 200}, false, len("HTTP/1.1 200 OK\r\n") - 1, false},
+		{answer{status: 200}, false, len("HTTP/1.1 200 OK\r\n"), true},
+		{rejected, false, own - 1, false},
+		{rejected, false, own, true},
+	} {
+		s := spoiltAnswer{ownLength: own, text: (okAnswer + junkText)[:c.written], cut: true}
+		if got := s.counts(c.answer, c.isBatch); got != c.counts {
+			t.Errorf("%d bytes, status %d, batch %v: counts %v", c.written, c.answer.status, c.isBatch, got)
+		}
+		s.preceding, s.text = len(informationalText), informationalText+s.text
+		if got := s.counts(c.answer, c.isBatch); got != c.counts {
+			t.Errorf("%d bytes behind a 1xx answer, batch %v: counts %v", c.written, c.isBatch, got)
+		}
+	}
+}
