A response that ends with its connection for want of a length announces nothing

A copy of a 200 that was cut behind its status line and followed by an empty line has no length, so net/http reads it to the connection's end and reports that it closes: on the last call of a connection it ended the call. Change: only a response with a length (or chunks) in HTTP/1.1 can announce the end; there it has to say so. Result: two cases of TestClosingCallBelievesNoCopy failed before (outcome ok) and pass.

--- a/internal/relay/egress/reuse.go
+++ b/internal/relay/egress/reuse.go
@@ -142,7 +142,7 @@
 	r.states = parseBatchStates(r.body)
 	ok := r.header != nil && r.header.StatusCode == http.StatusOK
 	r.named = ok && call.Batch && r.complete() && namesMessages(r.states, call)
-	r.announcesClose = r.complete() && r.header.Close && !isSpliced(r.header)
+	r.announcesClose = r.complete() && announcesClose(r.header)
 	nameless := ok && call.Batch && !r.named
 	switch {
 	case usage.calls == 1:
@@ -166,6 +166,13 @@
 	return originOther
 }
 
+// announcesClose reports whether a header announces the end of the connection. Without a length, and in HTTP/1.0, a
+// response ends with its connection even if it does not say so: it may have lost its header.
+func announcesClose(header *http.Response) bool {
+	hasLength := header.ContentLength >= 0 || len(header.TransferEncoding) > 0
+	return header.Close && hasLength && header.ProtoAtLeast(1, 1) && !isSpliced(header)
+}
+
 // isSpliced reports whether a header seems to consist of the beginning of one response and the end of another.
 func isSpliced(header *http.Response) bool {
 	const version = "HTTP/"
--- a/internal/relay/egress/reuse_test.go
+++ b/internal/relay/egress/reuse_test.go
@@ -193,6 +193,8 @@
 		{"a copy cut in the version", func(own string) string { return "HTTP/1.1" + own }, policy.Reset},
 		{"a copy cut in the reason", func(own string) string { return "HTTP/1.1 200 O" + own }, policy.Reset},
 		{"a copy cut in the header", func(own string) string { return date + own }, policy.Reset},
+		{"a copy without its header", func(own string) string { return "HTTP/1.1 200 OK\r\n\r\n" + own }, policy.Reset},
+		{"a copy in HTTP/1.0", func(own string) string { return "HTTP/1.0 200 OK\r\n\r\n" + own }, policy.Reset},
 		{"a status line alone", func(string) string { return "HTTP/1.1 200 OK\r\nno colon\r\n\r\n" }, policy.Reset},
 	} {
 		t.Run(c.name, func(t *testing.T) {
