Rehearsals: an answer that arrives byte by byte is recorded with its last byte

Change: an answer with a Retry-After that is trickled is recorded as its last byte is written, from when the protocol counts the wait; if the relay ends the connection before, the call has no answer. Result: TestTrickledAnswerIsRecordedWithItsLastByte; package fake passes.

--- a/internal/testkit/fake/answerfault.go
+++ b/internal/testkit/fake/answerfault.go
@@ -82,6 +82,8 @@
 	reset     bool // it ends with a reset
 	trickled  bool
 	followers []follower
+
+	beforeLastByte func() // called before the last byte of a trickled answer is written; nil: nothing
 }
 
 // spoil draws the faults of an answer.
@@ -160,6 +162,9 @@
 		return err == nil
 	}
 	for i := range len(s.text) {
+		if i == len(s.text)-1 && s.beforeLastByte != nil {
+			s.beforeLastByte()
+		}
 		if _, err := io.WriteString(c, s.text[i:i+1]); err != nil {
 			return false
 		}
--- a/internal/testkit/fake/answerfault_test.go
+++ b/internal/testkit/fake/answerfault_test.go
@@ -139,3 +139,28 @@
 		}
 	}
 }
+
+// byteCounter counts the bytes that are written to a connection.
+type byteCounter struct {
+	net.Conn
+	written int
+}
+
+func (c *byteCounter) Write(b []byte) (int, error) {
+	c.written += len(b)
+	return len(b), nil
+}
+
+// A Retry-After binds from when its answer is written, not from when the endpoint begins to write it byte by byte.
+func TestTrickledAnswerIsRecordedWithItsLastByte(t *testing.T) {
+	counter := &byteCounter{}
+	recordedAt := -1
+	conn := &endpointConn{Conn: counter}
+	record := func() { recordedAt = counter.written }
+	if !conn.write(spoiltAnswer{text: okAnswer, trickled: true, beforeLastByte: record}) {
+		t.Error("not written")
+	}
+	if recordedAt != len(okAnswer)-1 || counter.written != len(okAnswer) {
+		t.Errorf("recorded after %d bytes of %d", recordedAt, counter.written)
+	}
+}
--- a/internal/testkit/fake/endpointconn.go
+++ b/internal/testkit/fake/endpointconn.go
@@ -183,11 +183,36 @@
 		return false
 	}
 	spoilt := c.endpoint.spoil(answer.text(received))
-	if !spoilt.counts(answer, received.isBatch) {
+	switch {
+	case !spoilt.counts(answer, received.isBatch):
 		c.recordAborted(received, eventlog.CauseEndpoint)
-		return c.send(spoilt)
+	case spoilt.trickled && answer.retryAfter > 0:
+		// A Retry-After binds from when its answer is written, which takes a while here.
+		return c.sendTrickled(spoilt, received, answer)
+	default:
+		c.recordAnswered(received, answer)
 	}
-	world.events.Add(eventlog.Event{
+	return c.send(spoilt) && !received.closing
+}
+
+// sendTrickled writes an answer byte by byte, and records it with its last byte. If the relay ends the connection
+// before, the call has no answer. It reports whether the connection can carry further calls.
+func (c *endpointConn) sendTrickled(spoilt spoiltAnswer, received call, answer answer) bool {
+	recorded := false
+	spoilt.beforeLastByte = func() {
+		c.recordAnswered(received, answer)
+		recorded = true
+	}
+	sent := c.send(spoilt)
+	if !recorded {
+		c.recordAborted(received, eventlog.CauseRelay)
+	}
+	return sent && !received.closing
+}
+
+// recordAnswered records that an endpoint sends an answer.
+func (c *endpointConn) recordAnswered(received call, answer answer) {
+	c.endpoint.world.events.Add(eventlog.Event{
 		Kind:       eventlog.CallAnswered,
 		Call:       received.number,
 		Relay:      c.relay,
@@ -196,7 +221,6 @@
 		RetryAfter: answer.retryAfter,
 		States:     answer.states,
 	})
-	return c.send(spoilt) && !received.closing
 }
 
 // recordAborted records that a call's connection ended before an answer.
