--- a/review/_standin/host.go
+++ b/review/_standin/host.go
@@ -33,13 +33,19 @@
 
 	work func(*call) time.Duration // how long a call takes
 
+	server *http.Server
+
 	mu    sync.Mutex
 	calls []*call
 }
 
 // newHost starts a host. Each call takes work(call), and is then answered as delivered.
 func newHost(l *lab, id string, cell int, zone string, work func(*call) time.Duration) (*host, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return newHostAt(l, "127.0.0.1:0", id, cell, zone, work)
+}
+
+func newHostAt(l *lab, addr, id string, cell int, zone string, work func(*call) time.Duration) (*host, error) {
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -47,10 +53,17 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /events", h.one)
 	mux.HandleFunc("POST /events/bundle", h.many)
-	go func() { _ = http.Serve(listener, mux) }()
+	h.server = &http.Server{Handler: mux}
+	go func() { _ = h.server.Serve(listener) }()
 	return h, nil
 }
 
+// replace ends the host, which has gone, and starts a new one at its address: one that takes the place of other.
+func (h *host) replace(id string, other *host) (*host, error) {
+	_ = h.server.Close()
+	return newHostAt(h.lab, h.addr, id, other.cell, other.zone, other.work)
+}
+
 // entry returns the host's entry in the list.
 func (h *host) entry(kind string, weight float64) entry {
 	return entry{ID: h.id, Addr: h.addr, Zone: h.zone, Kind: kind, Cell: h.cell, State: "ready", Weight: weight}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,6 +11,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*lab) (broken bool, err error){
 	"effects": effects,
+	"oldlist": oldList,
 }
 
 // runLimit ends a run that does not end by itself.
