Review case 3: a partner whose new hosts are separate routes crashes every relay

Change: review/3 replaces the two hosts of a partner, whose hosts share a limit, by two of a kind with separate routes. The engine keeps the empty limit scope of the old hosts and compares its first endpoint (policy/endpoints.go, policy/selection.go, sortEndpoints): an index out of range. Nothing is fixed.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(*lab) (broken bool, err error){
 	"effects": effects,
 	"oldlist": oldList,
+	"newkind": newKind,
 }
 
 // runLimit ends a run that does not end by itself.
