--- a/review/_standin/lab.go
+++ b/review/_standin/lab.go
@@ -135,11 +135,10 @@
 	order   []string
 	history []list            // changes, by version
 	finals  map[string]string // status of the first notice, by message
-	finalAt map[string]time.Time
 }
 
 func newAgent(l *lab, name string, entries []entry) (*agent, error) {
-	a := &agent{lab: l, name: name, version: 1, entries: map[string]entry{}, finals: map[string]string{}, finalAt: map[string]time.Time{}}
+	a := &agent{lab: l, name: name, version: 1, entries: map[string]entry{}, finals: map[string]string{}}
 	a.changed = sync.NewCond(&a.mu)
 	for _, e := range entries {
 		a.entries[e.ID] = e
@@ -282,7 +281,6 @@
 		a.mu.Lock()
 		if _, known := a.finals[notice.ID]; !known {
 			a.finals[notice.ID] = notice.Status
-			a.finalAt[notice.ID] = time.Now()
 		}
 		a.mu.Unlock()
 	}
