Review case 3: the same panic after new settings

Change: with TROUBLE=settings the case changes extra.separate_routes by SIGHUP in place of the kind in the list.

--- a/review/_standin/newkind.go
+++ b/review/_standin/newkind.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -11,10 +12,13 @@
 // Two relays carry 86 messages a second to eight partners with two hosts each, all of a kind whose hosts share a limit.
 // The two hosts of partner 1 drain and go, and two new ones under new ids and addresses take their place. The
 // disruption: in the list the new hosts are of the kind whose hosts are separate routes. Without it they are of the old
-// kind. A relay that ends by itself is started again 0.6 s later, three times at most.
+// kind. A relay that ends by itself is started again 0.6 s later, three times at most. With TROUBLE=settings the new hosts
+// are of the old kind, and a new configuration by SIGHUP, 2 s after the load has begun, says of that kind that its hosts
+// are separate routes.
 func newKind(l *lab) (broken bool, err error) {
 	const (
 		destinations = 8
+		hupAt        = 2 * time.Second
 		drainAt      = 3 * time.Second
 		goneAt       = drainAt + 3*time.Second
 		addedAt      = goneAt + 500*time.Millisecond
@@ -103,13 +107,25 @@
 		}
 		return entries
 	}
+	if l.part == "settings" {
+		l.until(hupAt)
+		for _, r := range l.relays {
+			changed := settings(2, class("idempotency_key"))
+			changed["extra"].(object)["separate_routes"] = []bool{false, true, true}
+			r.config["settings"] = changed
+			if err := r.writeConfig(); err != nil {
+				return false, err
+			}
+			r.signal(syscall.SIGHUP)
+		}
+	}
 	l.until(drainAt)
 	change(inState("draining")...)
 	l.until(goneAt)
 	change(inState("gone")...)
 	l.until(addedAt)
 	kind := shared
-	if l.trouble {
+	if l.trouble && l.part == "" {
 		kind = separate
 	}
 	var added []entry
