--- a/review/_standin/effects.go
+++ b/review/_standin/effects.go
@@ -99,7 +99,7 @@
 		r := l.relays[0]
 		r.signal(syscall.SIGKILL)
 		<-r.ended
-		l.until(restartAt)
+		time.Sleep(restartAt - killAt)
 		if err := r.run(); err != nil {
 			return false, err
 		}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -29,7 +29,9 @@
 		os.Exit(2)
 	}
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	// A reader of the output that has left must not end the case before its relays and its folder are removed.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	status := make(chan int, 1)
 	go func() {
 		broken, err := cases[os.Args[1]](l)
