--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -38,9 +38,7 @@
 			events = append(events, r.recoveredEvent(m))
 		}
 	}
-	if len(found.Messages) > 0 || !found.Intact() {
-		r.log.Info("state recovered from the journal", "messages", len(found.Messages), "intact", found.Intact())
-	}
+	r.logRecovery(found)
 	if found.ClockStep != 0 {
 		const text = "the wall clock was set since the journal was last open; times of messages go by the boot clock"
 		r.log.Warn(text, "by", found.ClockStep)
@@ -48,6 +46,32 @@
 	r.execute(r.decide(r.now(), events), nil)
 }
 
+// logRecovery logs what was recovered. Of the messages that may have run it logs which effect the rules for repeats
+// assume, and at level debug each of these messages.
+func (r *Relay) logRecovery(found *journal.Recovery) {
+	if len(found.Messages) == 0 && found.Intact() {
+		return
+	}
+	mayHaveRun := map[policy.Effect]int{}
+	for _, record := range found.Messages {
+		if len(record.UncertainAttempts) == 0 {
+			continue
+		}
+		effect := policy.NonIdempotent
+		if class, known := r.classOf(record); known {
+			effect = class.Effect
+		}
+		mayHaveRun[effect]++
+		r.log.Debug("recovered message may have run", "message_id", record.TraceID, "class", record.ClassName,
+			"effect", effect, "attempts", record.Attempts, "endpoint", record.UncertainAttempts[0].Endpoint,
+			"ended", record.Final != nil || record.Cancelled)
+	}
+	r.log.Info("state recovered from the journal", "messages", len(found.Messages), "intact", found.Intact(),
+		"may_have_run_idempotent", mayHaveRun[policy.Idempotent],
+		"may_have_run_by_key", mayHaveRun[policy.IdempotentByKey],
+		"may_have_run_non_idempotent", mayHaveRun[policy.NonIdempotent])
+}
+
 // recoverMessage restores the state of a message that an earlier process accepted. If the message is not completed, the
 // caller passes it to the policy.
 func (r *Relay) recoverMessage(record *journal.Message) *message {
