Fix repeats of unsafe messages after a restart with other settings

The next process looked the name up in its own settings (recoverMessage) and gave the engine that class, so that "may have run, must not be repeated" became "may be repeated". The running process did the same with the index (classOf): after a reload that reorders or drops a class it took an open message for one of another class when it chose whether a call may share a connection (OnceOnly).

A client hands nothing in twice there, and the second run comes at the recovery.

Change: a message carries its terms (class rules and number of attempts, policy.MessageTerms) from its acceptance on. A message of an earlier folder has no terms and gets the strictest ones: non-idempotent, ordered, one attempt. Recordings have format 3 from the first such message on.

The tests of recovery that write messages themselves now write the terms that accept writes. The dump of recordings in tests prints terms only if there are any, so the golden files stand.

--- a/cmd/cherrytrestle/journal.go
+++ b/cmd/cherrytrestle/journal.go
@@ -143,6 +143,7 @@
 	ID          policy.MessageID     `json:"id"`
 	MayHaveRun  []journal.Attempt    `json:"may_have_run"`
 	ClassName   string               `json:"service"`
+	Terms       *policy.MessageTerms `json:"terms,omitempty"` // none if they are unknown
 	TraceID     string               `json:"trace"`
 	Cancelled   bool                 `json:"withdrawn"`
 }
@@ -177,6 +178,7 @@
 		ID:          message.ID,
 		MayHaveRun:  message.UncertainAttempts,
 		ClassName:   message.ClassName,
+		Terms:       message.Terms,
 		TraceID:     message.TraceID,
 		Cancelled:   message.Cancelled,
 	}
--- a/internal/config/reload/reload.go
+++ b/internal/config/reload/reload.go
@@ -46,7 +46,7 @@
 	config := KeepRemovedClasses(old, fresh)
 	for i, name := range old.ClassNames {
 		class := &config.Settings.Classes[slices.Index(config.ClassNames, name)]
-		*class = stricter(old.Settings.Classes[i], *class)
+		*class = policy.StricterClass(old.Settings.Classes[i], *class)
 	}
 	oldAttempts, freshAttempts := old.Settings.MaxAttempts, fresh.Settings.MaxAttempts
 	if oldAttempts > 0 && freshAttempts > 0 {
@@ -68,23 +68,3 @@
 	}
 	return config
 }
-
-// stricter combines two versions of a class into one that allows only what both allow. Other settings, such as the
-// weight, are those of fresh.
-func stricter(old, fresh policy.Class) policy.Class {
-	class := fresh
-	class.Effect = max(old.Effect, fresh.Effect) // effects ascend in strictness, from Idempotent to NonIdempotent
-	class.Ordered = old.Ordered || fresh.Ordered
-	// The longer deadline is no less strict, because it only bounds the deadline that a client sets for each message.
-	class.Deadline = max(old.Deadline, fresh.Deadline)
-	if old.Effect != policy.IdempotentByKey {
-		return class
-	}
-	class.DedupAllZones = old.DedupAllZones
-	class.DedupWindow = old.DedupWindow
-	if fresh.Effect == policy.IdempotentByKey {
-		class.DedupAllZones = old.DedupAllZones && fresh.DedupAllZones
-		class.DedupWindow = min(old.DedupWindow, fresh.DedupWindow)
-	}
-	return class
-}
--- a/internal/recording/flightrecorder/decoder.go
+++ b/internal/recording/flightrecorder/decoder.go
@@ -160,6 +160,26 @@
 		event.Recovered.SinceFirstRun = d.duration()
 		event.Recovered.FirstRunZone = int(d.int())
 	}
+	if flags&hasTerms != 0 {
+		event.Recovered.Terms = d.terms()
+	}
+}
+
+// terms reads the terms of a recovered message.
+func (d *decoder) terms() *policy.MessageTerms {
+	flags := d.byte()
+	return &policy.MessageTerms{
+		Class: policy.Class{ // The fields are read in this order, which must be the encoder's.
+			Ordered:          flags&termsOrdered != 0,
+			DedupAllZones:    flags&termsDedupAllZones != 0,
+			Effect:           policy.Effect(d.byte()),
+			DedupWindow:      d.duration(),
+			LatencyObjective: d.duration(),
+			Deadline:         d.duration(),
+			Weight:           d.float(),
+		},
+		MaxAttempts: int(d.int()),
+	}
 }
 
 func (d *decoder) attemptFinished(event *policy.Event) {
--- a/internal/recording/flightrecorder/dump_test.go
+++ b/internal/recording/flightrecorder/dump_test.go
@@ -50,7 +50,11 @@
 	event.Recovered = nil
 	fmt.Fprintf(text, "  event %s", plainText(event))
 	if recovered != nil {
-		fmt.Fprintf(text, " resumed %v", *recovered)
+		fmt.Fprintf(text, " resumed {%d %t %v %d}",
+			recovered.Attempts, recovered.MayHaveRun, recovered.SinceFirstRun, recovered.FirstRunZone)
+		if recovered.Terms != nil {
+			fmt.Fprintf(text, " terms %s", plainText(*recovered.Terms))
+		}
 	}
 	fmt.Fprintln(text)
 }
--- a/internal/recording/flightrecorder/encoder.go
+++ b/internal/recording/flightrecorder/encoder.go
@@ -140,6 +140,9 @@
 		if event.Recovered.MayHaveRun {
 			flags |= hasMayHaveRun
 		}
+		if event.Recovered.Terms != nil {
+			flags |= hasTerms
+		}
 	}
 	if event.Key != "" {
 		flags |= hasKey
@@ -160,6 +163,28 @@
 		e.int(int64(event.Recovered.SinceFirstRun))
 		e.int(int64(event.Recovered.FirstRunZone))
 	}
+	if flags&hasTerms != 0 {
+		e.terms(event.Recovered.Terms)
+	}
+}
+
+// terms writes the terms of a recovered message.
+func (e *encoder) terms(terms *policy.MessageTerms) {
+	class := &terms.Class
+	var flags byte
+	if class.Ordered {
+		flags |= termsOrdered
+	}
+	if class.DedupAllZones {
+		flags |= termsDedupAllZones
+	}
+	e.byte(flags)
+	e.byte(byte(class.Effect))
+	e.int(int64(class.DedupWindow))
+	e.int(int64(class.LatencyObjective))
+	e.int(int64(class.Deadline))
+	e.float(class.Weight)
+	e.int(int64(terms.MaxAttempts))
 }
 
 func (e *encoder) attemptFinished(event *policy.Event) {
--- a/internal/recording/flightrecorder/format.go
+++ b/internal/recording/flightrecorder/format.go
@@ -17,9 +17,12 @@
 
 const (
 	// Format is the newest version of the format that this package reads.
-	Format = 2
-	// formatWithoutFleet is the version without frames of the fleet agent. It is written unless RecordFleet was
-	// called, so that earlier versions of the program can read the recording.
+	Format = 3
+	// formatWithFleet is the version with frames of the fleet agent and without the terms of recovered messages. It is
+	// written after RecordFleet was called.
+	formatWithFleet = 2
+	// formatWithoutFleet is the version with neither. Each chunk has the lowest version that can hold it, so that
+	// earlier versions of the program can read as much as possible.
 	formatWithoutFleet = 1
 )
 
@@ -61,6 +64,13 @@
 	hasMayHaveRun
 	hasRecovered
 	hasKey
+	hasTerms
+)
+
+// The flags of encoded terms.
+const (
+	termsOrdered byte = 1 << iota
+	termsDedupAllZones
 )
 
 // The flags of an encoded endpoint.
--- a/internal/recording/flightrecorder/recorder.go
+++ b/internal/recording/flightrecorder/recorder.go
@@ -121,7 +121,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fleetState = state
-	r.meta.Format = Format
+	r.meta.Format = formatWithFleet
 	r.beginChunk(len(r.closedChunks) == 0 && r.now == 0)
 }
 
@@ -164,6 +164,25 @@
 	r.closedChunks = slices.Delete(r.closedChunks, 0, drop)
 }
 
+// PrepareStep must be called with the events of a step before the engine's own Step. If the format of the open chunk
+// cannot hold the events, it begins a chunk of a newer format.
+func (r *Recorder) PrepareStep(events []policy.Event) {
+	if r == nil || !slices.ContainsFunc(events, hasRecoveredTerms) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.meta.Format >= Format {
+		return
+	}
+	r.meta.Format = Format
+	r.nextChunk()
+}
+
+func hasRecoveredTerms(event policy.Event) bool {
+	return event.Recovered != nil && event.Recovered.Terms != nil
+}
+
 // Step records a step: the events that the engine received at engine time now, and its actions. It must be called
 // after the engine's own Step.
 func (r *Recorder) Step(now time.Duration, events []policy.Event, actions []policy.Action) {
--- a/internal/recording/flightrecorder/recorder_test.go
+++ b/internal/recording/flightrecorder/recorder_test.go
@@ -124,6 +124,18 @@
 		e.Recovered.SinceFirstRun = drawDuration.Draw(t, "since first run")
 		e.Recovered.FirstRunZone = drawNumber.Draw(t, "zone")
 	}
+	if rapid.Bool().Draw(t, "has terms") {
+		class := policy.Class{
+			Effect:           policy.Effect(rapid.IntRange(0, 2).Draw(t, "effect")),
+			Ordered:          rapid.Bool().Draw(t, "ordered"),
+			DedupAllZones:    rapid.Bool().Draw(t, "dedup in all zones"),
+			DedupWindow:      drawDuration.Draw(t, "dedup window"),
+			LatencyObjective: drawDuration.Draw(t, "latency objective"),
+			Deadline:         drawDuration.Draw(t, "deadline"),
+			Weight:           rapid.Float64().Draw(t, "weight"),
+		}
+		e.Recovered.Terms = &policy.MessageTerms{Class: class, MaxAttempts: drawNumber.Draw(t, "max attempts")}
+	}
 }
 
 func drawAttempt(t *rapid.T, e *policy.Event) {
@@ -235,6 +247,10 @@
 	for _, x := range e.Events {
 		text += fmt.Sprintf(" %+v %q", x.Recovered, x.Key)
 		text = strings.ReplaceAll(text, fmt.Sprintf("Recovered:%p", x.Recovered), "")
+		if x.Recovered != nil && x.Recovered.Terms != nil {
+			text += fmt.Sprintf(" %+v", *x.Recovered.Terms)
+			text = strings.ReplaceAll(text, fmt.Sprintf("Terms:%p", x.Recovered.Terms), "")
+		}
 	}
 	return text
 }
@@ -242,6 +258,7 @@
 // TestNilRecorder checks that the methods of a nil Recorder do nothing.
 func TestNilRecorder(t *testing.T) {
 	var rec *flightrecorder.Recorder
+	rec.PrepareStep(nil)
 	rec.Step(1, nil, nil)
 	rec.Label(1, "x")
 	rec.SendChecked(1, "r", nil, true)
--- a/internal/recording/replay/replay_test.go
+++ b/internal/recording/replay/replay_test.go
@@ -192,6 +192,69 @@
 	}
 }
 
+// TestTermsOfRecoveredMessagesAreReplayed checks that a message that was recovered with terms which the settings no
+// longer have is replayed under these terms, and that the recording has a format that holds them.
+func TestTermsOfRecoveredMessagesAreReplayed(t *testing.T) {
+	settings := recordertest.Settings()
+	engine, err := policy.New(settings, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorder := flightrecorder.NewRecorder(flightrecorder.Meta{Settings: settings, Seed: 1}, 0, engine.Snapshot)
+	recovered := &policy.RecoveredMessage{
+		Attempts:   1,
+		MayHaveRun: true,
+		Terms: &policy.MessageTerms{
+			Class:       policy.Class{Effect: policy.NonIdempotent, Deadline: 5 * time.Second, Weight: 3},
+			MaxAttempts: 2,
+		},
+	}
+	for i := range 3 {
+		now := time.Second + time.Duration(i)*time.Millisecond
+		var events []policy.Event
+		if i == 1 {
+			accepted := policy.Event{Kind: policy.MessageAccepted, MessageID: 1, TimeLeft: time.Second}
+			accepted.Recovered = recovered
+			events = append(events, accepted)
+		}
+		recorder.PrepareStep(events)
+		actions := engine.Step(now, events)
+		recorder.Step(now, events, actions)
+		if i == 1 && (len(actions) == 0 || actions[0].Kind != policy.Fail) {
+			t.Fatalf("actions %+v, want the message to fail", actions)
+		}
+	}
+	res, err := Play(recordingOf(t, recorder), Visitor{})
+	last := lastFormat(t, recordingOf(t, recorder))
+	if last != flightrecorder.Format {
+		t.Errorf("format %d, want %d", last, flightrecorder.Format)
+	}
+	if err != nil || res.Difference != nil || len(res.Lost) > 0 || res.Steps != 3 {
+		t.Errorf("%v, %+v", err, res)
+	}
+}
+
+// lastFormat returns the format of the last chunk of a recording.
+func lastFormat(t *testing.T, data []byte) (format int) {
+	t.Helper()
+	reader, err := flightrecorder.NewReader(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for {
+		e, ok, err := reader.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !ok {
+			return format
+		}
+		if e.Kind == flightrecorder.Begin {
+			format = e.Meta.Format
+		}
+	}
+}
+
 // changedSettings returns settings that differ from those of recordertest.
 func changedSettings() policy.Settings {
 	settings := recordertest.Settings()
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -60,14 +60,23 @@
 	return waiting
 }
 
-// resolveClass updates the class index of a message, because the configuration may have changed since the client's
-// request was parsed. It returns false if the class no longer exists.
+// resolveClass sets the class index and the terms of a new message to those of the configuration in force, because the
+// configuration may have changed since the client's request was parsed. It returns false if the class no longer exists.
 func (r *Relay) resolveClass(m *journal.Message) bool {
+	r.resolveClassIndex(m)
+	if m.Class < 0 || m.Class >= len(r.activeTerms) {
+		return false
+	}
+	m.Terms = &r.activeTerms[m.Class]
+	return true
+}
+
+// resolveClassIndex sets the class index of a message to that of the configuration in force, or to -1 if the class no
+// longer exists. Recordings and metrics use the index; the terms of the message bind it in any case.
+func (r *Relay) resolveClassIndex(m *journal.Message) {
 	if m.ClassName != "" {
 		m.Class = slices.Index(r.activeConfig.ClassNames, m.ClassName)
-		return m.Class >= 0
 	}
-	return true
 }
 
 // replyToDuplicate returns the answer to a submission whose id belongs to the message known or to a recently finished
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -89,7 +89,7 @@
 	}
 	deadline := r.started.Add(a.TimeoutAt)
 	c.size += size
-	c.OnceOnly = c.OnceOnly || r.isNonIdempotent(m.Message)
+	c.OnceOnly = c.OnceOnly || r.effectOf(m.Message) == policy.NonIdempotent
 	c.insertByDeadline(&attempt{
 		Attempt: egress.Attempt{TraceID: m.TraceID, IdempotencyKey: m.IdempotencyKey, Body: body, Deadline: deadline},
 		call:    c,
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -167,6 +167,7 @@
 			ID:             policy.MessageID(i + 1),
 			TraceID:        fmt.Sprint("m", i),
 			IdempotencyKey: "k",
+			Terms:          firstTerms(&r.cfg),
 			Destination:    9,
 			Deadline:       time.Now().Add(left),
 		}
@@ -207,6 +208,7 @@
 		ID:                1,
 		TraceID:           "m",
 		IdempotencyKey:    "k",
+		Terms:             firstTerms(&r.cfg),
 		Destination:       7,
 		Deadline:          time.Now().Add(10 * time.Second),
 		Attempts:          1,
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -41,7 +41,7 @@
 		"ratelog.minInterval", "relay.readBufferSize", "discovery.MaxPartEntries", "discovery.noVersion",
 		"backoff.maxDoublings", "relay.maxEvictions", "relay.evictInterval", "policy.maxQueueScan",
 		"policy.maxFleetSize", "policy.snapshotVersion", "policy.deadlineMargin", "policy.randomStream",
-		"policy.timerSlack", "policy.minClassWeight", "policy.revisionSize",
+		"policy.timerSlack", "policy.minClassWeight", "policy.revisionSize", "policy.strictestMaxAttempts",
 	},
 	"a fraction of a setting": {
 		"egress.idleRatio", "backoff.graceRatio", "policy.recoveryLapseRatio", "policy.maxPendingRatio",
--- a/internal/relay/helpers_test.go
+++ b/internal/relay/helpers_test.go
@@ -14,6 +14,7 @@
 
 	"cherrytrestle.example/cherrytrestle/internal/relay/discovery"
 	"cherrytrestle.example/cherrytrestle/internal/testkit/nettest"
+	"cherrytrestle.example/cherrytrestle/policy"
 )
 
 // settingsJSON is the settings object of a configuration file.
@@ -108,6 +109,9 @@
 	go r.ingress.Serve(l)
 }
 
+// firstTerms returns the terms of a message that is accepted in the first class of a configuration.
+func firstTerms(c *Config) *policy.MessageTerms { return &termsOfClasses(&c.Settings)[0] }
+
 // requestText returns the text of a client's request. edit holds pairs of an old string and its replacement, with
 // which the request can be made invalid.
 func requestText(id string, edit ...string) string {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -34,7 +34,8 @@
 	current        stepState      // state of the step in progress
 
 	activeConfig     reload.Config
-	activeGeneration int // generation of activeConfig: see configChange
+	activeGeneration int                   // generation of activeConfig: see configChange
+	activeTerms      []policy.MessageTerms // of new messages, by class of activeConfig; never changed in place
 
 	endpointState
 	messageState
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -140,26 +140,21 @@
 	r.notifier.Add(n)
 }
 
-// classOf returns a message's class, if the settings still have it.
-func (r *Relay) classOf(m *journal.Message) (class policy.Class, known bool) {
-	classes := r.activeConfig.Settings.Classes
-	if m.Class < 0 || m.Class >= len(classes) {
-		return policy.Class{}, false
+// termsOf returns the terms that bind a message: those under which it was accepted. If they are unknown, they are the
+// strictest ones, with the deadline of the message's class if the configuration has that class.
+func (r *Relay) termsOf(m *journal.Message) policy.MessageTerms {
+	if m.Terms != nil {
+		return *m.Terms
 	}
-	return classes[m.Class], true
-}
-
-// isIdempotent reports whether a message may run any number of times without harm.
-func (r *Relay) isIdempotent(m *journal.Message) bool {
-	class, known := r.classOf(m)
-	return known && class.Effect == policy.Idempotent
+	terms := policy.StrictestTerms(time.Until(m.Deadline))
+	if class := slices.Index(r.activeConfig.ClassNames, m.ClassName); class >= 0 {
+		terms.Class.Deadline = r.activeConfig.Settings.Classes[class].Deadline
+	}
+	return terms
 }
 
-// isNonIdempotent reports whether a message must not run twice. Nothing is known of a message of a removed class.
-func (r *Relay) isNonIdempotent(m *journal.Message) bool {
-	class, known := r.classOf(m)
-	return !known || class.Effect == policy.NonIdempotent
-}
+// effectOf returns the effect of a repeated delivery of a message.
+func (r *Relay) effectOf(m *journal.Message) policy.Effect { return r.termsOf(m).Class.Effect }
 
 // failUnreadable fails a message whose body can no longer be read from the disk.
 func (r *Relay) failUnreadable(m *message, err error) {
--- /dev/null
+++ b/internal/relay/recoveredterms_test.go
@@ -0,0 +1,145 @@
+package relay
+
+import (
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"cherrytrestle.example/cherrytrestle/internal/state/journal"
+	"cherrytrestle.example/cherrytrestle/policy"
+)
+
+// paymentClass is the index of the non-idempotent class that withPaymentClass adds.
+const paymentClass = 1
+
+// withPaymentClass returns a configuration with a second class, whose messages must never run twice.
+func withPaymentClass(c Config) Config {
+	c.ClassNames = append(slices.Clone(c.ClassNames), "pay")
+	class := c.Settings.Classes[0]
+	class.Effect = policy.NonIdempotent
+	class.Ordered = true
+	c.Settings.Classes = append(slices.Clone(c.Settings.Classes), class)
+	return c
+}
+
+// restartWith ends a relay without a shutdown, and returns one that recovers its journal with another configuration.
+func restartWith(t *testing.T, old *Relay, cfg Config) *Relay {
+	t.Helper()
+	if err := old.journal.Close(); err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(cfg, discardLog(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.egress.Close() })
+	r.callCtx = old.callCtx
+	r.recoverState()
+	t.Cleanup(r.calls.Wait)
+	return r
+}
+
+// configurationChanges are the ways in which another configuration can change the class of an open message.
+func configurationChanges() map[string]func(*Config) {
+	edit := func(change func(*policy.Class)) func(*Config) {
+		return func(c *Config) { change(&c.Settings.Classes[paymentClass]) }
+	}
+	return map[string]func(*Config){
+		"unchanged":  func(*Config) {},
+		"idempotent": edit(func(class *policy.Class) { class.Effect = policy.Idempotent }),
+		"idempotent by key": edit(func(class *policy.Class) {
+			class.Effect = policy.IdempotentByKey
+			class.DedupAllZones = true
+		}),
+		"idempotent and not ordered": edit(func(class *policy.Class) {
+			class.Effect = policy.Idempotent
+			class.Ordered = false
+		}),
+		"dropped": func(c *Config) {
+			c.ClassNames = c.ClassNames[:paymentClass]
+			c.Settings.Classes = c.Settings.Classes[:paymentClass]
+		},
+		"reordered": func(c *Config) {
+			slices.Reverse(c.ClassNames)
+			slices.Reverse(c.Settings.Classes)
+		},
+		"reordered and idempotent": func(c *Config) {
+			c.Settings.Classes[paymentClass].Effect = policy.Idempotent
+			slices.Reverse(c.ClassNames)
+			slices.Reverse(c.Settings.Classes)
+		},
+		"more attempts": func(c *Config) { c.Settings.MaxAttempts = 100 },
+	}
+}
+
+// A non-idempotent message that may have run is not sent again after a restart, whatever the configuration of the new
+// process makes of its class. One that was not sent keeps its terms.
+func TestNonIdempotentMessageIsNotRepeatedUnderNewSettings(t *testing.T) {
+	for name, change := range configurationChanges() {
+		t.Run(name, func(t *testing.T) {
+			old := newTestRelay(t)
+			old.applyConfig(withPaymentClass(old.cfg).Config)
+			if err := old.engine.Reconfigure(old.activeConfig.Settings); err != nil {
+				t.Fatal(err)
+			}
+			sent := newSubmission("sent", 7, 9*time.Second)
+			waiting := newSubmission("waiting", 99, 9*time.Second) // no endpoint has this destination
+			old.listReceived = false
+			for _, submission := range []*submitEvent{sent, waiting} {
+				submission.message.ClassName = "pay"
+			}
+			submitAll(old, sent, waiting)
+			if len(old.activeCalls) != 1 {
+				t.Fatalf("%d calls in flight, want 1", len(old.activeCalls))
+			}
+			want := *waiting.message.Terms
+			cfg := withPaymentClass(old.cfg)
+			change(&cfg)
+
+			r := restartWith(t, old, cfg)
+			pending := r.notifier.Pending()
+			if len(pending) != 1 || pending[0].TraceID != "sent" || pending[0].Status != "undeliverable" {
+				t.Errorf("notifications %+v, want one that message sent is undeliverable", pending)
+			}
+			if len(r.activeCalls) != 0 {
+				t.Error("a message that may have run was sent again")
+			}
+			m := r.messagesByTrace["waiting"]
+			if m == nil || m.completed || r.termsOf(m.Message) != want || *r.recoveredEvent(m).Recovered.Terms != want {
+				t.Errorf("message %+v, want one with the terms %+v", m, want)
+			}
+		})
+	}
+}
+
+// A folder of an earlier version does not tell the terms of its messages. Such a message is not sent again once it may
+// have run, although the configuration now has its class as idempotent.
+func TestMessageOfUnknownTermsIsNotRepeated(t *testing.T) {
+	old := newTestRelay(t)
+	newMessage := func(id policy.MessageID, trace string) *journal.Message {
+		return &journal.Message{
+			ID: id, TraceID: trace, ClassName: "order", Destination: 7, Deadline: time.Now().Add(9 * time.Second),
+		}
+	}
+	sent := newMessage(1, "sent")
+	untried := newMessage(2, "untried")
+	if err := old.journal.Accept(sent, untried); err != nil {
+		t.Fatal(err)
+	}
+	attempt := journal.Attempt{Endpoint: "s-1", SentAt: time.Now()}
+	if err := old.journal.RecordSends(journal.Send{Message: sent, Attempt: attempt}); err != nil {
+		t.Fatal(err)
+	}
+	cfg := old.cfg
+	cfg.Settings.Classes = slices.Clone(cfg.Settings.Classes)
+	cfg.Settings.Classes[0].Effect = policy.Idempotent
+
+	r := restartWith(t, old, cfg)
+	if pending := r.notifier.Pending(); len(pending) != 1 || pending[0].TraceID != "sent" {
+		t.Errorf("notifications %+v, want one of message sent", pending)
+	}
+	if len(r.activeCalls) != 1 {
+		t.Errorf("%d calls, want one of the message that was never sent", len(r.activeCalls))
+	}
+}
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/metrics"
@@ -57,10 +56,7 @@
 		if len(record.UncertainAttempts) == 0 {
 			continue
 		}
-		effect := policy.NonIdempotent
-		if class, known := r.classOf(record); known {
-			effect = class.Effect
-		}
+		effect := r.effectOf(record)
 		mayHaveRun[effect]++
 		r.log.Debug("recovered message may have run", "message_id", record.TraceID, "class", record.ClassName,
 			"effect", effect, "attempts", record.Attempts, "endpoint", record.UncertainAttempts[0].Endpoint,
@@ -75,11 +71,8 @@
 // recoverMessage restores the state of a message that an earlier process accepted. If the message is not completed, the
 // caller passes it to the policy.
 func (r *Relay) recoverMessage(record *journal.Message) *message {
-	if record.ClassName != "" {
-		// For a class that the settings no longer have, the index is -1, and the policy applies its strictest class.
-		record.Class = slices.Index(r.activeConfig.ClassNames, record.ClassName)
-	}
-	if record.Uncertain && r.isIdempotent(record) {
+	r.resolveClassIndex(record)
+	if record.Uncertain && r.effectOf(record) == policy.Idempotent {
 		record.Uncertain = false // the message may run any number of times
 	}
 	m := &message{Message: record, attemptsStarted: record.Attempts}
@@ -109,24 +102,28 @@
 // recoveredEvent returns the policy's event for a message that may have had attempts before, in an earlier process or
 // until it was cancelled.
 func (r *Relay) recoveredEvent(m *message) policy.Event {
+	terms := m.Terms
+	if terms == nil {
+		strictest := r.termsOf(m.Message)
+		terms = &strictest
+	}
 	e := r.acceptedEvent(m)
-	e.Recovered = &policy.RecoveredMessage{Attempts: m.Attempts}
+	e.Recovered = &policy.RecoveredMessage{Attempts: m.Attempts, Terms: terms}
 	if len(m.UncertainAttempts) > 0 {
 		first := m.UncertainAttempts[0]
 		e.Recovered.MayHaveRun = true
 		e.Recovered.FirstRunZone = first.Zone
-		e.Recovered.SinceFirstRun = r.timeSinceRun(m, first)
+		e.Recovered.SinceFirstRun = timeSinceRun(terms.Class, first)
 	}
 	return e
 }
 
 // timeSinceRun returns how long ago an attempt of a message was sent, to be compared with the deduplication window of
 // its class. If that is unknown, the result is outside the window.
-func (r *Relay) timeSinceRun(m *message, a journal.Attempt) time.Duration {
+func timeSinceRun(class policy.Class, a journal.Attempt) time.Duration {
 	since := time.Since(a.SentAt)
 	if a.Undated || since < -clockTolerance {
 		// The clock was set, or may have been: it is unknown how long the endpoint still recognizes a duplicate.
-		class, _ := r.classOf(m.Message)
 		return max(unknownRunAge, class.DedupWindow)
 	}
 	return max(0, since)
@@ -134,10 +131,9 @@
 
 // acceptedEvent returns the policy's event for a new message.
 func (r *Relay) acceptedEvent(m *message) policy.Event {
-	timeLeft := time.Until(m.Deadline)
-	if class, known := r.classOf(m.Message); known {
-		timeLeft = min(timeLeft, maxTimeLeft(class)) // a clock that was set back must not extend the time
-	}
+	class := r.termsOf(m.Message).Class
+	// A clock that was set back must not extend the time.
+	timeLeft := min(time.Until(m.Deadline), maxTimeLeft(class))
 	return policy.Event{
 		Kind:        policy.MessageAccepted,
 		MessageID:   m.ID,
--- a/internal/relay/recovery_test.go
+++ b/internal/relay/recovery_test.go
@@ -71,6 +71,7 @@
 			TraceID:           "ran",
 			IdempotencyKey:    "k",
 			OrderingKey:       "a",
+			Terms:             firstTerms(&r.cfg),
 			Destination:       7,
 			Deadline:          acceptedAt.Add(10 * time.Second),
 			Attempts:          1,
@@ -81,6 +82,7 @@
 			TraceID:        "untried",
 			IdempotencyKey: "k",
 			OrderingKey:    "b",
+			Terms:          firstTerms(&r.cfg),
 			Destination:    7,
 			Deadline:       acceptedAt.Add(class.Deadline),
 		}
@@ -142,6 +144,7 @@
 				TraceID:        fmt.Sprint("m", id),
 				IdempotencyKey: "k",
 				OrderingKey:    fmt.Sprint(id),
+				Terms:          firstTerms(&r.cfg),
 				Destination:    7,
 				Deadline:       ended.Wall.Add(downtime + 9*time.Second),
 			}
@@ -187,6 +190,7 @@
 			TraceID:        "m1",
 			IdempotencyKey: "k",
 			OrderingKey:    "1",
+			Terms:          firstTerms(&r.cfg),
 			Destination:    7,
 			Deadline:       ended.Wall.Add(15 * time.Second),
 		}
@@ -215,9 +219,10 @@
 func TestUndatedAttemptIsOutsideAnyWindow(t *testing.T) {
 	r := newTestRelay(t)
 	for _, window := range []time.Duration{0, time.Second, 72 * time.Hour} {
-		r.activeConfig.Settings.Classes[0].DedupWindow = window
+		r.cfg.Settings.Classes[0].DedupWindow = window
 		m := &message{
 			Message: &journal.Message{
+				Terms:             firstTerms(&r.cfg),
 				Deadline:          time.Now(),
 				Attempts:          1,
 				UncertainAttempts: []journal.Attempt{{SentAt: time.Now(), Undated: true}},
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/config/reload"
+	"cherrytrestle.example/cherrytrestle/policy"
 )
 
 const (
@@ -80,5 +81,15 @@
 		r.metrics.RegisterClass(class)
 	}
 	r.activeConfig = config
+	r.activeTerms = termsOfClasses(&config.Settings)
 	r.clientConfig.Store(&config)
 }
+
+// termsOfClasses returns the terms of new messages, by class.
+func termsOfClasses(settings *policy.Settings) []policy.MessageTerms {
+	terms := make([]policy.MessageTerms, len(settings.Classes))
+	for i, class := range settings.Classes {
+		terms[i] = policy.MessageTerms{Class: class, MaxAttempts: settings.MaxAttempts}
+	}
+	return terms
+}
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -61,6 +61,7 @@
 			TraceID:        fmt.Sprintf("%016x", messages),
 			IdempotencyKey: "k",
 			ClassName:      "order",
+			Terms:          firstTerms(&cfg),
 			Destination:    7,
 			Body:           make([]byte, bodySize),
 			Deadline:       time.Now().Add(time.Hour), // the relay reduces it to the deadline of the class
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -104,6 +104,7 @@
 	if r.largeList.Load() {
 		events = r.updateWorkingSet(now, events)
 	}
+	r.recorder.PrepareStep(events)
 	actions := r.engine.Step(now, events)
 	if r.fleet == nil {
 		r.recorder.Step(now, events, actions)
--- a/internal/state/journal/encoding.go
+++ b/internal/state/journal/encoding.go
@@ -12,6 +12,9 @@
 // byte, the fields of the message, and the body, which extends to the end of the value. Integers are zigzag varints.
 // Strings are preceded by their length as an unsigned varint. Each later change to a message is stored as a delta to
 // its value: a kind byte and the fields of that kind.
+//
+// Fields that were added later are part of an extended string: see appendExtended. Programs of all versions can so read
+// the messages of all others.
 
 // Version bytes. Each value begins with one.
 const (
@@ -78,7 +81,7 @@
 	b = appendString(b, m.TraceID)
 	b = appendString(b, m.IdempotencyKey)
 	b = appendString(b, m.OrderingKey)
-	b = appendString(b, m.ClassName)
+	b = appendClass(b, m.ClassName, m.Terms)
 	b = appendVarint(b, int64(m.Attempts))
 	b = appendVarint(b, int64(len(m.UncertainAttempts)))
 	for i := range m.UncertainAttempts {
@@ -92,6 +95,7 @@
 type reader struct {
 	data     []byte // input that is not decoded yet
 	timeline clock.Timeline
+	shared   sharedTerms
 	failed   bool
 }
 
@@ -110,16 +114,19 @@
 	return x
 }
 
-func (r *reader) readString() string {
+func (r *reader) readString() string { return string(r.readBytes()) }
+
+// readBytes reads a string without copying it.
+func (r *reader) readBytes() []byte {
 	length, prefix := binary.Uvarint(r.data)
 	if prefix <= 0 || length > uint64(len(r.data)-prefix) {
 		r.fail()
-		return ""
+		return nil
 	}
 	end := prefix + int(length)
-	s := string(r.data[prefix:end])
+	data := r.data[prefix:end]
 	r.data = r.data[end:]
-	return s
+	return data
 }
 
 func (r *reader) readTime() time.Time { return r.timeline.Time(r.readInt()) }
@@ -137,12 +144,13 @@
 	return a
 }
 
-// decodeMessage decodes a message. It returns false if the value is not a message of a known version or is malformed.
-func decodeMessage(value []byte, timeline clock.Timeline) (*Message, bool) {
+// decodeMessage decodes a message. Messages with equal terms get the same pointer, which is kept in shared. It returns
+// false if the value is not a message of a known version or is malformed.
+func decodeMessage(value []byte, timeline clock.Timeline, shared sharedTerms) (*Message, bool) {
 	if valueVersion(value) != messageVersion {
 		return nil, false
 	}
-	r := &reader{data: value[1:], timeline: timeline}
+	r := &reader{data: value[1:], timeline: timeline, shared: shared}
 	m := &Message{ // in the order in which appendHeader writes the fields
 		ID:             policy.MessageID(r.readInt()),
 		Class:          int(r.readInt()),
@@ -152,9 +160,9 @@
 		TraceID:        r.readString(),
 		IdempotencyKey: r.readString(),
 		OrderingKey:    r.readString(),
-		ClassName:      r.readString(),
-		Attempts:       int(r.readInt()),
 	}
+	m.ClassName, m.Terms = r.readClass()
+	m.Attempts = int(r.readInt())
 	count := r.readInt()
 	if count < 0 || count > int64(len(r.data)) {
 		return nil, false // an attempt takes more than a byte: without this check, damaged data could cause a huge loop
--- a/internal/state/journal/encoding_test.go
+++ b/internal/state/journal/encoding_test.go
@@ -20,7 +20,7 @@
 	m := message(3)
 	value := encodeMessage(m)
 	for cut := range len(value) - len(m.Body) {
-		if m, ok := decodeMessage(value[:cut], fixedTimeline); ok {
+		if m, ok := decodeMessage(value[:cut], fixedTimeline, sharedTerms{}); ok {
 			t.Errorf("a message cut at byte %d is accepted: %+v", cut, m)
 		}
 	}
@@ -50,12 +50,12 @@
 	attempt := Attempt{Number: 1, Endpoint: "h", Zone: 2, SentAt: time.Unix(1, 2)}
 	f.Add(appendAttempt([]byte{byte(deltaSend)}, &attempt, fixedTimeline))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, ok := decodeMessage(data, fixedTimeline)
+		m, ok := decodeMessage(data, fixedTimeline, sharedTerms{})
 		if !ok {
 			message(1).applyDelta(data, fixedTimeline)
 			return
 		}
-		again, ok := decodeMessage(encodeMessage(m), fixedTimeline)
+		again, ok := decodeMessage(encodeMessage(m), fixedTimeline, sharedTerms{})
 		if !ok || !equalMessages(m, again) {
 			t.Errorf("decoded %+v, after encoding and decoding again %+v", m, again)
 		}
--- a/internal/state/journal/golden_test.go
+++ b/internal/state/journal/golden_test.go
@@ -19,7 +19,11 @@
 
 var update = flag.Bool("update", false, "rewrite the golden files")
 
-const goldenState = "state" // the state folder among the golden files
+// State folders among the golden files.
+const (
+	goldenState         = "state-terms" // with messages as they are written
+	goldenTermlessState = "state"       // with messages that lack their terms, as earlier builds wrote them
+)
 
 // goldenStart is the wall time at which the golden journal was created and at which its timeline starts.
 var goldenStart = time.Unix(1e9, 0).UTC()
@@ -87,11 +91,11 @@
 	return []*Message{untried, sent, cancelled, deferred, failed, attempted, undated}
 }
 
-// goldenCopy returns a copy of the golden state folder, which contains only a journal.
-func goldenCopy(t *testing.T) string {
+// goldenCopy returns a copy of a golden state folder, which contains only a journal.
+func goldenCopy(t *testing.T, name string) string {
 	t.Helper()
 	stateFolder := t.TempDir()
-	must(t, os.CopyFS(stateFolder, os.DirFS(golden.Path(goldenState))))
+	must(t, os.CopyFS(stateFolder, os.DirFS(golden.Path(name))))
 	return stateFolder
 }
 
@@ -134,10 +138,25 @@
 		must(t, os.RemoveAll(golden.Path(goldenState)))
 		must(t, os.CopyFS(golden.Path(goldenState), os.DirFS(written)))
 	}
-	golden.Check(t, *update, "values.txt", dump(t, written))
-	golden.Check(t, false, "values.txt", dump(t, goldenCopy(t)))
+	golden.Check(t, *update, "values-terms.txt", dump(t, written))
+	golden.Check(t, false, "values-terms.txt", dump(t, goldenCopy(t, goldenState)))
+	checkGolden(t, goldenState, want)
+}
+
+// This build reads all of the golden journal of an earlier build. The terms of its messages are unknown.
+func TestGoldenJournalWithoutTerms(t *testing.T) {
+	golden.Check(t, false, "values.txt", dump(t, goldenCopy(t, goldenTermlessState)))
+	want := writeGolden(t, t.TempDir())
+	for _, m := range want {
+		m.Terms = nil
+	}
+	checkGolden(t, goldenTermlessState, want)
+}
 
-	j, recovery := openGolden(t, goldenCopy(t), goldenOptions())
+// checkGolden checks that a golden journal is read in full.
+func checkGolden(t *testing.T, name string, want []*Message) {
+	t.Helper()
+	j, recovery := openGolden(t, goldenCopy(t, name), goldenOptions())
 	if !recovery.Intact() || recovery.ClockStep != 0 {
 		t.Errorf("the recovery is not intact, or the clock step is not 0: %+v", recovery)
 	}
@@ -159,7 +178,7 @@
 		now.Uptime += 5 * time.Second
 		return now
 	}
-	j, recovery := openGolden(t, goldenCopy(t), options)
+	j, recovery := openGolden(t, goldenCopy(t, goldenState), options)
 	if recovery.ClockStep != time.Hour-5*time.Second {
 		t.Errorf("clock step %v, want %v", recovery.ClockStep, time.Hour-5*time.Second)
 	}
--- a/internal/state/journal/journal.go
+++ b/internal/state/journal/journal.go
@@ -41,6 +41,7 @@
 	store     *store.Store
 	options   Options
 	live      map[policy.MessageID]*Message // accepted messages that are not removed, by ID
+	terms     sharedTerms                   // of the messages that were read
 	pending   []pendingRecord
 	scratch   []byte // buffer reused for encoding and for reading values
 	bodyBytes int64  // total size of the bodies in memory
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
-	j := &Journal{store: st, options: options, live: map[policy.MessageID]*Message{}}
+	j := &Journal{store: st, options: options, live: map[policy.MessageID]*Message{}, terms: sharedTerms{}}
 	recovery, err := j.restore(found)
 	if err != nil {
 		return nil, nil, errors.Join(fmt.Errorf("journal: %w", err), st.Close())
--- a/internal/state/journal/journal_test.go
+++ b/internal/state/journal/journal_test.go
@@ -39,6 +39,7 @@
 		OrderingKey:    "order",
 		Class:          2,
 		ClassName:      "orders",
+		Terms:          termsOfOrders(),
 		Tenant:         -1,
 		Destination:    7,
 		Deadline:       time.Unix(1e9, int64(id)),
@@ -46,6 +47,20 @@
 	}
 }
 
+// termsOfOrders returns terms of which each field has a value.
+func termsOfOrders() *policy.MessageTerms {
+	class := policy.Class{
+		Effect:           policy.IdempotentByKey,
+		DedupAllZones:    true,
+		DedupWindow:      10 * time.Second,
+		Ordered:          true,
+		LatencyObjective: 3 * time.Second,
+		Deadline:         16 * time.Second,
+		Weight:           0.75,
+	}
+	return &policy.MessageTerms{Class: class, MaxAttempts: 4}
+}
+
 // equalMessages reports whether two messages are equal apart from the differences that normalized removes.
 func equalMessages(a, b *Message) bool {
 	return reflect.DeepEqual(normalized(a), normalized(b))
--- a/internal/state/journal/message.go
+++ b/internal/state/journal/message.go
@@ -15,9 +15,12 @@
 	IdempotencyKey string           `json:"Key"`   // "" if none
 	OrderingKey    string           `json:"Order"` // "" if none or if the class is not ordered
 	Class          int              `json:"Class"` // index of the class in the configuration at the time of acceptance
-	// ClassName identifies the class if the configuration changes, because the index of a class may differ between
-	// configurations. It is "" if unknown.
-	ClassName   string               `json:"Service"`
+	// ClassName identifies the class where a client names it and in metrics, because the index of a class may differ
+	// between configurations. It is "" if unknown.
+	ClassName string `json:"Service"`
+	// Terms bind the message until it is complete, whatever the settings of this or of a later process are. They are
+	// nil if they are unknown, since earlier programs did not store them.
+	Terms       *policy.MessageTerms `json:"Terms,omitempty"`
 	Tenant      int                  `json:"Customer"`
 	Destination policy.DestinationID `json:"Dest"`
 	Deadline    time.Time            `json:"Deadline"`
--- a/internal/state/journal/recovery.go
+++ b/internal/state/journal/recovery.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	j.scratch = value
-	m, ok := decodeMessage(value, j.timeline)
+	m, ok := decodeMessage(value, j.timeline, j.terms)
 	if !ok {
 		recovery.Unreadable++
 		return nil
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -34,11 +34,11 @@
 // newMessage returns the message of a MessageAccepted event. A lower class weight places it further back in the
 // queue.
 func (e *Engine) newMessage(event *Event) *message {
-	class := e.classOf(event)
+	class, maxAttempts := e.termsOf(event)
 	msg := &message{
 		id:          event.MessageID,
 		class:       class,
-		maxAttempts: e.settings.MaxAttempts,
+		maxAttempts: maxAttempts,
 		destination: e.ensureDestination(event.Destination),
 	}
 	msg.deadline = e.now + event.TimeLeft - deadlineMargin
@@ -48,19 +48,22 @@
 	return msg
 }
 
-// classOf returns the class of a message. A message whose class is not configured is treated as non-idempotent and
-// ordered, which are the strictest rules.
-func (e *Engine) classOf(event *Event) *Class {
-	if event.Class >= 0 && event.Class < len(e.settings.Classes) {
-		return &e.settings.Classes[event.Class]
+// termsOf returns the class and the maximum number of attempts of a message. They are those under which an earlier
+// process accepted it, if they are known, or else those of the settings. A message whose class is not configured is
+// treated as non-idempotent and ordered, which are the strictest rules.
+func (e *Engine) termsOf(event *Event) (class *Class, maxAttempts int) {
+	if event.Recovered != nil && event.Recovered.Terms != nil {
+		terms := event.Recovered.Terms
+		if i := slices.Index(e.settings.Classes, terms.Class); i >= 0 {
+			return &e.settings.Classes[i], terms.MaxAttempts
+		}
+		return &terms.Class, terms.MaxAttempts
 	}
-	return &Class{
-		Effect:           NonIdempotent,
-		Ordered:          true,
-		LatencyObjective: event.TimeLeft / 2,
-		Deadline:         event.TimeLeft,
-		Weight:           1,
+	if event.Class >= 0 && event.Class < len(e.settings.Classes) {
+		return &e.settings.Classes[event.Class], e.settings.MaxAttempts
 	}
+	strictest := strictestClass(event.TimeLeft)
+	return &strictest, e.settings.MaxAttempts
 }
 
 // exceedsQuota counts a message against this relay's even share of the tenant's quota, and reports whether the
--- a/policy/event.go
+++ b/policy/event.go
@@ -71,6 +71,9 @@
 	MayHaveRun    bool          `json:"Ran"`      // at least one attempt may have run
 	SinceFirstRun time.Duration `json:"RanAgo"`   // time since the first attempt that may have run was sent
 	FirstRunZone  int           `json:"RanZone"`  // zone that this attempt was sent to
+	// Terms are those under which the earlier process accepted the message. If they are nil, the terms of the settings
+	// apply: recordings of earlier versions contain none.
+	Terms *MessageTerms `json:"Terms,omitempty"`
 }
 
 // Event is one observation for an Engine. Which fields hold a value depends on its kind.
@@ -80,7 +83,7 @@
 
 	// MessageAccepted.
 	Key         string            `json:"Key"`      // ordering key; empty: none
-	Class       int               `json:"Class"`    // index into Settings.Classes
+	Class       int               `json:"Class"`    // index into Settings.Classes, unless Recovered has Terms
 	Tenant      int               `json:"Customer"` // index into Settings.Tenants
 	Destination DestinationID     `json:"Destination"`
 	TimeLeft    time.Duration     `json:"Left"`    // time to the deadline
--- a/policy/restart_test.go
+++ b/policy/restart_test.go
@@ -68,6 +68,39 @@
 	}
 }
 
+// A message that an earlier process accepted under other settings keeps its class and its maximum number of attempts.
+func TestRecoveredMessageKeepsTermsThatSettingsLack(t *testing.T) {
+	class := restartSettings().Classes[0]
+	for _, test := range []struct {
+		name        string
+		change      func(*Class)
+		maxAttempts int
+		attempts    int
+		want        ActionKind
+	}{
+		{"unchanged", func(*Class) {}, 8, 1, Send},
+		{"non-idempotent", func(class *Class) { class.Effect = NonIdempotent }, 8, 1, Fail},
+		{"shorter window", func(class *Class) { class.DedupWindow = 4 * time.Second }, 8, 1, Fail},
+		{"fewer attempts", func(*Class) {}, 2, 2, Fail},
+		{"more attempts", func(*Class) {}, 10, 9, Send},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			terms := MessageTerms{Class: class, MaxAttempts: test.maxAttempts}
+			test.change(&terms.Class)
+			actions := acceptRecovered(t, RecoveredMessage{
+				Attempts:      test.attempts,
+				MayHaveRun:    true,
+				SinceFirstRun: 5 * time.Second,
+				Terms:         &terms,
+			}, 8*time.Second)
+			isEnd := func(a Action) bool { return a.Kind == Send || a.Kind == Fail || a.Kind == Reject }
+			if i := slices.IndexFunc(actions, isEnd); i < 0 || actions[i].Kind != test.want {
+				t.Errorf("actions %+v, want %v", actions, test.want)
+			}
+		})
+	}
+}
+
 func TestOverdueRecoveredMessagesEndAtOnce(t *testing.T) {
 	for _, test := range []struct {
 		recovered RecoveredMessage
--- a/policy/revision.go
+++ b/policy/revision.go
@@ -14,7 +14,7 @@
 //go:embed action.go admission.go call.go capacity.go connect.go deadline.go dispatch.go ejection.go
 //go:embed emptylist.go endpoints.go engine.go event.go fleetpacing.go latency.go message.go ordering.go
 //go:embed outcome.go pacing.go queue.go quota.go restart.go retry.go scope.go selection.go
-//go:embed settings.go slowstart.go suspicion.go traffic.go
+//go:embed settings.go slowstart.go suspicion.go terms.go traffic.go
 var sourceFiles embed.FS
 
 // Revision returns a hash of the source files that affect decisions. Engines of equal revisions make equal
