Resubmitted messages keep the stricter of their old and new terms

Seen: a client leaves while the call of its unsafe message is out, a reload makes the class safe, the client submits the message again under its id: the relay answered 202 and sent it a second time (TestResubmissionUnderNewSettingsIsNotRepeated before the change: "Status:202 ... with 2 calls").

The attempts of the first submission were taken over, but read under the settings of the second one.

Change: a submission that continues with earlier attempts is bound by what both terms allow (policy.StricterTerms).

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -112,7 +112,8 @@
 }
 
 // register adds a new message to the relay's state. previous is the cancelled message with the same id, or nil. A
-// cancelled message may have run, so the new message goes on with its attempts.
+// cancelled message may have run, so the new message goes on with its attempts, under terms that allow no more than
+// those of either message.
 func (r *Relay) register(record *journal.Message, previous *message) *message {
 	r.lastMessageID++
 	record.ID = r.lastMessageID
@@ -121,6 +122,10 @@
 		m.Attempts = previous.Attempts
 		m.UncertainAttempts = slices.Clone(previous.UncertainAttempts)
 		m.attemptsStarted = previous.attemptsStarted
+		if m.Attempts > 0 {
+			terms := policy.StricterTerms(r.termsOf(previous.Message), *m.Terms)
+			m.Terms = &terms
+		}
 		previous.resubmittedAs = m
 	}
 	r.messages[m.ID] = m
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -164,14 +163,5 @@
 // restartRelay closes the journal of a relay and returns a new relay that has recovered from it.
 func restartRelay(t *testing.T, old *Relay) *Relay {
 	t.Helper()
-	if err := old.journal.Close(); err != nil {
-		t.Fatal(err)
-	}
-	r, err := New(old.cfg, discardLog(), io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.callCtx = old.callCtx
-	r.recoverState()
-	return r
+	return restartWith(t, old, old.cfg)
 }
--- a/internal/relay/recoveredterms_test.go
+++ b/internal/relay/recoveredterms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -143,3 +144,47 @@
 		t.Errorf("%d calls, want one of the message that was never sent", len(r.activeCalls))
 	}
 }
+
+// A client leaves while the call of its non-idempotent message is out, and submits the message again after a reload has
+// made the class idempotent. The message may have run, so it is not sent again.
+func TestResubmissionUnderNewSettingsIsNotRepeated(t *testing.T) {
+	r := newTestRelay(t)
+	reconfigure := func(cfg Config) {
+		r.changeConfig(configChange{config: cfg.Config})
+	}
+	reconfigure(withPaymentClass(r.cfg))
+	submission := func() *submitEvent {
+		s := newSubmission("m1", 7, 9*time.Second)
+		s.message.ClassName = "pay"
+		return s
+	}
+	first := submission()
+	submitAll(r, first)
+	r.step([]event{cancelEvent{first.message.ID}})
+	cfg := withPaymentClass(r.cfg)
+	cfg.Settings.Classes[paymentClass].Effect = policy.Idempotent
+	reconfigure(cfg)
+	answer := submitAll(r, submission())[0]
+	if answer.Status != http.StatusInternalServerError || len(r.activeCalls) != 1 {
+		t.Errorf("answer %+v with %d calls, want status 500 and the first call alone", answer, len(r.activeCalls))
+	}
+}
+
+// A reload moves the class of an open non-idempotent message to another place of the list. The message is still sent as
+// one that must not run twice.
+func TestReorderedClassesKeepTheEffectOfOpenMessages(t *testing.T) {
+	r := newTestRelay(t)
+	r.changeConfig(configChange{config: withPaymentClass(r.cfg).Config})
+	waiting := newSubmission("m1", 99, 9*time.Second)
+	waiting.message.ClassName = "pay"
+	r.listReceived = false
+	submitAll(r, waiting)
+	cfg := withPaymentClass(r.cfg)
+	slices.Reverse(cfg.ClassNames)
+	slices.Reverse(cfg.Settings.Classes)
+	r.changeConfig(configChange{config: cfg.Config})
+	send := policy.Action{Kind: policy.Send, Endpoint: "s-1", TimeoutAt: time.Minute}
+	if calls := r.addToCalls(nil, r.messages[waiting.message.ID], &send); !calls[0].OnceOnly {
+		t.Error("the call may end with an answer that does not prove whether the message ran")
+	}
+}
