Attempts keep their zone across a restart with other zones

A next process with the zones in another order took the attempt for one of another zone, and was free to repeat a keyed message where nobody recognizes the repeat.

Change: an attempt names its zone; the next process looks the name up. A zone that it does not have, or that an earlier program did not name, is no zone, so the message is repeated nowhere if only one zone drops repeats. The name extends the field of the endpoint, as the terms extend that of the class, so earlier programs read it.

Measured: TestReorderedZonesKeepTheZoneOfAnAttempt fails without the look-up for zones reordered, inserted and dropped ("zone 0", want 1, 1, -1) and passes with it.

--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -133,7 +133,12 @@
 		in := newSubmission("m1", destination, 5*time.Second)
 		submitAll(r, in)
 		m := r.messages[in.message.ID]
-		sent := journal.Attempt{Number: 0, Endpoint: "s-8", Zone: 1, SentAt: time.Now().Add(-time.Second).Round(0)}
+		sent := journal.Attempt{
+			Endpoint: "s-8",
+			Zone:     1,
+			ZoneName: "b",
+			SentAt:   time.Now().Add(-time.Second).Round(0),
+		}
 		if err := r.journal.RecordSends(journal.Send{Message: m.Message, Attempt: sent}); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -212,7 +212,7 @@
 		Destination:       7,
 		Deadline:          time.Now().Add(10 * time.Second),
 		Attempts:          1,
-		UncertainAttempts: []journal.Attempt{{Endpoint: "s-1", SentAt: ends.Add(-window)}},
+		UncertainAttempts: []journal.Attempt{{Endpoint: "s-1", ZoneName: "a", SentAt: ends.Add(-window)}},
 	}
 	if err := r.journal.Accept(m); err != nil {
 		t.Fatal(err)
--- a/internal/relay/execute.go
+++ b/internal/relay/execute.go
@@ -100,7 +100,13 @@
 	var sends []journal.Send
 	for _, c := range calls {
 		for _, a := range c.attempts {
-			sent := journal.Attempt{Number: a.number, Endpoint: c.EndpointID, Zone: c.zone, SentAt: c.SentAt}
+			sent := journal.Attempt{
+				Number:   a.number,
+				Endpoint: c.EndpointID,
+				Zone:     c.zone,
+				ZoneName: r.zoneName(c.zone),
+				SentAt:   c.SentAt,
+			}
 			sends = append(sends, journal.Send{Message: a.message.Message, Attempt: sent})
 		}
 	}
--- a/internal/relay/recoveredterms_test.go
+++ b/internal/relay/recoveredterms_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/relay/discovery"
 	"cherrytrestle.example/cherrytrestle/internal/state/journal"
 	"cherrytrestle.example/cherrytrestle/policy"
 )
@@ -188,3 +189,31 @@
 		t.Error("the call may end with an answer that does not prove whether the message ran")
 	}
 }
+
+// A configuration with the zones in another order must not move an attempt that may have run to another zone: only the
+// endpoints of the zone that it was sent to recognize a repeat.
+func TestReorderedZonesKeepTheZoneOfAnAttempt(t *testing.T) {
+	for name, zones := range map[string][]string{
+		"unchanged": {"a", "b"},
+		"reordered": {"b", "a"},
+		"inserted":  {"c", "a", "b"},
+		"dropped":   {"c", "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			old := newTestRelay(t)
+			submitAll(old, newSubmission("m1", 7, 9*time.Second))
+			if len(old.activeCalls) != 1 {
+				t.Fatalf("%d calls in flight, want 1", len(old.activeCalls))
+			}
+			cfg := old.cfg
+			cfg.Zones = zones
+			cfg.Known = discovery.List{}
+			r := restartWith(t, old, cfg)
+			recovered := r.recoveredEvent(r.messagesByTrace["m1"]).Recovered
+			want := slices.Index(zones, "a") // the zone of endpoint s-1
+			if !recovered.MayHaveRun || recovered.FirstRunZone != want {
+				t.Errorf("recovered as %+v, want zone %d", recovered, want)
+			}
+		})
+	}
+}
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/metrics"
@@ -16,6 +17,8 @@
 	// unknownRunAge is the assumed age of an attempt whose time is unknown. It is longer than the usual deduplication
 	// windows, so that the message is not sent again on the assumption that the endpoint drops duplicates.
 	unknownRunAge = 24 * time.Hour
+	// unknownZone is the index of a zone that the configuration does not have. No endpoint is in it.
+	unknownZone = -1
 )
 
 // recoverState passes the endpoint list of the configuration, and what an earlier process left in the journal, to the
@@ -71,7 +74,7 @@
 // recoverMessage restores the state of a message that an earlier process accepted. If the message is not completed, the
 // caller passes it to the policy.
 func (r *Relay) recoverMessage(record *journal.Message) *message {
-	r.resolveClassIndex(record)
+	r.resolveIndexes(record)
 	if record.Uncertain && r.effectOf(record) == policy.Idempotent {
 		record.Uncertain = false // the message may run any number of times
 	}
@@ -99,6 +102,26 @@
 	return m
 }
 
+// resolveIndexes sets the indexes in a message that an earlier process wrote to those of this process's configuration.
+func (r *Relay) resolveIndexes(record *journal.Message) {
+	r.resolveClassIndex(record)
+	for i := range record.UncertainAttempts {
+		attempt := &record.UncertainAttempts[i]
+		attempt.Zone = unknownZone
+		if attempt.ZoneName != "" {
+			attempt.Zone = slices.Index(r.cfg.Zones, attempt.ZoneName)
+		}
+	}
+}
+
+// zoneName returns the name of a zone, or "" if the configuration has no zone with that index.
+func (r *Relay) zoneName(zone int) string {
+	if zone < 0 || zone >= len(r.cfg.Zones) {
+		return ""
+	}
+	return r.cfg.Zones[zone]
+}
+
 // recoveredEvent returns the policy's event for a message that may have had attempts before, in an earlier process or
 // until it was cancelled.
 func (r *Relay) recoveredEvent(m *message) policy.Event {
--- a/internal/relay/recovery_test.go
+++ b/internal/relay/recovery_test.go
@@ -75,7 +75,7 @@
 			Destination:       7,
 			Deadline:          acceptedAt.Add(10 * time.Second),
 			Attempts:          1,
-			UncertainAttempts: []journal.Attempt{{Endpoint: "s-1", SentAt: acceptedAt}},
+			UncertainAttempts: []journal.Attempt{{Endpoint: "s-1", ZoneName: "a", SentAt: acceptedAt}},
 		}
 		untried := &journal.Message{
 			ID:             2,
@@ -151,7 +151,7 @@
 			if err := r.journal.Accept(m); err != nil {
 				t.Fatal(err)
 			}
-			attempt := journal.Attempt{Endpoint: "s-1", SentAt: ended.Wall.Add(-sent)}
+			attempt := journal.Attempt{Endpoint: "s-1", ZoneName: "a", SentAt: ended.Wall.Add(-sent)}
 			if err := r.journal.RecordSends(journal.Send{Message: m, Attempt: attempt}); err != nil {
 				t.Fatal(err)
 			}
@@ -197,7 +197,7 @@
 		if err := r.journal.Accept(m); err != nil {
 			t.Fatal(err)
 		}
-		attempt := journal.Attempt{Endpoint: "s-1", SentAt: ended.Wall.Add(time.Second)}
+		attempt := journal.Attempt{Endpoint: "s-1", ZoneName: "a", SentAt: ended.Wall.Add(time.Second)}
 		if err := r.journal.RecordSends(journal.Send{Message: m, Attempt: attempt}); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -70,7 +70,7 @@
 		if err == nil {
 			messages++
 			if sent && messages%2 == 0 {
-				attempt := journal.Attempt{Endpoint: "s-1", SentAt: time.Now()}
+				attempt := journal.Attempt{Endpoint: "s-1", ZoneName: "a", SentAt: time.Now()}
 				err = j.RecordSends(journal.Send{Message: m, Attempt: attempt})
 			}
 		}
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -178,7 +178,7 @@
 // restoreMessage restores a message of the journal. It must be called in the order in which messages were accepted, so
 // that messagesByTrace has the latest message of each trace id.
 func (r *Relay) restoreMessage(recovered *journal.Message, state *hotrestart.Message) {
-	r.resolveClassIndex(recovered)
+	r.resolveIndexes(recovered)
 	m := &message{
 		Message:         recovered,
 		attemptsStarted: state.AttemptsStarted,
--- a/internal/state/journal/encoding.go
+++ b/internal/state/journal/encoding.go
@@ -52,7 +52,7 @@
 // appendAttempt appends the encoding of an attempt. The epoch of an undated attempt is encoded as 0.
 func appendAttempt(b []byte, a *Attempt, timeline clock.Timeline) []byte {
 	b = appendVarint(b, int64(a.Number))
-	b = appendString(b, a.Endpoint)
+	b = appendEndpoint(b, a)
 	b = appendVarint(b, int64(a.Zone))
 	b = appendVarint(b, timeline.Stamp(a.SentAt))
 	if a.Undated {
@@ -61,6 +61,27 @@
 	return appendVarint(b, timeline.Epoch)
 }
 
+// appendEndpoint appends the id of an attempt's endpoint, extended by the name of its zone if that is known.
+func appendEndpoint(b []byte, a *Attempt) []byte {
+	if a.ZoneName == "" {
+		return appendString(b, a.Endpoint)
+	}
+	return appendExtended(b, a.Endpoint, appendString(nil, a.ZoneName))
+}
+
+// readEndpoint reads the id of an attempt's endpoint, and the name of its zone if that is known.
+func (r *reader) readEndpoint() (endpoint, zoneName string) {
+	endpoint, fields, extended := r.readExtended()
+	if !extended {
+		return endpoint, ""
+	}
+	zoneName = fields.readString()
+	if fields.failed {
+		r.fail()
+	}
+	return endpoint, zoneName
+}
+
 func appendFinal(b []byte, answer *FinalAnswer) []byte {
 	retryable := int64(0)
 	if answer.Retryable {
@@ -133,12 +154,10 @@
 
 // readAttempt reads an attempt. It is marked as undated unless its epoch is known and is the current epoch.
 func (r *reader) readAttempt() Attempt {
-	a := Attempt{
-		Number:   int(r.readInt()),
-		Endpoint: r.readString(),
-		Zone:     int(r.readInt()),
-		SentAt:   r.readTime(),
-	}
+	a := Attempt{Number: int(r.readInt())}
+	a.Endpoint, a.ZoneName = r.readEndpoint()
+	a.Zone = int(r.readInt())
+	a.SentAt = r.readTime()
 	epoch := r.readInt()
 	a.Undated = epoch == 0 || epoch != r.timeline.Epoch
 	return a
--- a/internal/state/journal/golden_test.go
+++ b/internal/state/journal/golden_test.go
@@ -58,6 +58,7 @@
 		Number:   n,
 		Endpoint: fmt.Sprint("s-", n),
 		Zone:     1,
+		ZoneName: "b",
 		SentAt:   goldenStart.Add(time.Duration(n) * time.Second),
 	}
 }
@@ -143,12 +144,16 @@
 	checkGolden(t, goldenState, want)
 }
 
-// This build reads all of the golden journal of an earlier build. The terms of its messages are unknown.
+// This build reads all of the golden journal of an earlier build. The terms of its messages and the names
+// of the zones of their attempts are unknown.
 func TestGoldenJournalWithoutTerms(t *testing.T) {
 	golden.Check(t, false, "values.txt", dump(t, goldenCopy(t, goldenTermlessState)))
 	want := writeGolden(t, t.TempDir())
 	for _, m := range want {
 		m.Terms = nil
+		for i := range m.UncertainAttempts {
+			m.UncertainAttempts[i].ZoneName = ""
+		}
 	}
 	checkGolden(t, goldenTermlessState, want)
 }
--- a/internal/state/journal/message.go
+++ b/internal/state/journal/message.go
@@ -44,9 +44,12 @@
 
 // Attempt is one attempt to deliver a message.
 type Attempt struct {
-	Number   int       `json:"N"` // counts from 0 within a message
-	Endpoint string    `json:"Host"`
+	Number   int    `json:"N"` // counts from 0 within a message
+	Endpoint string `json:"Host"`
+	// Zone is the index of the endpoint's zone in the configuration of the process that made the attempt. ZoneName
+	// identifies the zone in any other process. It is "" if it is unknown, since earlier programs did not store it.
 	Zone     int       `json:"Zone"`
+	ZoneName string    `json:"ZoneName,omitempty"`
 	SentAt   time.Time `json:"At"`
 	// Undated reports that the machine was rebooted after the attempt, or that this cannot be determined. SentAt then
 	// depends on the wall clock alone, which may have been set in the meantime.
