Reload: the transition keeps a limit on attempts that one side lacks

Cause: Transitional took the lower of the two numbers of attempts only if both were set. From a limit of 3 to no limit, messages of clients that still use the old settings had no limit (a restart and an upgrade may bring this; SIGHUP turns it down).

Change: policy.StricterMaxAttempts, for which 0 is no limit. The property test draws 0, too, and failed before the change ("transitional allows more attempts than config").

--- a/internal/config/reload/reload.go
+++ b/internal/config/reload/reload.go
@@ -48,10 +48,7 @@
 		class := &config.Settings.Classes[slices.Index(config.ClassNames, name)]
 		*class = policy.StricterClass(old.Settings.Classes[i], *class)
 	}
-	oldAttempts, freshAttempts := old.Settings.MaxAttempts, fresh.Settings.MaxAttempts
-	if oldAttempts > 0 && freshAttempts > 0 {
-		config.Settings.MaxAttempts = min(oldAttempts, freshAttempts)
-	}
+	config.Settings.MaxAttempts = policy.StricterMaxAttempts(old.Settings.MaxAttempts, fresh.Settings.MaxAttempts)
 	return config
 }
 
--- a/internal/config/reload/reload_test.go
+++ b/internal/config/reload/reload_test.go
@@ -1,6 +1,7 @@
 package reload
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -11,7 +12,7 @@
 )
 
 func drawConfig(t *rapid.T, label string) Config {
-	config := Config{Settings: policy.Settings{MaxAttempts: rapid.IntRange(1, 9).Draw(t, label+" attempts")}}
+	config := Config{Settings: policy.Settings{MaxAttempts: rapid.IntRange(0, 9).Draw(t, label+" attempts")}}
 	names := rapid.SampledFrom([]string{"a", "b", "c", "d"})
 	for _, name := range rapid.SliceOfNDistinct(names, 1, 4, rapid.ID).Draw(t, label) {
 		config.ClassNames = append(config.ClassNames, name)
@@ -61,7 +62,7 @@
 
 // checkStricter fails if transitional allows something that config forbids, or lacks a class of config.
 func checkStricter(t *rapid.T, transitional, config Config) {
-	if transitional.Settings.MaxAttempts > config.Settings.MaxAttempts {
+	if attemptLimit(transitional) > attemptLimit(config) {
 		t.Fatal("transitional allows more attempts than config")
 	}
 	for i, name := range config.ClassNames {
@@ -76,6 +77,14 @@
 	}
 }
 
+// attemptLimit returns the maximum number of attempts of a message. The setting 0 means that there is no limit.
+func attemptLimit(config Config) int {
+	if config.Settings.MaxAttempts == 0 {
+		return math.MaxInt
+	}
+	return config.Settings.MaxAttempts
+}
+
 func checkStricterClass(t *rapid.T, transitional, class policy.Class) {
 	if class.Ordered && !transitional.Ordered || transitional.Deadline < class.Deadline {
 		t.Fatalf("%+v does not keep the order or the deadline of %+v", transitional, class)
