--- a/internal/relay/recoveredterms_test.go
+++ b/internal/relay/recoveredterms_test.go
@@ -217,3 +217,23 @@
 		})
 	}
 }
+
+// Two reloads arrive before the loop has applied the first of them. Clients may still use the first one, so its rules
+// bind, too.
+func TestReloadsInARowKeepTheStrictestRules(t *testing.T) {
+	r := newTestRelay(t)
+	strict := r.cfg
+	strict.Settings.Classes = slices.Clone(strict.Settings.Classes)
+	strict.Settings.Classes[0].Effect = policy.NonIdempotent
+	for _, cfg := range []Config{strict, r.cfg} {
+		if err := r.Reload(cfg, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for len(r.events) > 0 {
+		nextEvent(t, r)
+	}
+	if effect := r.activeTerms[0].Class.Effect; effect != policy.NonIdempotent {
+		t.Errorf("a new message is %v, want %v", effect, policy.NonIdempotent)
+	}
+}
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -46,9 +46,11 @@
 	if reload.Equal(r.latestConfig, cfg.Config) {
 		return nil
 	}
+	// The loop may not have applied the latest configuration yet, of which clients may use either.
+	from := reload.Transitional(*r.clientConfig.Load(), r.latestConfig)
 	r.latestGeneration++
 	r.latestConfig = cfg.Config
-	r.scheduleConfig(*r.clientConfig.Load(), cfg.Config, r.latestGeneration)
+	r.scheduleConfig(from, cfg.Config, r.latestGeneration)
 	return nil
 }
 
