--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -34,7 +34,7 @@
 		"hotrestart.maxPathLength", "relay.maxTick",
 		"relay.eventQueueSize", "relay.maxBatchEvents", "egress.recheckAfter", "relay.clockTolerance",
 		"relay.initialClock", "egress.capacityRetryInterval", "notify.minRetryDelay", "notify.maxRetryDelay",
-		"relay.configOverlap", "relay.removedClassGrace", "relay.metricsTimeout", "relay.healthSaveInterval",
+		"relay.configOverlap", "relay.removedClassGrace", "relay.metricsTimeout", "relay.healthSaveInterval", "relay.rulesSaveRetryInterval",
 		"relay.healthSaveCostRatio", "relay.reservedDiskBytes", "relay.reservedDescriptors",
 		"relay.minEndpointConns", "relay.journalLockTimeout", "relay.journalLockRetryInterval",
 		"ingress.newConnGrace", "ingress.acceptRetryDelay", "ingress.surplusIdleTime", "relay.maxFinishedMessages",
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -29,6 +29,7 @@
 	journal        *journal.Journal
 	recovery       *journal.Recovery // what the journal held at the start; nil once it is restored
 	health         healthState
+	rules          rulesState
 	timerAt        time.Time      // the policy's timer: when the next step is due at the latest; zero: none is set
 	deferredEvents []policy.Event // for the policy's next step
 	current        stepState      // state of the step in progress
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -26,6 +26,8 @@
 func (r *Relay) recoverState() {
 	found := r.recovery
 	r.recovery = nil
+	r.continueFromRules(found.Rules)
+	r.saveRules()
 	var events []policy.Event
 	if len(r.cfg.Known.Entries) > 0 {
 		known := r.cfg.Known
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -58,6 +58,11 @@
 // for clients that use either of the two, then the new one with the classes that it removes, and last the new one.
 func (r *Relay) scheduleConfig(from, to reload.Config, generation int) {
 	r.post(configChange{reload.Transitional(from, to), generation})
+	r.scheduleEndOfTransition(from, to, generation)
+}
+
+// scheduleEndOfTransition schedules the second and the third stage of scheduleConfig.
+func (r *Relay) scheduleEndOfTransition(from, to reload.Config, generation int) {
 	withRemoved := reload.KeepRemovedClasses(from, to)
 	time.AfterFunc(configOverlap, func() { r.post(configChange{withRemoved, generation}) })
 	time.AfterFunc(configOverlap+removedClassGrace, func() { r.post(configChange{to, generation}) })
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -49,6 +49,7 @@
 	r.expire()
 	r.decideAndExecute(now, s)
 	r.saveEndpointHealth()
+	r.saveRules()
 	r.answerRequests(s)
 	s.reset()
 	r.closeWhenDrained()
--- a/internal/state/journal/encoding.go
+++ b/internal/state/journal/encoding.go
@@ -21,6 +21,7 @@
 	messageVersion = 1
 	healthVersion  = 0x81 // endpoint health, as passed to Journal.SaveEndpointHealth
 	anchorVersion  = 0x82 // anchor of the timeline (clock.Anchor)
+	rulesVersion   = 0x83 // rules for new messages, as passed to Journal.SaveRules
 )
 
 // deltaKind is the first byte of a delta and identifies the change to the message.
--- a/internal/state/journal/golden_test.go
+++ b/internal/state/journal/golden_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/config/reload"
 	"cherrytrestle.example/cherrytrestle/internal/state/bootclock"
 	"cherrytrestle.example/cherrytrestle/internal/state/clock"
 	"cherrytrestle.example/cherrytrestle/internal/state/endpointhealth"
@@ -38,6 +39,19 @@
 	return clock.Anchor{BootID: "golden-boot", Uptime: time.Minute, Stamp: goldenStart.UnixNano(), Epoch: 1}
 }
 
+// goldenRules returns the rules for new messages in the golden journal.
+func goldenRules(t *testing.T) []byte {
+	t.Helper()
+	rules := reload.Rules{
+		ClassNames:  []string{"orders"},
+		Classes:     []policy.Class{termsOfOrders().Class},
+		MaxAttempts: termsOfOrders().MaxAttempts,
+	}
+	data, err := rules.Encode()
+	must(t, err)
+	return data
+}
+
 // goldenHealth returns the endpoint health in the golden journal.
 func goldenHealth() []byte {
 	return endpointhealth.Encode([]endpointhealth.Record{
@@ -88,6 +102,7 @@
 	j.Remove(removed)
 	must(t, j.Flush())
 	must(t, j.SaveEndpointHealth(goldenHealth()))
+	must(t, j.SaveRules(goldenRules(t)))
 	must(t, j.Close())
 	return []*Message{untried, sent, cancelled, deferred, failed, attempted, undated}
 }
@@ -141,7 +156,10 @@
 	}
 	golden.Check(t, *update, "values-terms.txt", dump(t, written))
 	golden.Check(t, false, "values-terms.txt", dump(t, goldenCopy(t, goldenState)))
-	checkGolden(t, goldenState, want)
+	recovery := checkGolden(t, goldenState, want)
+	if !bytes.Equal(recovery.Rules, goldenRules(t)) {
+		t.Errorf("rules %s, want %s", recovery.Rules, goldenRules(t))
+	}
 }
 
 // This build reads all of the golden journal of an earlier build. The terms of its messages and the names
@@ -158,8 +176,8 @@
 	checkGolden(t, goldenTermlessState, want)
 }
 
-// checkGolden checks that a golden journal is read in full.
-func checkGolden(t *testing.T, name string, want []*Message) {
+// checkGolden checks that a golden journal is read in full, and returns what was read.
+func checkGolden(t *testing.T, name string, want []*Message) *Recovery {
 	t.Helper()
 	j, recovery := openGolden(t, goldenCopy(t, name), goldenOptions())
 	if !recovery.Intact() || recovery.ClockStep != 0 {
@@ -172,6 +190,7 @@
 	if j.anchor != goldenAnchor() {
 		t.Errorf("anchor %+v, want %+v", j.anchor, goldenAnchor())
 	}
+	return recovery
 }
 
 // The timeline of the golden journal continues without a step even if the wall clock was set while no process ran.
--- a/internal/state/journal/journal.go
+++ b/internal/state/journal/journal.go
@@ -46,10 +46,11 @@
 	scratch   []byte // buffer reused for encoding and for reading values
 	bodyBytes int64  // total size of the bodies in memory
 
-	// healthKeys and anchorKeys are the store keys under which endpoint health and anchors of the timeline are saved.
-	// If there are several, only the value of the last key is used.
+	// healthKeys, anchorKeys and rulesKeys are the store keys under which endpoint health, anchors of the timeline and
+	// rules for new messages are saved. If there are several, only the value of the last key is used.
 	healthKeys []uint64
 	anchorKeys []uint64
+	rulesKeys  []uint64
 
 	timeline      clock.Timeline
 	anchor        clock.Anchor // current anchor; not in the store if there was no space for it
--- a/internal/state/journal/metadata.go
+++ b/internal/state/journal/metadata.go
@@ -18,6 +18,12 @@
 	return j.replace(&j.healthKeys, append([]byte{healthVersion}, data...))
 }
 
+// SaveRules stores the rules for new messages for the next process and replaces those stored before. Pending records
+// are written in the same commit. After ErrFull the rules stored before remain.
+func (j *Journal) SaveRules(data []byte) error {
+	return j.replace(&j.rulesKeys, append([]byte{rulesVersion}, data...))
+}
+
 // saveAnchor stores the current anchor unless the store already holds it. If there is no space, saveAnchor returns no
 // error, and the next process continues the timeline from the previous anchor.
 func (j *Journal) saveAnchor() error {
--- a/internal/state/journal/recovery.go
+++ b/internal/state/journal/recovery.go
@@ -15,6 +15,7 @@
 	Store    *store.Recovery
 	// EndpointHealth is the data of the last successful call of Journal.SaveEndpointHealth.
 	EndpointHealth []byte
+	Rules          []byte // the data of the last successful call of Journal.SaveRules; nil if there was none
 	// Migrated is the number of messages that OpenFolder migrated from a legacy log.
 	Migrated int
 	// ClockStep is the amount by which the wall clock was set since the stored anchor was written, measured against
@@ -66,6 +67,9 @@
 		case anchorVersion:
 			j.anchorKeys = append(j.anchorKeys, key)
 			last = decodeAnchor(value)
+		case rulesVersion:
+			j.rulesKeys = append(j.rulesKeys, key)
+			recovery.Rules = append([]byte(nil), value[1:]...)
 		default:
 			messageKeys = append(messageKeys, key)
 		}
