Keep the terms of messages out of the hand-over's JSON

A predecessor passes on new messages, whose terms the successor sets when it accepts them, and no attempts; pending events hold no recovered message.

--- a/internal/state/journal/message.go
+++ b/internal/state/journal/message.go
@@ -19,8 +19,9 @@
 	// between configurations. It is "" if unknown.
 	ClassName string `json:"Service"`
 	// Terms bind the message until it is complete, whatever the settings of this or of a later process are. They are
-	// nil if they are unknown, since earlier programs did not store them.
-	Terms       *policy.MessageTerms `json:"Terms,omitempty"`
+	// nil if they are unknown, since earlier programs did not store them. They are not part of the JSON form: a
+	// successor sets the terms of a message that its predecessor passes on.
+	Terms       *policy.MessageTerms `json:"-"`
 	Tenant      int                  `json:"Customer"`
 	Destination policy.DestinationID `json:"Dest"`
 	Deadline    time.Time            `json:"Deadline"`
@@ -47,9 +48,10 @@
 	Number   int    `json:"N"` // counts from 0 within a message
 	Endpoint string `json:"Host"`
 	// Zone is the index of the endpoint's zone in the configuration of the process that made the attempt. ZoneName
-	// identifies the zone in any other process. It is "" if it is unknown, since earlier programs did not store it.
+	// identifies the zone in any other process. It is "" if it is unknown, since earlier programs did not store it. It
+	// is not part of the JSON form: messages that are passed on as JSON have no attempts.
 	Zone     int       `json:"Zone"`
-	ZoneName string    `json:"ZoneName,omitempty"`
+	ZoneName string    `json:"-"`
 	SentAt   time.Time `json:"At"`
 	// Undated reports that the machine was rebooted after the attempt, or that this cannot be determined. SentAt then
 	// depends on the wall clock alone, which may have been set in the meantime.
--- a/policy/event.go
+++ b/policy/event.go
@@ -72,8 +72,9 @@
 	SinceFirstRun time.Duration `json:"RanAgo"`   // time since the first attempt that may have run was sent
 	FirstRunZone  int           `json:"RanZone"`  // zone that this attempt was sent to
 	// Terms are those under which the earlier process accepted the message. If they are nil, the terms of the settings
-	// apply: recordings of earlier versions contain none.
-	Terms *MessageTerms `json:"Terms,omitempty"`
+	// apply: recordings of earlier versions contain none. They are not part of the JSON form, in which no recovered
+	// message is passed on.
+	Terms *MessageTerms `json:"-"`
 }
 
 // Event is one observation for an Engine. Which fields hold a value depends on its kind.
