Tests: choose management addresses where no other listener gets the port

Change: management addresses are on a random loopback IP, as the relays' own addresses are, where nobody else asks for a port. The tests check what they checked.

--- a/cmd/cherrytrestle/addresses_test.go
+++ b/cmd/cherrytrestle/addresses_test.go
@@ -31,7 +31,23 @@
 }
 
 // randomLoopbackIP returns a random loopback IP, which other processes on the machine are unlikely to use. On
-// 127.0.0.1 an outgoing connection of another process could be assigned a relay's port while that relay is down.
+// 127.0.0.1 another process could be assigned a relay's port while the relay does not listen on it: for an outgoing
+// connection, or for a listener of a test of another package.
 func randomLoopbackIP() string {
 	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 }
+
+// TestManagementAddressIsFreeUntilTheRelayListens checks that a listener of another process, which the system gives the
+// port of a chosen management address on 127.0.0.1, does not keep the relay from starting.
+func TestManagementAddressIsFreeUntilTheRelayListens(t *testing.T) {
+	platform := newPlatform(t)
+	r := prepareRelay(t, newEndpoint(t, nil).list(singleKind, "ready"), nil)
+	management := r.setManagement()
+	_, port, err := net.SplitHostPort(management)
+	must(t, err)
+	other, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", port))
+	must(t, err)
+	defer closeQuietly(other)
+	r.start(platform)
+	waitReady(t, management)
+}
--- a/cmd/cherrytrestle/backlog_test.go
+++ b/cmd/cherrytrestle/backlog_test.go
@@ -29,7 +29,7 @@
 func testBacklog(t *testing.T, n, destinations int) {
 	values := map[string]float64{}
 	defer func() { scaletest.Record(t, fmt.Sprintf("backlog for %d destinations", destinations), n, values) }()
-	list := destinationEntries(0, destinations, unusedAddr(t, "127.0.0.1"))
+	list := destinationEntries(0, destinations, unusedAddr(t, randomLoopbackIP()))
 	discovery := newDiscoveryServer(t, 1, list)
 	r := prepareRelay(t, list, func(set map[string]any) {
 		setMaxPending(set, n+n/2)
--- a/cmd/cherrytrestle/relayconfig_test.go
+++ b/cmd/cherrytrestle/relayconfig_test.go
@@ -116,7 +116,7 @@
 // listens on the returned address.
 func (r *relayProcess) setManagement() (addr string) {
 	r.t.Helper()
-	addr = unusedAddr(r.t, "127.0.0.1")
+	addr = unusedAddr(r.t, randomLoopbackIP())
 	r.config["management"] = addr
 	r.writeConfig()
 	return addr
