Fakes: record a trickled answer before the junk behind it

The relay, which had the whole answer, heeded it and closed on the junk, and the kit noted a call that the relay gave up and a forbidden repeat.

Change: the answer is recorded with its own last byte, from which on a relay may act on it. TestTrickledAnswerIsRecordedBeforeJunkBehindIt failed before ("recorded after -1 bytes, want 37" and 62) and passes now; TestTrickledAnswerIsRecordedWithItsLastByte gives the length that spoil sets, and asks the same.

--- a/internal/testkit/fake/answerfault.go
+++ b/internal/testkit/fake/answerfault.go
@@ -83,7 +83,9 @@
 	trickled  bool
 	followers []follower
 
-	beforeLastByte func() // called before the last byte of a trickled answer is written; nil: nothing
+	// beforeLastByte is called before the last byte of a trickled answer itself is written, without what follows it in
+	// text: a relay may act on the answer from that byte on. nil: nothing is called.
+	beforeLastByte func()
 }
 
 // spoil draws the faults of an answer.
@@ -161,8 +163,9 @@
 		_, err := io.WriteString(c, s.text)
 		return err == nil
 	}
+	lastByte := min(s.preceding+s.ownLength, len(s.text)) - 1
 	for i := range len(s.text) {
-		if i == len(s.text)-1 && s.beforeLastByte != nil {
+		if i == lastByte && s.beforeLastByte != nil {
 			s.beforeLastByte()
 		}
 		if _, err := io.WriteString(c, s.text[i:i+1]); err != nil {
--- a/internal/testkit/fake/answerfault_test.go
+++ b/internal/testkit/fake/answerfault_test.go
@@ -157,10 +157,44 @@
 	recordedAt := -1
 	conn := &endpointConn{Conn: counter}
 	record := func() { recordedAt = counter.written }
-	if !conn.write(spoiltAnswer{text: okAnswer, trickled: true, beforeLastByte: record}) {
+	spoilt := spoiltAnswer{text: okAnswer, ownLength: len(okAnswer), trickled: true, beforeLastByte: record}
+	if !conn.write(spoilt) {
 		t.Error("not written")
 	}
 	if recordedAt != len(okAnswer)-1 || counter.written != len(okAnswer) {
 		t.Errorf("recorded after %d bytes of %d", recordedAt, counter.written)
 	}
 }
+
+// closedAfter is a connection that its peer closes after it has received a number of bytes.
+type closedAfter struct {
+	byteCounter
+	limit int
+}
+
+func (c *closedAfter) Write(b []byte) (int, error) {
+	if c.written+len(b) > c.limit {
+		return 0, net.ErrClosed
+	}
+	return c.byteCounter.Write(b)
+}
+
+// A relay has the whole of a trickled answer, acts on it, and closes the connection at the junk behind it. The answer is
+// recorded, since the relay knows its Retry-After and the call's end.
+func TestTrickledAnswerIsRecordedBeforeJunkBehindIt(t *testing.T) {
+	for _, preceding := range []string{"", informationalText} {
+		peer := &closedAfter{limit: len(preceding) + len(okAnswer)}
+		recordedAt := -1
+		conn := &endpointConn{Conn: peer}
+		written := conn.write(spoiltAnswer{
+			preceding:      len(preceding),
+			ownLength:      len(okAnswer),
+			text:           preceding + okAnswer + junkText,
+			trickled:       true,
+			beforeLastByte: func() { recordedAt = peer.written },
+		})
+		if written || recordedAt != peer.limit-1 {
+			t.Errorf("all written: %t, recorded after %d bytes, want %d", written, recordedAt, peer.limit-1)
+		}
+	}
+}
--- a/internal/testkit/fake/endpointconn.go
+++ b/internal/testkit/fake/endpointconn.go
@@ -195,7 +195,7 @@
 	return c.send(spoilt) && !received.closing
 }
 
-// sendTrickled writes an answer byte by byte, and records it with its last byte. If the relay ends the connection
+// sendTrickled writes an answer byte by byte, and records it with its own last byte. If the relay ends the connection
 // before, the call has no answer. It reports whether the connection can carry further calls.
 func (c *endpointConn) sendTrickled(spoilt spoiltAnswer, received call, answer answer) bool {
 	recorded := false
