--- a/internal/config/reload/rules.go
+++ b/internal/config/reload/rules.go
@@ -8,8 +8,8 @@
 	"cherrytrestle.example/cherrytrestle/policy"
 )
 
-// Rules are the part of a configuration that binds new messages: their classes and the number of their attempts. A relay
-// stores them for its next process, so the JSON tags must not change.
+// Rules are the part of a configuration that binds new messages: their classes and the number of their attempts. A
+// relay stores them for its next process, so the JSON tags must not change.
 type Rules struct {
 	ClassNames  []string       `json:"Names"`
 	Classes     []policy.Class `json:"Classes"` // in the order of ClassNames
--- a/internal/relay/rules.go
+++ b/internal/relay/rules.go
@@ -16,8 +16,9 @@
 	nextSave time.Time    // the earliest time of the next save
 }
 
-// continueFromRules begins the transition from the rules of an earlier process to those of this process's configuration,
-// if they differ. data is what the earlier process saved; it is empty if there was none or if it was an earlier version.
+// continueFromRules begins the transition from the rules of an earlier process to those of this process's
+// configuration, if they differ. data is what the earlier process saved; it is empty if there was none or if it was of
+// an earlier version.
 func (r *Relay) continueFromRules(data []byte) {
 	if len(data) == 0 {
 		return
