--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -34,9 +34,7 @@
 		known.Full = true
 		events = append(events, r.applyList(known)...)
 	}
-	health := endpointhealth.Decode(found.EndpointHealth)
-	now := r.journal.Stamp(time.Now())
-	events = append(events, endpointhealth.Events(health, now, r.activeConfig.Settings.WarmUpDuration)...)
+	events = append(events, r.recoveredHealth(found)...)
 	for _, record := range found.Messages {
 		if m := r.recoverMessage(record); !m.completed {
 			events = append(events, r.recoveredEvent(m))
@@ -50,6 +48,13 @@
 	r.execute(r.decide(r.now(), events), nil)
 }
 
+// recoveredHealth returns the events that restore the endpoint health of an earlier process in a new engine.
+func (r *Relay) recoveredHealth(found *journal.Recovery) []policy.Event {
+	health := endpointhealth.Decode(found.EndpointHealth)
+	now := r.journal.Stamp(time.Now())
+	return endpointhealth.Events(health, now, r.activeConfig.Settings.WarmUpDuration)
+}
+
 // logRecovery logs what was recovered. Of the messages that may have run it logs which effect the rules for repeats
 // assume, and at level debug each of these messages.
 func (r *Relay) logRecovery(found *journal.Recovery) {
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -24,12 +24,14 @@
 	r.recorder = newRecording(cfg, r.log, r.logOut, r.started, r.engine, now)
 	r.sharedRecorder.Store(r.recorder)
 	snapshot := r.restoreEndpoints(s)
+	health := r.recoveredHealth(r.recovery)
 	r.restoreMessages(s)
 	r.restoreAttempts(s)
 	r.restoreWorkingSet(s)
 	events := s.PendingEvents
 	if !restored {
-		events = r.recoverMessages([]policy.Event{snapshot})
+		r.continueFrom(s.Config)
+		events = r.recoverMessages(append([]policy.Event{snapshot}, health...))
 	}
 	r.restoreFleet(snapshot)
 	r.log.Info("state of the predecessor taken over",
