A take-over by a process with other zones or kinds does not mix up indexes

A successor whose settings have them in another order took an endpoint for one of another zone, and with the next list moved it there, so that a keyed message could be repeated in the zone where nobody recognizes the repeat.

Change: the successor compares the handed-over endpoints with those of its own configuration, where zones and kinds have names.

--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -18,6 +18,10 @@
 func (r *Relay) restoreState(s *hotrestart.State) {
 	now := s.Now + max(0, time.Since(s.At))
 	r.started = time.Now().Add(-now)
+	if !r.hasIndexesOf(s) {
+		r.log.Warn("the predecessor has other zones or kinds, continuing from the journal")
+		r.discardIndexes(s)
+	}
 	restored := r.restorePolicy(s)
 	cfg := r.cfg
 	cfg.Settings = r.activeConfig.Settings
