Messages keep their tenant across a restart, upgrade or reload with other tenants

A process whose settings have the tenants in another order charged its quota with the messages of another tenant.

Messages that a predecessor passes on are looked up in the tenants of the configuration that it handed over; the frames stay as they are. A message of an earlier folder has no tenant that is known, and is charged to nobody.

Measured: TestReorderedTenantsKeepTheTenantOfAMessage fails without the look-up ("recovered with tenant 1, want 0" and -1) and passes with it, as does TestTenantIsResolvedAtAcceptance. The frames' golden files are untouched.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -60,7 +60,7 @@
 	return waiting
 }
 
-// resolveClass sets the class index and the terms of a new message to those of the configuration in force, because the
+// resolveClass sets the indexes and the terms of a new message to those of the configuration in force, because the
 // configuration may have changed since the client's request was parsed. It returns false if the class no longer exists.
 func (r *Relay) resolveClass(m *journal.Message) bool {
 	r.resolveClassIndex(m)
@@ -68,6 +68,9 @@
 		return false
 	}
 	m.Terms = &r.activeTerms[m.Class]
+	if m.TenantName != "" {
+		m.Tenant = indexOf(r.activeConfig.TenantNames, m.TenantName)
+	}
 	return true
 }
 
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -170,3 +170,18 @@
 	t.Helper()
 	return restartWith(t, old, old.cfg)
 }
+
+// A reload moves the tenant of a message to another place of the list after the client's request was parsed.
+func TestTenantIsResolvedAtAcceptance(t *testing.T) {
+	r := newTestRelay(t)
+	s := newSubmission("m1", 7, 9*time.Second)
+	s.message.Tenant = 1
+	s.message.TenantName = "bolt"
+	cfg := r.cfg
+	cfg.TenantNames = []string{"bolt", "acme"}
+	r.changeConfig(configChange{config: cfg.Config})
+	submitAll(r, s)
+	if s.message.Tenant != 0 {
+		t.Errorf("tenant %d, want 0", s.message.Tenant)
+	}
+}
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -73,7 +73,7 @@
 		"policy.smallFleetSize", "policy.MaxInitialSpread", "policy.pacingDecreaseFactor",
 	},
 	"an identifier or a unit, which no setting could replace": {
-		"relay.watcherStream", "relay.firstInheritedFD", "relay.unknownZone", "relay.bytesPerMiB", "relay.knownKey",
+		"relay.watcherStream", "relay.firstInheritedFD", "relay.unknownIndex", "relay.bytesPerMiB", "relay.knownKey",
 		"relay.statsInAnswers",
 	},
 	"statistics: numbers of deviations, mixing ratios, averaging windows": {
--- a/internal/relay/execute.go
+++ b/internal/relay/execute.go
@@ -104,7 +104,7 @@
 				Number:   a.number,
 				Endpoint: c.EndpointID,
 				Zone:     c.zone,
-				ZoneName: r.zoneName(c.zone),
+				ZoneName: nameAt(r.cfg.Zones, c.zone),
 				SentAt:   c.SentAt,
 			}
 			sends = append(sends, journal.Send{Message: a.message.Message, Attempt: sent})
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -16,6 +16,8 @@
 // successor.
 type hotRestartState struct {
 	predecessor *hotrestart.Conn // nil: this process started without one
+	// predecessorTenants are the names of the tenants to which the messages that the predecessor passes on refer.
+	predecessorTenants []string
 	// stopOwnerTasks cancels the tasks that only the process that owns the journal may run: see startBackground.
 	stopOwnerTasks context.CancelFunc
 
--- a/internal/relay/recoveredterms_test.go
+++ b/internal/relay/recoveredterms_test.go
@@ -237,3 +237,29 @@
 		t.Errorf("a new message is %v, want %v", effect, policy.NonIdempotent)
 	}
 }
+
+// A configuration with the tenants in another order must not charge the quota of one tenant with the messages of
+// another.
+func TestReorderedTenantsKeepTheTenantOfAMessage(t *testing.T) {
+	old := newTestRelay(t)
+	waiting := newSubmission("m1", 99, 9*time.Second)
+	waiting.message.Tenant = 1
+	waiting.message.TenantName = "bolt"
+	old.listReceived = false
+	submitAll(old, waiting)
+	for name, tenants := range map[string][]string{
+		"unchanged": {"acme", "bolt"},
+		"reordered": {"bolt", "acme"},
+		"dropped":   {"acme"},
+	} {
+		cfg := old.cfg
+		cfg.TenantNames = tenants
+		cfg.Settings.Tenants = cfg.Settings.Tenants[:len(tenants)]
+		r := restartWith(t, old, cfg)
+		event := r.recoveredEvent(r.messagesByTrace["m1"])
+		if want := slices.Index(tenants, "bolt"); event.Tenant != want {
+			t.Errorf("%s: recovered with tenant %d, want %d", name, event.Tenant, want)
+		}
+		old = r
+	}
+}
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -17,8 +17,9 @@
 	// unknownRunAge is the assumed age of an attempt whose time is unknown. It is longer than the usual deduplication
 	// windows, so that the message is not sent again on the assumption that the endpoint drops duplicates.
 	unknownRunAge = 24 * time.Hour
-	// unknownZone is the index of a zone that the configuration does not have. No endpoint is in it.
-	unknownZone = -1
+	// unknownIndex is the index of a zone or tenant that the configuration does not have. No endpoint is in that zone,
+	// and no quota is that tenant's.
+	unknownIndex = -1
 )
 
 // recoverState passes the endpoint list of the configuration, and what an earlier process left in the journal, to the
@@ -112,21 +113,28 @@
 // resolveIndexes sets the indexes in a message that an earlier process wrote to those of this process's configuration.
 func (r *Relay) resolveIndexes(record *journal.Message) {
 	r.resolveClassIndex(record)
+	record.Tenant = indexOf(r.activeConfig.TenantNames, record.TenantName)
 	for i := range record.UncertainAttempts {
 		attempt := &record.UncertainAttempts[i]
-		attempt.Zone = unknownZone
-		if attempt.ZoneName != "" {
-			attempt.Zone = slices.Index(r.cfg.Zones, attempt.ZoneName)
-		}
+		attempt.Zone = indexOf(r.cfg.Zones, attempt.ZoneName)
+	}
+}
+
+// indexOf returns the index of a name in a list of the configuration, or unknownIndex if the name is unknown or is not
+// in the list.
+func indexOf(names []string, name string) int {
+	if name == "" {
+		return unknownIndex
 	}
+	return slices.Index(names, name)
 }
 
-// zoneName returns the name of a zone, or "" if the configuration has no zone with that index.
-func (r *Relay) zoneName(zone int) string {
-	if zone < 0 || zone >= len(r.cfg.Zones) {
+// nameAt returns the name at an index of a list of the configuration, or "" if the list has no such index.
+func nameAt(names []string, index int) string {
+	if index < 0 || index >= len(names) {
 		return ""
 	}
-	return r.cfg.Zones[zone]
+	return names[index]
 }
 
 // recoveredEvent returns the policy's event for a message that may have had attempts before, in an earlier process or
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -18,6 +18,7 @@
 func (r *Relay) restoreState(s *hotrestart.State) {
 	now := s.Now + max(0, time.Since(s.At))
 	r.started = time.Now().Add(-now)
+	r.predecessorTenants = s.Config.TenantNames
 	if !r.hasIndexesOf(s) {
 		r.log.Warn("the predecessor has other zones or kinds, continuing from the journal")
 		r.discardIndexes(s)
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -88,6 +88,7 @@
 	if m.Tenant, err = parseTenant(request, config.TenantNames); err != nil {
 		return nil, 0, err
 	}
+	m.TenantName = nameAt(config.TenantNames, m.Tenant)
 	if timeLeft, err = parseTimeLeft(request, class); err != nil {
 		return nil, 0, err
 	}
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -91,6 +91,7 @@
 // predecessor as soon as there is one, without waiting for it. It returns false if the loop has ended.
 func (r *Relay) acceptForPredecessor(submission *hotrestart.Submission) bool {
 	m := submission.Message
+	m.TenantName = nameAt(r.predecessorTenants, m.Tenant)
 	submitted := &submitEvent{message: m, reply: make(chan ingress.Response, 1)}
 	if !r.post(submitted) {
 		return false
--- a/internal/state/journal/encoding.go
+++ b/internal/state/journal/encoding.go
@@ -103,7 +103,7 @@
 	b = appendString(b, m.TraceID)
 	b = appendString(b, m.IdempotencyKey)
 	b = appendString(b, m.OrderingKey)
-	b = appendClass(b, m.ClassName, m.Terms)
+	b = appendClass(b, m)
 	b = appendVarint(b, int64(m.Attempts))
 	b = appendVarint(b, int64(len(m.UncertainAttempts)))
 	for i := range m.UncertainAttempts {
@@ -181,7 +181,7 @@
 		IdempotencyKey: r.readString(),
 		OrderingKey:    r.readString(),
 	}
-	m.ClassName, m.Terms = r.readClass()
+	r.readClass(m)
 	m.Attempts = int(r.readInt())
 	count := r.readInt()
 	if count < 0 || count > int64(len(r.data)) {
--- a/internal/state/journal/golden_test.go
+++ b/internal/state/journal/golden_test.go
@@ -169,6 +169,7 @@
 	want := writeGolden(t, t.TempDir())
 	for _, m := range want {
 		m.Terms = nil
+		m.TenantName = ""
 		for i := range m.UncertainAttempts {
 			m.UncertainAttempts[i].ZoneName = ""
 		}
--- a/internal/state/journal/journal_test.go
+++ b/internal/state/journal/journal_test.go
@@ -41,6 +41,7 @@
 		ClassName:      "orders",
 		Terms:          termsOfOrders(),
 		Tenant:         -1,
+		TenantName:     "acme",
 		Destination:    7,
 		Deadline:       time.Unix(1e9, int64(id)),
 		Body:           []byte(fmt.Sprint("body of ", id)),
--- a/internal/state/journal/message.go
+++ b/internal/state/journal/message.go
@@ -21,8 +21,12 @@
 	// Terms bind the message until it is complete, whatever the settings of this or of a later process are. They are
 	// nil if they are unknown, since earlier programs did not store them. They are not part of the JSON form: a
 	// successor sets the terms of a message that its predecessor passes on.
-	Terms       *policy.MessageTerms `json:"-"`
-	Tenant      int                  `json:"Customer"`
+	Terms  *policy.MessageTerms `json:"-"`
+	Tenant int                  `json:"Customer"`
+	// TenantName identifies the tenant in any other process, as Tenant is an index of a configuration. It is "" if it
+	// is unknown or if there are no tenants. It is not part of the JSON form: a successor knows its predecessor's
+	// tenants.
+	TenantName  string               `json:"-"`
 	Destination policy.DestinationID `json:"Dest"`
 	Deadline    time.Time            `json:"Deadline"`
 	Body        []byte               `json:"Body"` // nil if it is only on disk: see Journal.Body
--- a/internal/state/journal/terms.go
+++ b/internal/state/journal/terms.go
@@ -30,30 +30,37 @@
 	effectShift = 2 // position of the effect, in bits
 )
 
-// maxTermsSize is the size of encoded terms, in bytes: a byte and five varints at most.
-const maxTermsSize = 1 + 5*binary.MaxVarintLen64
+const (
+	// maxTermsSize is the size of encoded terms, in bytes: a byte and five varints at most.
+	maxTermsSize = 1 + 5*binary.MaxVarintLen64
+	// usualNameSize is the space for the name of a tenant, in bytes. Longer names need an allocation.
+	usualNameSize = 64
+)
 
-// appendClass appends the encoding of a message's class: its name, extended by the terms if they are known. A program
-// that does not know of terms finds no class of that name, and applies its strictest rules.
-func appendClass(b []byte, name string, terms *policy.MessageTerms) []byte {
-	if terms == nil {
-		return appendString(b, name)
+// appendClass appends the encoding of a message's class: its name, extended by the terms and the name of the tenant if
+// the terms are known. A program that does not know of terms finds no class of that name, and applies its strictest
+// rules.
+func appendClass(b []byte, m *Message) []byte {
+	if m.Terms == nil {
+		return appendString(b, m.ClassName)
 	}
-	var buf [maxTermsSize]byte
-	return appendExtended(b, name, appendTerms(buf[:0], terms))
+	var buf [maxTermsSize + usualNameSize]byte
+	fields := appendTerms(buf[:0], m.Terms)
+	return appendExtended(b, m.ClassName, appendString(fields, m.TenantName))
 }
 
-// readClass reads the name of a class, and the terms if they are known.
-func (r *reader) readClass() (name string, terms *policy.MessageTerms) {
+// readClass reads the name of a message's class, and the terms and the name of the tenant if they are known.
+func (r *reader) readClass(m *Message) {
 	name, fields, extended := r.readExtended()
+	m.ClassName = name
 	if !extended {
-		return name, nil
+		return
 	}
-	terms = r.shared.share(fields.readTerms())
+	m.Terms = r.shared.share(fields.readTerms())
+	m.TenantName = fields.readString()
 	if fields.failed {
 		r.fail()
 	}
-	return name, terms
 }
 
 // appendTerms appends the encoding of terms: a byte of flags and the effect, and the other fields.
--- a/internal/testkit/fake/answerfault_test.go
+++ b/internal/testkit/fake/answerfault_test.go
@@ -179,8 +179,8 @@
 	return c.byteCounter.Write(b)
 }
 
-// A relay has the whole of a trickled answer, acts on it, and closes the connection at the junk behind it. The answer is
-// recorded, since the relay knows its Retry-After and the call's end.
+// A relay has the whole of a trickled answer, acts on it, and closes the connection at the junk behind it. The answer
+// is recorded, since the relay knows its Retry-After and the call's end.
 func TestTrickledAnswerIsRecordedBeforeJunkBehindIt(t *testing.T) {
 	for _, preceding := range []string{"", informationalText} {
 		peer := &closedAfter{limit: len(preceding) + len(okAnswer)}
