Engine: endpoints of another kind may replace all of a destination

Cause: the shared scope of a destination stays when its endpoints are gone, since it keeps the Retry-After, and scopes were sorted by their first endpoints. Beside it: an endpoint that shares a limit joined the last scope of its destination, also if that was the scope of one endpoint alone.

Change: a scope without endpoints comes last; an endpoint joins the shared scope, or begins one.

Where a destination has one kind, nothing changes.

--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -111,8 +111,9 @@
 	ep := &endpoint{Endpoint: listed, tieBreaker: e.rng.Uint64()}
 	e.endpoints[listed.ID] = ep
 	perEndpoint := e.settings.DestinationKind(listed.Kind).LimitPerEndpoint
-	if perEndpoint || len(dest.scopes) == 0 {
-		scope := &limitScope{
+	scope := dest.sharedScope()
+	if perEndpoint || scope == nil {
+		scope = &limitScope{
 			destination:      dest,
 			perEndpoint:      perEndpoint,
 			kind:             listed.Kind,
@@ -128,11 +129,22 @@
 		dest.scopes = append(dest.scopes, scope)
 	}
 	ep.Relisted = false
-	ep.scope = dest.scopes[len(dest.scopes)-1]
+	ep.scope = scope
 	ep.scope.endpoints = append(ep.scope.endpoints, ep)
 	return dest
 }
 
+// sharedScope returns the scope that all endpoints of the destination without a scope of their own share, or nil if
+// there is none.
+func (dest *destination) sharedScope() *limitScope {
+	for _, scope := range dest.scopes {
+		if !scope.perEndpoint {
+			return scope
+		}
+	}
+	return nil
+}
+
 // removeEndpoint removes an endpoint from the tables. Calls in flight still refer to it until they have their
 // outcomes.
 func (e *Engine) removeEndpoint(ep *endpoint) {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -32,12 +32,19 @@
 		slices.SortFunc(scope.endpoints, e.compareEndpoints)
 	}
 	if len(dest.scopes) > 1 {
-		slices.SortFunc(dest.scopes, func(a, b *limitScope) int {
-			return e.compareEndpoints(a.endpoints[0], b.endpoints[0])
-		})
+		slices.SortFunc(dest.scopes, e.compareScopes)
 	}
 }
 
+// compareScopes compares two scopes of a destination by their first endpoints. A shared scope without endpoints, which
+// keeps its Retry-After, comes last.
+func (e *Engine) compareScopes(a, b *limitScope) int {
+	if len(a.endpoints) == 0 || len(b.endpoints) == 0 {
+		return cmp.Compare(len(b.endpoints), len(a.endpoints))
+	}
+	return e.compareEndpoints(a.endpoints[0], b.endpoints[0])
+}
+
 // compareEndpoints compares two endpoints of a destination by their order of selection.
 func (e *Engine) compareEndpoints(a, b *endpoint) int {
 	switch {
