Tests: one loop reads the requests of a connection

The tests check what they checked. Measured: the tests of nettest, egress and of surplus answers pass.

--- a/cmd/cherrytrestle/surplusanswers_test.go
+++ b/cmd/cherrytrestle/surplusanswers_test.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"cherrytrestle.example/cherrytrestle/internal/testkit/nettest"
 )
 
 // answerCopies configures how often and when an endpoint writes a second copy of an answer.
@@ -109,22 +109,13 @@
 
 // serve answers the requests of the connection one after another.
 func (c *copyingConn) serve() {
-	defer closeQuietly(c)
-	reader := bufio.NewReader(c)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
-		}
+	nettest.ServeRequests(c, func(request *http.Request, body []byte) bool {
 		c.writing.Lock()
 		c.requests++
 		c.writing.Unlock()
 		c.answer(request, body)
-	}
+		return true
+	})
 }
 
 // answer answers a request, and schedules the copy of its answer.
--- a/internal/testkit/nettest/nettest.go
+++ b/internal/testkit/nettest/nettest.go
@@ -128,6 +128,15 @@
 
 // serveRaw serves one connection of a RawServer.
 func serveRaw(conn net.Conn, requests *atomic.Int32, serve func(int, net.Conn, *http.Request) bool) {
+	ServeRequests(conn, func(request *http.Request, body []byte) bool {
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		return serve(int(requests.Add(1)), conn, request)
+	})
+}
+
+// ServeRequests reads the requests of a connection one after another, and passes each to handle with its whole body,
+// until handle returns false or the connection ends. Then it closes the connection.
+func ServeRequests(conn net.Conn, handle func(request *http.Request, body []byte) bool) {
 	defer Close(conn)
 	reader := bufio.NewReader(conn)
 	for {
@@ -136,11 +145,7 @@
 			return
 		}
 		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
-		}
-		request.Body = io.NopCloser(bytes.NewReader(body))
-		if !serve(int(requests.Add(1)), conn, request) {
+		if err != nil || !handle(request, body) {
 			return
 		}
 	}
