Metrics of clients' connections and of the process's memory

Change: gauges of resident, peak and heap memory, cycles of the collector, open connections of clients, and counters of their ends by reason and of rejected requests by status.

--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -37,6 +37,14 @@
 	registry.Attempts.Add("ok", 20)
 	registry.NotificationsSent.Store(21)
 	registry.NotificationRetries.Store(22)
+	registry.ClientConnections.Store(23)
+	registry.ClientConnectionsOpened.Store(24)
+	registry.ClientConnectionsClosed.Add("client", 25)
+	registry.RequestsRejected.Add("400", 26)
+	registry.MemoryResident.Store(27)
+	registry.MemoryPeak.Store(28)
+	registry.HeapBytes.Store(29)
+	registry.GCCycles.Store(30)
 	return registry
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,6 +52,16 @@
 	SurplusReceived   LabeledCounter // times that endpoints sent bytes which belong to no request, by when
 	Attempts          LabeledCounter // attempts that ended, by outcome
 
+	ClientConnections       atomic.Int64   // connections of clients that are open
+	ClientConnectionsOpened atomic.Int64   // connections of clients that were accepted
+	ClientConnectionsClosed LabeledCounter // connections of clients that ended, by reason
+	RequestsRejected        LabeledCounter // responses with a client error, by status
+
+	MemoryResident atomic.Int64 // resident memory of the process, in bytes
+	MemoryPeak     atomic.Int64 // largest resident memory that the process has had, in bytes
+	HeapBytes      atomic.Int64 // memory of objects on the heap, in bytes
+	GCCycles       atomic.Int64 // cycles of the garbage collector
+
 	NotificationsSent   atomic.Int64 // final notifications that the platform confirmed
 	NotificationRetries atomic.Int64 // requests with final notifications that were not confirmed
 
@@ -137,6 +147,14 @@
 	r.Attempts.writeTo(&text, "attempts")
 	writeMetric(&text, "notifications_sent", r.NotificationsSent.Load(), counter)
 	writeMetric(&text, "notification_retries", r.NotificationRetries.Load(), counter)
+	writeMetric(&text, "client_connections", r.ClientConnections.Load(), gauge)
+	writeMetric(&text, "client_connections_opened", r.ClientConnectionsOpened.Load(), counter)
+	r.ClientConnectionsClosed.writeTo(&text, "client_connections_closed")
+	r.RequestsRejected.writeTo(&text, "requests_rejected")
+	writeMetric(&text, "memory_resident", r.MemoryResident.Load(), gauge)
+	writeMetric(&text, "memory_peak", r.MemoryPeak.Load(), gauge)
+	writeMetric(&text, "heap_bytes", r.HeapBytes.Load(), gauge)
+	writeMetric(&text, "gc_cycles", r.GCCycles.Load(), counter)
 	n, err := io.WriteString(w, text.String())
 	return int64(n), err
 }
--- a/internal/relay/ingress/conn.go
+++ b/internal/relay/ingress/conn.go
@@ -25,6 +25,8 @@
 	server *Server
 	stream *netconn.Conn
 
+	endReason CloseReason // why the connection ends after its last response; owned by the connection's goroutine
+
 	// Guarded by the server's mutex.
 	phase      phase
 	phaseSince time.Time
--- a/internal/relay/ingress/exchange.go
+++ b/internal/relay/ingress/exchange.go
@@ -37,18 +37,23 @@
 
 // serveConn serves the requests of a connection until the client or the server closes it.
 func (s *Server) serveConn(c *Conn) {
+	reason := CloseByClient
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.drop(c)
+		s.drop(c, reason)
 	}()
 	deadline := time.Now().Add(requestTimeout)
 	for {
 		if !c.awaitRequest(deadline) || !s.setPhase(c, phaseReading) {
+			if !time.Now().Before(deadline) {
+				reason = CloseSilent
+			}
 			return
 		}
 		c.stream.ExpireReadsAt(requestDeadline(time.Now(), deadline))
 		if !s.serveRequest(c) || !s.setPhase(c, phaseIdle) {
+			reason = c.endReason
 			return
 		}
 		deadline = time.Now().Add(idleTimeout)
@@ -120,6 +125,9 @@
 		}
 	}
 	closing, err := s.writeResponse(c, response, request.Close)
+	if closing && err == nil {
+		c.endReason = CloseByResponse
+	}
 	return err == nil && !closing
 }
 
@@ -140,6 +148,7 @@
 // reject responds to a request that was not read completely, or whose end cannot be determined. It then closes the
 // sending side and discards the remaining input. It always returns false, because the connection must be closed.
 func (s *Server) reject(c *Conn, response Response) bool {
+	c.endReason = CloseRejected
 	if _, err := s.writeResponse(c, response, true); err != nil || !s.setPhase(c, phaseLingering) {
 		return false
 	}
@@ -156,6 +165,7 @@
 // the server closes connections after their next response.
 func (s *Server) writeResponse(c *Conn, response Response, last bool) (closing bool, err error) {
 	if response.isClientError() {
+		s.observer.RequestRejected(response.Status)
 		s.badRequests.Log(s.log, "from", c.stream.RemoteAddr(), "status", response.Status, "text", response.Text)
 	}
 	closing = s.endsAfterResponse() || last
--- a/internal/relay/ingress/server.go
+++ b/internal/relay/ingress/server.go
@@ -35,6 +35,7 @@
 type Config struct {
 	MaxConns int
 	Handler  Handler
+	Observer Observer // nil: none
 	Log      *slog.Logger
 }
 
@@ -42,6 +43,7 @@
 type Server struct {
 	log          *slog.Logger
 	handler      Handler
+	observer     Observer
 	maxConns     int
 	maxKeptConns int // with more connections than this, idle ones are closed early
 
@@ -59,12 +61,16 @@
 	s := &Server{
 		log:          config.Log,
 		handler:      config.Handler,
+		observer:     config.Observer,
 		maxConns:     config.MaxConns,
 		maxKeptConns: config.MaxConns * 3 / 8,
 		conns:        map[*Conn]struct{}{},
 		badRequests:  ratelog.Warning{Message: "bad request"},
 	}
 	s.changed.L = &s.mu
+	if s.observer == nil {
+		s.observer = noObserver{}
+	}
 	return s
 }
 
@@ -84,11 +90,13 @@
 			continue
 		}
 		s.makeRoom(false)
+		s.observer.ConnOpened()
 		c := s.newConn(accepted)
 		if s.add(c) {
 			go s.serveConn(c)
 		} else {
 			c.stream.Discard()
+			s.observer.ConnClosed(CloseNotWanted)
 		}
 	}
 }
@@ -121,7 +129,7 @@
 			continue
 		}
 		if c != nil {
-			s.drop(c)
+			s.drop(c, c.evictionReason(now))
 		} else if !forced {
 			s.changed.Wait()
 		}
@@ -132,7 +140,7 @@
 	if len(s.conns) > s.maxKeptConns {
 		for c := range s.conns {
 			if c.phase == phaseIdle && now.Sub(c.phaseSince) > surplusIdleTime && c.nothingPending() {
-				s.drop(c)
+				s.drop(c, CloseEvictedIdle)
 			}
 		}
 	}
@@ -178,14 +186,26 @@
 	return candidate
 }
 
+// evictionReason returns the reason that the observer gets if the connection is closed to make room.
+func (c *Conn) evictionReason(now time.Time) CloseReason {
+	switch c.evictionRank(now) {
+	case rankSilent:
+		return CloseEvictedSilent
+	case rankIdle:
+		return CloseEvictedIdle
+	}
+	return CloseEvictedPartial
+}
+
 // drop closes a connection and unregisters it. The caller holds s.mu.
-func (s *Server) drop(c *Conn) {
+func (s *Server) drop(c *Conn, reason CloseReason) {
 	if c.dropped {
 		return
 	}
 	c.dropped = true
 	c.stream.Discard()
 	delete(s.conns, c)
+	s.observer.ConnClosed(reason)
 	s.changed.Broadcast()
 }
 
@@ -227,7 +247,7 @@
 	s.keepAliveOff = true
 	for c := range s.conns {
 		if c.phase == phaseIdle && c.nothingPending() {
-			s.drop(c)
+			s.drop(c, CloseNotWanted)
 		}
 	}
 }
@@ -260,7 +280,7 @@
 		late := !time.Now().Before(deadline)
 		for c := range s.conns {
 			if late || c.awaitsRequest() && c.nothingPending() {
-				s.drop(c)
+				s.drop(c, CloseNotWanted)
 			}
 		}
 		if len(s.conns) > 0 {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/memory"
 	"cherrytrestle.example/cherrytrestle/internal/metrics"
 	"cherrytrestle.example/cherrytrestle/internal/state/journal"
 	"cherrytrestle.example/cherrytrestle/policy"
@@ -56,6 +57,7 @@
 // writeMetrics writes the metrics page. Its gauges are up to date if the loop updates them within metricsTimeout.
 func (r *Relay) writeMetrics(w io.Writer) {
 	r.refreshGauges()
+	r.updateMemoryGauges()
 	_, _ = r.metrics.WriteTo(w) // fails only if the client has disconnected
 }
 
@@ -77,3 +79,12 @@
 	case <-timeout.C:
 	}
 }
+
+// updateMemoryGauges sets the gauges of the process's memory.
+func (r *Relay) updateMemoryGauges() {
+	usage := memory.ReadUsage()
+	r.metrics.MemoryResident.Store(usage.Resident)
+	r.metrics.MemoryPeak.Store(usage.Peak)
+	r.metrics.HeapBytes.Store(usage.Heap)
+	r.metrics.GCCycles.Store(usage.GCCycles)
+}
--- a/internal/relay/netconfig.go
+++ b/internal/relay/netconfig.go
@@ -32,6 +32,7 @@
 	return ingress.Config{
 		MaxConns: r.cfg.Limits.Sockets * 9 / 20,
 		Handler:  r.handleRequest,
+		Observer: newClientObserver(&r.metrics),
 		Log:      r.log,
 	}
 }
--- a/internal/relay/observer.go
+++ b/internal/relay/observer.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 
 	"cherrytrestle.example/cherrytrestle/internal/metrics"
 	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
+	"cherrytrestle.example/cherrytrestle/internal/relay/ingress"
 	"cherrytrestle.example/cherrytrestle/internal/state/journal"
 	"cherrytrestle.example/cherrytrestle/policy"
 )
@@ -40,6 +42,34 @@
 	o.metrics.SurplusReceived.Add(when.String(), 1)
 }
 
+// clientObserver counts what happens on connections of clients in the metrics.
+type clientObserver struct{ metrics *metrics.Registry }
+
+// newClientObserver returns an observer whose counters of connections are all in the metrics from the start.
+func newClientObserver(registry *metrics.Registry) clientObserver {
+	for _, reason := range ingress.CloseReasons() {
+		registry.ClientConnectionsClosed.Add(reason, 0)
+	}
+	return clientObserver{registry}
+}
+
+// ConnOpened implements ingress.Observer.
+func (o clientObserver) ConnOpened() {
+	o.metrics.ClientConnectionsOpened.Add(1)
+	o.metrics.ClientConnections.Add(1)
+}
+
+// ConnClosed implements ingress.Observer.
+func (o clientObserver) ConnClosed(reason ingress.CloseReason) {
+	o.metrics.ClientConnections.Add(-1)
+	o.metrics.ClientConnectionsClosed.Add(reason.String(), 1)
+}
+
+// RequestRejected implements ingress.Observer.
+func (o clientObserver) RequestRejected(status int) {
+	o.metrics.RequestsRejected.Add(strconv.Itoa(status), 1)
+}
+
 // debugEnabled reports whether the history of each message is logged.
 func (r *Relay) debugEnabled() bool { return r.log.Enabled(context.Background(), slog.LevelDebug) }
 
