--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -45,6 +45,8 @@
 	registry.MemoryPeak.Store(28)
 	registry.HeapBytes.Store(29)
 	registry.GCCycles.Store(30)
+	registry.MemoryReserved.Set("calls", 31)
+	registry.MemoryRefused.Add("calls", 32)
 	return registry
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -62,6 +62,9 @@
 	HeapBytes      atomic.Int64 // memory of objects on the heap, in bytes
 	GCCycles       atomic.Int64 // cycles of the garbage collector
 
+	MemoryReserved LabeledGauge   // memory that is reserved for what peers send, in bytes, by account
+	MemoryRefused  LabeledCounter // reservations that were refused, by account
+
 	NotificationsSent   atomic.Int64 // final notifications that the platform confirmed
 	NotificationRetries atomic.Int64 // requests with final notifications that were not confirmed
 
@@ -104,6 +107,31 @@
 	}
 }
 
+// LabeledGauge holds levels by a label. The zero value is ready to use. The number of labels must be bounded.
+type LabeledGauge struct {
+	mu     sync.Mutex
+	levels map[string]int64
+}
+
+// Set sets the level of a label.
+func (g *LabeledGauge) Set(label string, level int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.levels == nil {
+		g.levels = map[string]int64{}
+	}
+	g.levels[label] = level
+}
+
+// writeTo writes the levels, ordered by label.
+func (g *LabeledGauge) writeTo(text *strings.Builder, name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, label := range slices.Sorted(maps.Keys(g.levels)) {
+		writeMetric(text, name+"."+label, g.levels[label], gauge)
+	}
+}
+
 // RegisterClass adds the counters of a class, so that WriteTo includes them before the first message of the class ends.
 func (r *Registry) RegisterClass(name string) {
 	r.mu.Lock()
@@ -155,6 +183,8 @@
 	writeMetric(&text, "memory_peak", r.MemoryPeak.Load(), gauge)
 	writeMetric(&text, "heap_bytes", r.HeapBytes.Load(), gauge)
 	writeMetric(&text, "gc_cycles", r.GCCycles.Load(), counter)
+	r.MemoryReserved.writeTo(&text, "memory_reserved")
+	r.MemoryRefused.writeTo(&text, "memory_refused")
 	n, err := io.WriteString(w, text.String())
 	return int64(n), err
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -23,6 +23,14 @@
 router.connections_closed.peer:100|c
 router.notifications_sent:0|c
 router.notification_retries:7|c
+router.client_connections:0|g
+router.client_connections_opened:0|c
+router.memory_resident:0|g
+router.memory_peak:0|g
+router.heap_bytes:0|g
+router.gc_cycles:0|c
+router.memory_reserved.calls:31|g
+router.memory_refused.calls:2|c
 `
 
 // TestWriteTo counts and writes in many goroutines at once, then checks the totals and the order of the lines.
@@ -47,6 +55,8 @@
 	registry.Pending.Store(14)
 	registry.ReloadErrors.Add(1)
 	registry.NotificationRetries.Add(7)
+	registry.MemoryReserved.Set("calls", 31)
+	registry.MemoryRefused.Add("calls", 2)
 	var text strings.Builder
 	if _, err := registry.WriteTo(&text); err != nil {
 		t.Fatal(err)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -60,6 +60,9 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
+// memoryBytes returns the limit of the process's memory, in bytes.
+func (l Limits) memoryBytes() int64 { return int64(l.MemoryMB * (1 << 20)) }
+
 // Defaults for settings that the configuration leaves out.
 const (
 	defaultConnectTimeout = time.Second
--- a/internal/relay/ingress/conn.go
+++ b/internal/relay/ingress/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -25,38 +24,43 @@
 	server *Server
 	stream *netconn.Conn
 
-	endReason CloseReason // why the connection ends after its last response; owned by the connection's goroutine
+	// Owned by the connection's goroutine.
+	endReason   CloseReason // why the connection ends after its last response
+	requestSize int         // memory of the request in progress, in bytes
+	bodyFailed  bool        // the body of the request in progress could not be read
 
 	// Guarded by the server's mutex.
 	phase      phase
 	phaseSince time.Time
 	dropped    bool
+	answered   bool  // a request of this connection was answered; set by its own goroutine
+	reserved   int64 // bytes reserved for the request in progress, beyond smallRequestSize
+	refused    bool  // the request in progress was given up for lack of memory or room, and ends the connection
 }
 
-// ReadBody reads the body of a request, which has a Content-Length or is chunked. ErrorResponse returns the
-// response to an error.
+// ReadBody reads the body of a request, which has a Content-Length or is chunked. Its memory is reserved before it is
+// allocated. ErrorResponse returns the response to an error.
 func (c *Conn) ReadBody(request *http.Request) ([]byte, error) {
-	body, err := readBody(request)
-	if err != nil {
-		return nil, err
+	body, err := netconn.ReadBody(request.Body, request.ContentLength, c.reserve)
+	if err == nil && c.stream.Buffered() > 0 {
+		err = ErrTrailingBytes
 	}
-	if c.stream.Reader.Buffered() > 0 {
-		return nil, ErrTrailingBytes
+	if err != nil {
+		c.bodyFailed = true
+		return nil, c.readError(err)
 	}
 	return body, nil
 }
 
-func readBody(request *http.Request) (body []byte, err error) {
-	if request.ContentLength >= 0 {
-		body = make([]byte, request.ContentLength)
-		_, err = io.ReadFull(request.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(request.Body, netconn.MaxBodySize+1))
-	}
-	if errors.Is(err, netconn.ErrReadBudget) || err == nil && len(body) > netconn.MaxBodySize {
-		return nil, ErrBodyTooLarge
+// readError returns the reason why a request could not be read, if reading it failed with err.
+func (c *Conn) readError(err error) error {
+	switch {
+	case c.server.wasRefused(c):
+		return netconn.ErrNoMemory
+	case errors.Is(err, netconn.ErrReadBudget):
+		return ErrBodyTooLarge
 	}
-	return body, err
+	return err
 }
 
 // BeginHandling records that a request was read completely, and watches the connection until EndHandling. It
@@ -65,6 +69,7 @@
 	if !c.server.setPhase(c, phaseHandling) {
 		return false
 	}
+	c.stream.EndThrottle()
 	c.stream.Watch(nil)
 	return true
 }
--- a/internal/relay/ingress/exchange.go
+++ b/internal/relay/ingress/exchange.go
@@ -40,8 +40,9 @@
 	reason := CloseByClient
 	defer func() {
 		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.drop(c, reason)
+		s.mu.Unlock()
+		s.release(c)
 	}()
 	deadline := time.Now().Add(requestTimeout)
 	for {
@@ -90,37 +91,29 @@
 
 // serveRequest reads a request and writes its response. It returns false if the connection must be closed.
 func (s *Server) serveRequest(c *Conn) bool {
-	c.stream.StartCapture()
-	request, err := http.ReadRequest(c.stream.Reader)
-	header := c.stream.Captured()
-	c.stream.StopCapture()
-	switch {
-	case err != nil:
-		return s.reject(c, ErrorResponse(err))
-	case hasConflictingLengths(request, header):
-		// The two may place the end of the body differently. A request could then be hidden in a body, or a part of
-		// a body be taken for a request.
-		return s.reject(c, BadRequest("both Content-Length and Transfer-Encoding"))
-	case request.ContentLength > netconn.MaxBodySize:
-		return s.reject(c, ErrorResponse(ErrBodyTooLarge))
+	defer s.releaseRequest(c)
+	c.bodyFailed = false
+	if !c.answered {
+		c.stream.BeginThrottle(s.throttle)
 	}
-	c.stream.AllowBytes(netconn.MaxWireSize)
-	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
-		// A write error means that the client has left. Reading the body then fails as well.
-		_, _ = io.WriteString(c.stream.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	defer c.stream.EndThrottle()
+	request, err := c.readHeader()
+	if err != nil {
+		return s.reject(c, c.headerErrorResponse(err))
 	}
-	buffered := int64(c.stream.Reader.Buffered())
-	complete := request.ContentLength >= 0 && request.ContentLength <= buffered
+	c.stream.AllowBytes(netconn.MaxWireSize)
+	c.requestBody(request)
+	complete := request.ContentLength >= 0 && request.ContentLength <= int64(c.stream.Buffered())
 	response := s.handler(c, request)
 	if response.Status == 0 {
 		return false // the client has left, or the server has closed the connection
 	}
-	if response.isClientError() {
-		if complete {
+	if response.isClientError() || c.bodyFailed {
+		if complete && !c.bodyFailed {
 			// The whole body is buffered, so discarding it neither blocks nor fails.
 			_, _ = io.Copy(io.Discard, request.Body)
 		}
-		if !complete || c.stream.Reader.Buffered() > 0 {
+		if !complete || c.bodyFailed || c.stream.Buffered() > 0 {
 			return s.reject(c, response)
 		}
 	}
@@ -131,11 +124,52 @@
 	return err == nil && !closing
 }
 
+// requestBody asks the client to send the body of its request, if the client waits for that.
+func (c *Conn) requestBody(request *http.Request) {
+	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
+		// A write error means that the client has left. Reading the body then fails as well.
+		_, _ = io.WriteString(c.stream.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+}
+
+// headerErrorResponse returns the response to a request whose header could not be read because of err.
+func (c *Conn) headerErrorResponse(err error) Response {
+	if c.server.wasRefused(c) {
+		err = netconn.ErrNoMemory
+	}
+	return ErrorResponse(err)
+}
+
+// readHeader reads the header of a request. Its size, the number of its fields and its memory are checked before it is
+// parsed.
+func (c *Conn) readHeader() (*http.Request, error) {
+	header, err := c.stream.PeekHeader(c.reserve)
+	if err != nil {
+		return nil, err
+	}
+	if !c.reserve(header.ParsedSize()) {
+		return nil, netconn.ErrNoMemory
+	}
+	conflicting := hasConflictingLengths(header.Text) // before the bytes are read, after which they are no longer valid
+	request, err := http.ReadRequest(c.stream.Reader)
+	switch {
+	case err != nil:
+		return nil, err
+	case conflicting:
+		// The two may place the end of the body differently. A request could then be hidden in a body, or a part of
+		// a body be taken for a request.
+		return nil, errConflictingLengths
+	case request.ContentLength > netconn.MaxBodySize:
+		return nil, ErrBodyTooLarge
+	}
+	return request, nil
+}
+
 // hasConflictingLengths reports whether a header has both Content-Length and Transfer-Encoding. Package net/http
-// drops one of the two, so the header is parsed again, by the same textproto reader that net/http uses.
-func hasConflictingLengths(request *http.Request, header []byte) bool {
-	if len(request.TransferEncoding) == 0 && request.ProtoAtLeast(1, 1) {
-		return false // no Transfer-Encoding: net/http ignores it only in HTTP/1.0 requests
+// drops one of the two, so the header is parsed here, too, by the same textproto reader that net/http uses.
+func hasConflictingLengths(header []byte) bool {
+	if !containsName(header, "transfer-encoding") {
+		return false
 	}
 	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(header)))
 	if _, err := reader.ReadLine(); err != nil {
@@ -145,6 +179,16 @@
 	return err != nil || fields["Content-Length"] != nil && fields["Transfer-Encoding"] != nil
 }
 
+// containsName reports whether a header contains the name of a field, in any case, at any place.
+func containsName(header []byte, name string) bool {
+	for ; len(header) >= len(name); header = header[1:] {
+		if header[0]|0x20 == name[0] && strings.EqualFold(string(header[:len(name)]), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // reject responds to a request that was not read completely, or whose end cannot be determined. It then closes the
 // sending side and discards the remaining input. It always returns false, because the connection must be closed.
 func (s *Server) reject(c *Conn, response Response) bool {
@@ -155,9 +199,11 @@
 	if half, ok := c.stream.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // an error does not matter: the whole connection is closed soon
 	}
+	s.releaseRequest(c)
 	c.stream.ExpireReadsAt(time.Now().Add(lingerTimeout))
+	c.stream.AllowBytes(maxLingerSize)
 	// An error does not matter: the connection is closed next.
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.stream.Conn, maxLingerSize))
+	_, _ = c.stream.Reader.Discard(maxLingerSize)
 	return false
 }
 
@@ -168,11 +214,12 @@
 		s.observer.RequestRejected(response.Status)
 		s.badRequests.Log(s.log, "from", c.stream.RemoteAddr(), "status", response.Status, "text", response.Text)
 	}
-	closing = s.endsAfterResponse() || last
+	closing = s.endsAfterResponse(c) || last
 	text, err := encodeResponse(response, closing)
 	if err != nil {
 		return closing, err
 	}
+	c.stream.PauseThrottle()
 	c.stream.ExpireWritesAt(time.Now().Add(writeTimeout))
 	_, err = c.stream.Write(text)
 	return closing, err
--- a/internal/relay/ingress/response.go
+++ b/internal/relay/ingress/response.go
@@ -12,12 +12,17 @@
 
 var (
 	// ErrBodyTooLarge reports a body of more than netconn.MaxBodySize bytes.
-	ErrBodyTooLarge = errors.New("body over 64 KiB")
+	ErrBodyTooLarge = netconn.ErrBodyTooLarge
 	// ErrTrailingBytes reports bytes that follow a request. Clients send one request at a time, so the length of
 	// the request was wrong, and its body is not the one that the client meant to send.
 	ErrTrailingBytes = errors.New("more bytes than the length tells")
+
+	errConflictingLengths = errors.New("both Content-Length and Transfer-Encoding")
 )
 
+// noMemoryRetryAfter is when a client should try again whose request was refused for lack of memory.
+const noMemoryRetryAfter = 100 * time.Millisecond
+
 // Response is the response to a client's request. The zero Response means that a response is impossible or useless:
 // the connection is closed without one.
 type Response struct {
@@ -36,8 +41,12 @@
 	switch {
 	case errors.Is(err, ErrBodyTooLarge):
 		return Response{Status: http.StatusRequestEntityTooLarge, Text: ErrBodyTooLarge.Error()}
-	case errors.Is(err, ErrTrailingBytes):
-		return BadRequest("%v", ErrTrailingBytes)
+	case errors.Is(err, ErrTrailingBytes), errors.Is(err, errConflictingLengths):
+		return BadRequest("%v", err)
+	case errors.Is(err, netconn.ErrNoMemory):
+		return Response{Status: http.StatusServiceUnavailable, RetryAfter: noMemoryRetryAfter}
+	case errors.Is(err, netconn.ErrTooManyFields):
+		return Response{Status: http.StatusRequestHeaderFieldsTooLarge, Text: err.Error()}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return Response{Status: http.StatusRequestTimeout, Text: "request not whole in time"}
 	case errors.Is(err, netconn.ErrReadBudget):
--- a/internal/relay/ingress/server.go
+++ b/internal/relay/ingress/server.go
@@ -11,18 +11,16 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/memory"
 	"cherrytrestle.example/cherrytrestle/internal/relay/netconn"
 	"cherrytrestle.example/cherrytrestle/internal/relay/ratelog"
 )
 
 const (
-	// newConnGrace is how long a new connection may stay silent before it is the first to be closed to make room.
-	newConnGrace = 100 * time.Millisecond
-	// surplusIdleTime is how long a connection may stay idle while more than maxKeptConns are open.
-	surplusIdleTime = 2 * time.Second
 	// acceptRetryDelay is the pause after a failed accept, because the cause rarely disappears at once.
 	acceptRetryDelay = 10 * time.Millisecond
 )
@@ -35,7 +33,8 @@
 type Config struct {
 	MaxConns int
 	Handler  Handler
-	Observer Observer // nil: none
+	Observer Observer       // nil: none
+	Budget   *memory.Budget // bounds the memory of connections and requests; nil: no bounds
 	Log      *slog.Logger
 }
 
@@ -44,12 +43,17 @@
 	log          *slog.Logger
 	handler      Handler
 	observer     Observer
+	budget       *memory.Budget
+	throttle     *netconn.Throttle
 	maxConns     int
-	maxKeptConns int // with more connections than this, idle ones are closed early
+	maxKeptConns int // with more answered connections than this, they are closed early
+
+	mu            sync.Mutex
+	changed       sync.Cond // signalled when a connection is closed or becomes idle
+	conns         map[*Conn]struct{}
+	ending        int             // connections that were dropped, and whose goroutines still hold memory
+	memoryWaiters []*memoryWaiter // requests that wait for memory, in the order in which they began to wait
 
-	mu           sync.Mutex
-	changed      sync.Cond // signalled when a connection is closed or becomes idle
-	conns        map[*Conn]struct{}
 	keepAliveOff bool // connections are closed after their next response
 	closed       bool
 
@@ -62,6 +66,8 @@
 		log:          config.Log,
 		handler:      config.Handler,
 		observer:     config.Observer,
+		budget:       config.Budget,
+		throttle:     netconn.NewThrottle(runtime.GOMAXPROCS(0), freeInputSize),
 		maxConns:     config.MaxConns,
 		maxKeptConns: config.MaxConns * 3 / 8,
 		conns:        map[*Conn]struct{}{},
@@ -89,7 +95,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.makeRoom(false)
+		pressed := s.makeRoom(false)
 		s.observer.ConnOpened()
 		c := s.newConn(accepted)
 		if s.add(c) {
@@ -97,6 +103,10 @@
 		} else {
 			c.stream.Discard()
 			s.observer.ConnClosed(CloseNotWanted)
+			s.budget.Release(memory.ClientConnections, connSize)
+		}
+		if pressed {
+			runtime.Gosched() // clients that return at once must not keep the other goroutines from running
 		}
 	}
 }
@@ -116,95 +126,16 @@
 	return true
 }
 
-// makeRoom waits until another connection may be added, and closes one if necessary. With forced set, it closes one
-// even below the limit, unless responses are awaited on all connections.
-func (s *Server) makeRoom(forced bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	for len(s.conns) >= s.maxConns || forced {
-		c := s.evictionCandidate(now)
-		if c != nil && c.awaitsRequest() && !c.nothingPending() {
-			c.phase = phaseReading // a request has arrived: prefer to close another connection
-			continue
-		}
-		if c != nil {
-			s.drop(c, c.evictionReason(now))
-		} else if !forced {
-			s.changed.Wait()
-		}
-		forced = false
-	}
-	// Clients that send one request and keep their connections open must not use up the limit. Clients that send many
-	// requests are seldom affected, because their connections are in use.
-	if len(s.conns) > s.maxKeptConns {
-		for c := range s.conns {
-			if c.phase == phaseIdle && now.Sub(c.phaseSince) > surplusIdleTime && c.nothingPending() {
-				s.drop(c, CloseEvictedIdle)
-			}
-		}
-	}
-}
-
-// evictionRank orders connections by how much is lost when they are closed. The lowest rank is closed first.
-type evictionRank int
-
-const (
-	rankSilent     evictionRank = iota + 1 // no request has begun within newConnGrace
-	rankIdle                               // no request is in progress
-	rankIncomplete                         // a request was read in part, or rejected
-	rankHandling                           // a response is awaited; never closed
-)
-
-func (c *Conn) evictionRank(now time.Time) evictionRank {
-	switch {
-	case c.phase == phaseNew && now.Sub(c.phaseSince) > newConnGrace:
-		return rankSilent
-	case c.awaitsRequest():
-		return rankIdle
-	case c.phase == phaseReading || c.phase == phaseLingering:
-		return rankIncomplete
-	}
-	return rankHandling
-}
-
-// evictionCandidate returns the connection to close when room is needed: of those with the lowest rank, the one
-// that has been longest in its phase. It returns nil if responses are awaited on all connections.
-func (s *Server) evictionCandidate(now time.Time) *Conn {
-	var candidate *Conn
-	lowest := rankHandling
-	for c := range s.conns {
-		rank := c.evictionRank(now)
-		if rank == rankHandling || rank > lowest {
-			continue
-		}
-		if rank < lowest || c.phaseSince.Before(candidate.phaseSince) {
-			candidate = c
-			lowest = rank
-		}
-	}
-	return candidate
-}
-
-// evictionReason returns the reason that the observer gets if the connection is closed to make room.
-func (c *Conn) evictionReason(now time.Time) CloseReason {
-	switch c.evictionRank(now) {
-	case rankSilent:
-		return CloseEvictedSilent
-	case rankIdle:
-		return CloseEvictedIdle
-	}
-	return CloseEvictedPartial
-}
-
 // drop closes a connection and unregisters it. The caller holds s.mu.
 func (s *Server) drop(c *Conn, reason CloseReason) {
 	if c.dropped {
 		return
 	}
 	c.dropped = true
+	c.refuse()
 	c.stream.Discard()
 	delete(s.conns, c)
+	s.ending++
 	s.observer.ConnClosed(reason)
 	s.changed.Broadcast()
 }
@@ -216,7 +147,11 @@
 	defer s.mu.Unlock()
 	c.phase = p
 	c.phaseSince = time.Now()
-	if p == phaseIdle {
+	switch p {
+	case phaseLingering:
+		s.changed.Signal()
+	case phaseIdle:
+		c.answered = true
 		s.changed.Signal()
 		return !c.dropped && !s.keepAliveOff
 	}
@@ -226,10 +161,10 @@
 // endsAfterResponse reports whether connections are closed after their next response. The number of connections that
 // all clients together can open is limited, too. If the server kept many connections open, clients that send one
 // request and stay connected would prevent other clients from connecting long before the server reaches its own limit.
-func (s *Server) endsAfterResponse() bool {
+func (s *Server) endsAfterResponse(c *Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keepAliveOff || len(s.conns) > s.maxKeptConns
+	return s.keepAliveOff || s.crowded(c)
 }
 
 // DisableKeepAlive makes the server close connections after their next response. Idle connections stay open,
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -87,4 +87,9 @@
 	r.metrics.MemoryPeak.Store(usage.Peak)
 	r.metrics.HeapBytes.Store(usage.Heap)
 	r.metrics.GCCycles.Store(usage.GCCycles)
+	for _, account := range memory.Accounts() {
+		r.metrics.MemoryReserved.Set(account.String(), r.budget.Used(account))
+		refused := r.budget.Refused(account)
+		r.metrics.MemoryRefused.Add(account.String(), refused-r.metrics.MemoryRefused.Get(account.String()))
+	}
 }
--- a/internal/relay/netconfig.go
+++ b/internal/relay/netconfig.go
@@ -33,6 +33,7 @@
 		MaxConns: r.cfg.Limits.Sockets * 9 / 20,
 		Handler:  r.handleRequest,
 		Observer: newClientObserver(&r.metrics),
+		Budget:   r.budget,
 		Log:      r.log,
 	}
 }
--- a/internal/relay/netconn/netconn.go
+++ b/internal/relay/netconn/netconn.go
@@ -36,14 +36,17 @@
 	net.Conn
 	Reader     *bufio.Reader // reads through Conn.Read, and so within the read budget
 	readBudget int           // number of bytes that may still be received
-	capturing  bool
-	captured   []byte     // see StartCapture
-	watchDone  chan error // receives the error of the watch's read; buffered, so that the watch ends without Unwatch
+	returned   []byte        // received, and to be read again before the input of the connection
+	throttle   *Throttle     // nil: none
+	throttled  int           // bytes read since BeginThrottle
+	abandoned  chan struct{} // closed by Abandon
+	holdsSlot  bool          // a slot of throttle is taken
+	watchDone  chan error    // receives the error of the watch's read; buffered, so that the watch ends without Unwatch
 }
 
 // New returns a Conn that wraps conn. AllowBytes must be called before the first read.
 func New(conn net.Conn) *Conn {
-	c := &Conn{Conn: conn}
+	c := &Conn{Conn: conn, abandoned: make(chan struct{})}
 	c.Reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
@@ -53,17 +56,31 @@
 
 // Read reads from the connection within the read budget. It is meant for Reader only; other code reads from Reader.
 func (c *Conn) Read(b []byte) (int, error) {
+	if len(c.returned) > 0 {
+		return c.readReturned(b), nil
+	}
 	if c.readBudget <= 0 {
 		return 0, ErrReadBudget
 	}
+	c.PauseThrottle()
 	n, err := c.Conn.Read(b[:min(len(b), c.readBudget)])
 	c.readBudget -= n
-	if c.capturing {
-		c.captured = append(c.captured, b[:n]...)
+	if !c.resumeThrottle(n) {
+		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
 }
 
+// readReturned reads bytes that were put back, which count as received already.
+func (c *Conn) readReturned(b []byte) int {
+	n := copy(b, c.returned)
+	c.returned = c.returned[n:]
+	if len(c.returned) == 0 {
+		c.returned = nil
+	}
+	return n
+}
+
 // ExpireReadsAt sets the deadline of reads. Setting it can fail only on a closed connection. The next read reports
 // that error.
 func (c *Conn) ExpireReadsAt(deadline time.Time) { _ = c.SetReadDeadline(deadline) }
@@ -79,25 +96,6 @@
 // Discard closes a connection that is no longer needed. It ignores the error, which has no consequence.
 func (c *Conn) Discard() { _ = c.Close() }
 
-// StartCapture starts to copy the received bytes as they are on the wire, until StopCapture. The copy begins with
-// the bytes that Reader has buffered.
-func (c *Conn) StartCapture() {
-	buffered, _ := c.Reader.Peek(c.Reader.Buffered()) // cannot fail: these bytes are buffered
-	c.capturing = true
-	c.captured = append(c.captured[:0], buffered...)
-}
-
-// Captured returns the bytes captured since StartCapture. The next StartCapture overwrites them.
-func (c *Conn) Captured() []byte { return c.captured }
-
-// StopCapture ends the capture. It does not keep a large buffer for the next one.
-func (c *Conn) StopCapture() {
-	c.capturing = false
-	if cap(c.captured) > readBufferSize {
-		c.captured = nil
-	}
-}
-
 // Watch starts a goroutine that detects whether the peer sends bytes or closes the connection while nothing is
 // expected from it. When that happens, the goroutine calls onEvent if that is not nil. Unwatch must be called
 // before the next read.
@@ -120,7 +118,7 @@
 	c.ExpireReadsAt(Past)
 	err := <-c.watchDone
 	c.ExpireReadsAt(time.Time{})
-	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.Reader.Buffered() > 0 {
+	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.Buffered() > 0 {
 		return err == nil, false
 	}
 	// A read fails after its deadline even if bytes arrived before, so the socket is checked as well.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 
 	"cherrytrestle.example/cherrytrestle/internal/config/reload"
 	"cherrytrestle.example/cherrytrestle/internal/fleet"
+	"cherrytrestle.example/cherrytrestle/internal/memory"
 	"cherrytrestle.example/cherrytrestle/internal/metrics"
 	"cherrytrestle.example/cherrytrestle/internal/relay/discovery"
 	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
@@ -42,6 +43,7 @@
 	notifier *notify.Sender    // sends final notifications
 	fleet    *fleet.Member     // nil: this relay is not part of a fleet
 	metrics  metrics.Registry
+	budget   *memory.Budget // bounds the memory that peers can make this process hold
 
 	events   chan event
 	loopDone chan struct{}  // closed when the loop has ended
@@ -76,6 +78,7 @@
 		log:         log,
 		logOut:      out,
 		agent:       discovery.NewClient(cfg.DiscoveryAddr),
+		budget:      memory.NewBudget(cfg.Limits.memoryBytes()),
 		events:      make(chan event, eventQueueSize),
 		loopDone:    make(chan struct{}),
 		drained:     make(chan struct{}),
