--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -15,6 +15,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"os/signal"
 	"runtime"
@@ -29,10 +30,6 @@
 	"cherrytrestle.example/cherrytrestle/internal/state/store"
 )
 
-// heapFraction is the fraction of the memory limit that the Go runtime may use. The remaining memory is for the
-// program's code and for the pages of the journal's files.
-const heapFraction = 0.7
-
 // commands declares the commands and flags of the program for the kong parser.
 //
 //nolint:lll // A struct tag is one line.
@@ -80,7 +77,7 @@
 	cfg.Operator = file
 	cfg.Version = cli.Version()
 	cfg.WrapJournalFS = c.wrapJournalFS
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapFraction * (1 << 20)))
+	cfg.SetHeapLimit = setHeapLimit
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	r, err := relay.New(cfg, log, os.Stderr)
 	if err != nil {
@@ -90,6 +87,14 @@
 	return r.Run(ctx)
 }
 
+// setHeapLimit sets the limit of the memory that the Go runtime may use. If the limit falls, memory that is free goes
+// back to the operating system, since another process needs it.
+func setHeapLimit(bytes int64) {
+	if before := debug.SetMemoryLimit(bytes); bytes < before && before != math.MaxInt64 {
+		go debug.FreeOSMemory()
+	}
+}
+
 // notifySignal returns a channel that receives a signal of the process. The channel buffers one signal. Further signals
 // are dropped until that signal is read.
 func notifySignal(sig os.Signal) <-chan os.Signal {
--- a/cmd/cherrytrestle/soundclient_test.go
+++ b/cmd/cherrytrestle/soundclient_test.go
@@ -21,6 +21,8 @@
 	clientPatience = 400 * time.Millisecond
 	// maxUnansweredShare is the largest share of a sound client's messages that may have no answer in time.
 	maxUnansweredShare = 0.1
+	// maxDeliveryTime is the largest time from the submission of a message to its arrival at an endpoint that answers.
+	maxDeliveryTime = time.Second
 )
 
 // soundClient submits a message at a fixed interval on one connection, as long as that stays open. A message whose idle
@@ -32,14 +34,27 @@
 	stop     chan struct{}
 	finished sync.WaitGroup
 
+	destination int // of the messages
+
 	latencies  []time.Duration // of the answered messages
 	statuses   map[int]int
 	unanswered int
 	accepted   []string
+	acceptedAt map[string]time.Time
+	slowest    time.Duration // from the submission of a message to its arrival
 }
 
-func startSoundClient(r *relayProcess) *soundClient {
-	c := &soundClient{r: r, stop: make(chan struct{}), statuses: map[int]int{}}
+func startSoundClient(r *relayProcess) *soundClient { return startSoundClientTo(r, 7) }
+
+// startSoundClientTo starts a client whose messages have a destination.
+func startSoundClientTo(r *relayProcess, destination int) *soundClient {
+	c := &soundClient{
+		r:           r,
+		stop:        make(chan struct{}),
+		statuses:    map[int]int{},
+		acceptedAt:  map[string]time.Time{},
+		destination: destination,
+	}
 	c.finished.Go(c.run)
 	return c
 }
@@ -72,6 +87,7 @@
 	c.latencies = append(c.latencies, time.Since(began))
 	if status == http.StatusAccepted {
 		c.accepted = append(c.accepted, id)
+		c.acceptedAt[id] = began
 	}
 }
 
@@ -97,7 +113,9 @@
 	if err := c.conn.SetDeadline(deadline); err != nil {
 		return 0, err
 	}
-	request := c.r.request(id, 5*time.Second, nil)
+	request := c.r.request(id, 5*time.Second, func(request *http.Request) {
+		request.Header.Set("Envelope", fmt.Sprint("dest=", c.destination))
+	})
 	if err := request.Write(c.conn); err != nil {
 		return 0, err
 	}
@@ -149,3 +167,30 @@
 	must(r.t, err)
 	return peak
 }
+
+// expectDelivered fails the test if a message that was accepted does not reach the endpoint, or does so twice.
+func (c *soundClient) expectDelivered(t *testing.T, endpoint *fakeEndpoint) {
+	t.Helper()
+	for _, id := range c.accepted {
+		eventually(t, id+" delivered", func() bool { return endpoint.count(id) > 0 })
+		if n := endpoint.count(id); n > 1 {
+			t.Errorf("%s was sent %d times", id, n)
+		}
+	}
+	if c.slowest = endpoint.longestSince(c.acceptedAt); c.slowest > maxDeliveryTime {
+		t.Errorf("a message reached the endpoint %v after its acceptance", c.slowest)
+	}
+	t.Logf("slowest delivery %v after the acceptance", c.slowest.Round(time.Millisecond))
+}
+
+// longestSince returns the longest time from the acceptance of a message to its arrival.
+func (e *fakeEndpoint) longestSince(acceptedAt map[string]time.Time) (longest time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, id := range e.seen {
+		if at, found := acceptedAt[id]; found {
+			longest = max(longest, e.at[i].Sub(at))
+		}
+	}
+	return longest
+}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 )
 
@@ -11,17 +12,20 @@
 
 // The accounts.
 const (
-	ClientConnections Account = iota // connections of clients
-	ClientRequests                   // clients' requests that are read or await their responses
-	Messages                         // accepted messages, and the answers to those that have ended
-	Calls                            // calls to endpoints, with their requests
-	Responses                        // responses of endpoints
-	EndpointList                     // endpoints that discovery has listed
+	ClientConnections   Account = iota // connections of clients
+	ClientRequests                     // clients' requests that are read or await their responses
+	Messages                           // accepted messages, without their bodies, and answers to ended ones
+	Bodies                             // bodies of accepted messages that are kept in memory besides the journal
+	Calls                              // calls to endpoints, with their requests
+	EndpointConnections                // connections to endpoints
+	Responses                          // responses of endpoints
+	EndpointList                       // endpoints that discovery has listed
 	accountCount
 )
 
 var accountNames = [accountCount]string{
-	"client_connections", "client_requests", "messages", "calls", "responses", "endpoint_list",
+	"client_connections", "client_requests", "messages", "bodies", "calls", "endpoint_connections", "responses",
+	"endpoint_list",
 }
 
 // String returns the name of the account as it is written in logs and in the names of metrics.
@@ -39,19 +43,28 @@
 // shares are the parts of the process's memory limit that the accounts may use. What remains is for the program
 // itself, and for memory that the garbage collector has not freed yet.
 var shares = [accountCount]float64{
-	ClientConnections: 0.12,
-	ClientRequests:    0.08,
-	Messages:          0.08,
-	Calls:             0.06,
-	Responses:         0.04,
-	EndpointList:      0.05,
+	ClientConnections:   0.12,
+	ClientRequests:      0.07,
+	Messages:            0.07,
+	Bodies:              0.03,
+	Calls:               0.05,
+	EndpointConnections: 0.06,
+	Responses:           0.03,
+	EndpointList:        0.25,
 }
 
+// smallListShare is the part of the limit up to which an endpoint list leaves the other accounts their whole shares. A
+// longer list takes from them.
+const smallListShare = 0.04
+
 // Budget bounds the memory that the peers of a process can make it hold. Memory is reserved before it is allocated, and
 // released when nothing refers to it any more. A nil Budget has no limits.
 type Budget struct {
 	limit    int64 // of the process, in bytes
 	accounts [accountCount]account
+
+	mu       sync.Mutex
+	fraction float64 // of the limit that this process may use
 }
 
 type account struct {
@@ -62,8 +75,8 @@
 
 // NewBudget returns the budget of a process that may use up to limit bytes of memory.
 func NewBudget(limit int64) *Budget {
-	b := &Budget{limit: limit}
-	b.Scale(1)
+	b := &Budget{limit: limit, fraction: 1}
+	b.setLimits()
 	return b
 }
 
@@ -73,8 +86,32 @@
 	if b == nil {
 		return
 	}
+	b.mu.Lock()
+	b.fraction = fraction
+	b.mu.Unlock()
+	b.setLimits()
+}
+
+// SetEndpointList sets the bytes that the endpoint list takes.
+func (b *Budget) SetEndpointList(bytes int64) {
+	if b == nil || b.accounts[EndpointList].used.Swap(bytes) == bytes {
+		return
+	}
+	b.setLimits()
+}
+
+// setLimits sets the limits of all accounts.
+func (b *Budget) setLimits() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	total := float64(b.limit) * b.fraction
+	longList := max(0, float64(b.Used(EndpointList))-smallListShare*total)
 	for i := range b.accounts {
-		b.accounts[i].limit.Store(int64(float64(b.limit) * shares[i] * fraction))
+		available := total
+		if Account(i) != EndpointList {
+			available = max(0, total-longList)
+		}
+		b.accounts[i].limit.Store(int64(available * shares[i]))
 	}
 }
 
@@ -92,6 +129,16 @@
 	return false
 }
 
+// ReserveWithin reserves bytes like Reserve, but leaves a part of the account free: it fails if the account would
+// exceed a fraction of its limit.
+func (b *Budget) ReserveWithin(a Account, bytes int64, fraction float64) bool {
+	if b != nil && float64(b.Used(a)+bytes) > fraction*float64(b.Limit(a)) {
+		b.accounts[a].refused.Add(1)
+		return false
+	}
+	return b.Reserve(a, bytes)
+}
+
 // Add reserves bytes for an account even beyond its limit. It is for memory that the process holds in any case.
 func (b *Budget) Add(a Account, bytes int64) {
 	if b != nil {
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -44,12 +44,19 @@
 
 // TestSharesLeaveMemoryForTheProgram checks that all accounts together stay well within the limit of the process.
 func TestSharesLeaveMemoryForTheProgram(t *testing.T) {
-	total := 0.0
-	for _, share := range shares {
-		total += share
-	}
-	if total > 0.45 {
-		t.Errorf("the shares add up to %.2f of the limit", total)
+	const limit = 96 << 20
+	for _, list := range []int64{0, limit / 25, limit / 10, limit / 4} {
+		budget := NewBudget(limit)
+		budget.SetEndpointList(list)
+		total := list
+		for _, account := range Accounts() {
+			if account != EndpointList {
+				total += budget.Limit(account)
+			}
+		}
+		if total > limit*6/10 {
+			t.Errorf("with a list of %d bytes all accounts together may use %d of %d", list, total, int64(limit))
+		}
 	}
 }
 
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/memory"
 	"cherrytrestle.example/cherrytrestle/internal/metrics"
 	"cherrytrestle.example/cherrytrestle/internal/relay/ingress"
 	"cherrytrestle.example/cherrytrestle/internal/state/journal"
@@ -99,15 +100,16 @@
 	return r.duplicateReply(known), true
 }
 
-// admit reports whether a new message can be accepted. Its destination must be in the endpoint list, once there is
-// one, and the number of pending messages must be below its limit. If not, reply rejects the message.
+// admit reports whether a new message can be accepted, and reserves its memory. Its destination must be in the
+// endpoint list, once there is one, and the number of pending messages and their memory must be below their limits.
+// If not, reply rejects the message.
 func (r *Relay) admit(m *journal.Message) (reply ingress.Response, admitted bool) {
 	if r.listReceived && !r.catalog.HasDestination(m.Destination) {
 		r.countResult(m, metrics.Failed)
 		return ingress.BadRequest("no such destination: %d", m.Destination), false
 	}
 	limit := r.activeConfig.Settings.MaxPendingMessages
-	if limit > 0 && r.pending >= limit {
+	if limit > 0 && r.pending >= limit || !r.budget.Reserve(memory.Messages, messageMemory(m)) {
 		r.countResult(m, metrics.Rejected)
 		return unavailableResponse, false
 	}
@@ -131,7 +133,7 @@
 		}
 		previous.resubmittedAs = m
 	}
-	r.messages[m.ID] = m
+	r.track(m)
 	r.messagesByTrace[m.TraceID] = m
 	r.recorder.Label(m.ID, m.TraceID)
 	r.pending++
@@ -143,7 +145,7 @@
 	for _, s := range waiting {
 		if m := s.acceptedAs; m.Message == s.message {
 			r.pending--
-			delete(r.messages, m.ID)
+			r.untrack(m)
 			delete(r.messagesByTrace, m.TraceID)
 			r.countResult(s.message, metrics.Rejected)
 		}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -15,8 +15,12 @@
 // call is a call to an endpoint, with the state that the loop keeps for it.
 type call struct {
 	egress.Call
-	zone     int        // zone of the endpoint
-	size     int        // upper bound of the body size of a batch, in bytes
+	zone int // zone of the endpoint
+	size int // upper bound of the body size of a batch, in bytes
+
+	reservedMemory int64 // in bytes
+	missingMemory  int64 // in bytes; above 0, the call waits for it, and the bodies of its messages are not loaded
+
 	attempts []*attempt // in the order of Call.Attempts; empty if the predecessor made the call
 
 	// single is the initial storage of attempts: most calls carry one message and need no allocation for the slice.
@@ -39,6 +43,8 @@
 	activeCalls     map[*call]struct{}
 	callsInFlight   int
 	sendsUnrecorded ratelog.Warning // the journal could not record the sends of calls
+
+	waitingCallState
 }
 
 func newCallState() callState {
@@ -68,16 +74,14 @@
 // step to the same endpoint share a call, up to the maximum batch of the endpoint's kind. A message whose body cannot
 // be read from the journal fails instead.
 func (r *Relay) addToCalls(calls []*call, m *message, a *policy.Action) []*call {
-	body, err := r.journal.Body(m.Message)
-	if err != nil {
-		r.failUnreadable(m, err)
-		return calls
-	}
 	endpoint, _ := r.catalog.Endpoint(a.Endpoint)
 	size := egress.BatchItemSize(m.TraceID, m.IdempotencyKey, m.Size())
 	maxBatch := r.activeConfig.Settings.DestinationKind(endpoint.Kind).BatchSize()
+	memorySize := callCopies * size
 	c := findCall(calls, a.Endpoint, maxBatch, size)
-	if c == nil {
+	isNew := c == nil
+	if isNew {
+		memorySize += callSize
 		c = newCall(egress.Call{
 			EndpointID: a.Endpoint,
 			Addr:       endpoint.Addr,
@@ -85,6 +89,20 @@
 			Batch:      maxBatch > 1 && size <= netconn.MaxBodySize,
 			SentAt:     time.Now(),
 		}, endpoint.Zone)
+	}
+	var body []byte
+	if r.reserveCall(c, memorySize) {
+		var err error
+		body, err = r.journal.Body(m.Message)
+		if err != nil {
+			r.failUnreadable(m, err)
+			if isNew {
+				r.releaseCall(c)
+			}
+			return calls
+		}
+	}
+	if isNew {
 		calls = append(calls, c)
 	}
 	deadline := r.started.Add(a.TimeoutAt)
@@ -189,6 +207,7 @@
 func (r *Relay) callEnded(events []policy.Event, e *callFinished) []policy.Event {
 	r.callsInFlight--
 	delete(r.activeCalls, e.call)
+	r.releaseCall(e.call)
 	for i, a := range e.call.attempts {
 		events = r.attemptEnded(events, a, e.results[i])
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -45,6 +45,9 @@
 	Operator operatorfile.File
 	Version  string // version of the program
 
+	// SetHeapLimit sets the limit of the memory that the Go runtime may use, in bytes; nil: the limit is not set.
+	SetHeapLimit func(bytes int64)
+
 	// WrapJournalFS wraps the file system of the journal; nil: the file system is used directly.
 	WrapJournalFS func(store.FS) store.FS
 
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -29,6 +29,9 @@
 		"egress.maxRetryAfterSeconds", "discovery.fetchIdleTimeout", "egress.maxMessagesPerConn",
 		"egress.maxSilentEndpoints", "netconn.MaxHeaderFields", "netconn.minBodyBuffer", "netconn.parsedFieldSize",
 		"netconn.parsedTextFactor", "ingress.connSize", "ingress.smallRequestSize", "ingress.freeInputSize",
+		"egress.ConnSize", "egress.smallResponseSize", "egress.parsedStateSize", "egress.maxRequestHeaderSize",
+		"relay.callCopies", "relay.smallCallSize", "relay.largeCallsFraction", "relay.callSize", "relay.finishedSize",
+		"relay.messageSize", "relay.waitingCallsInterval",
 		"ingress.memoryWait", "ingress.refuseAfter", "ingress.stalledAfter", "ingress.noMemoryRetryAfter",
 	},
 	"the relay's own bound on its work": {
@@ -48,6 +51,7 @@
 		"policy.timerSlack", "policy.minClassWeight", "policy.revisionSize", "policy.strictestMaxAttempts",
 	},
 	"a fraction of a setting": {
+		"relay.heapFraction", "relay.sharedMemoryFraction",
 		"egress.idleRatio", "backoff.graceRatio", "policy.recoveryLapseRatio", "policy.maxPendingRatio",
 		"policy.maxScopeInFlightRatio", "policy.overQuotaDelayRatio", "policy.missedObjectiveDelayRatio",
 		"policy.minScopeInFlight", "policy.overdueCallsDivisor",
--- a/internal/relay/egress/client.go
+++ b/internal/relay/egress/client.go
@@ -18,6 +18,7 @@
 	"slices"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/memory"
 	"cherrytrestle.example/cherrytrestle/internal/relay/netconn"
 	"cherrytrestle.example/cherrytrestle/internal/relay/ratelog"
 	"cherrytrestle.example/cherrytrestle/policy"
@@ -27,6 +28,9 @@
 // is shorter than policy.deadlineMargin, so the time limits that the policy applied still hold.
 const recheckAfter = 10 * time.Millisecond
 
+// maxRequestHeaderSize is the usual size of the header of a request at most, in bytes.
+const maxRequestHeaderSize = 1 << 10
+
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
@@ -37,7 +41,8 @@
 	MaxConns       int
 	ReportFields   []string // fields to read from the endpoints' load reports; empty: endpoints send none
 	Observer       Observer
-	Dial           DialFunc // nil: dial TCP without keep-alive probes
+	Budget         *memory.Budget // bounds the memory of responses; nil: no bounds
+	Dial           DialFunc       // nil: dial TCP without keep-alive probes
 	Log            *slog.Logger
 }
 
@@ -117,6 +122,7 @@
 	if written {
 		c.observer.RequestWritten(len(call.Attempts))
 	}
+	defer conn.releaseResponse()
 	read := readResponse(conn, request, call.Batch) // the endpoint may respond to an incomplete request
 	read.identify(call, &conn.usage)
 	usable := stop() && read.err == nil && written
@@ -217,6 +223,7 @@
 // writeRequest writes a request with a single Write.
 func writeRequest(conn *pooledConn, request *http.Request) error {
 	var text bytes.Buffer
+	text.Grow(int(request.ContentLength) + maxRequestHeaderSize)
 	if err := request.Write(&text); err != nil {
 		return err
 	}
--- a/internal/relay/egress/pool.go
+++ b/internal/relay/egress/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/memory"
 	"cherrytrestle.example/cherrytrestle/internal/relay/netconn"
 	"cherrytrestle.example/cherrytrestle/internal/relay/ratelog"
 )
@@ -38,6 +39,7 @@
 	idleTimeout    time.Duration
 	maxConns       int
 	observer       Observer
+	budget         *memory.Budget
 	log            *slog.Logger
 	surplus        ratelog.Warning
 
@@ -57,6 +59,7 @@
 	id        uint64 // counts the connections of this process, for logs
 	usage     connUsage
 	target    endpointAddr
+	response  responseMemory
 	idleSince time.Time
 	idleTimer *time.Timer
 }
@@ -72,6 +75,7 @@
 		idleTimeout:    time.Duration(idleRatio * float64(config.KeepAlive)),
 		maxConns:       config.MaxConns,
 		observer:       config.Observer,
+		budget:         config.Budget,
 		log:            config.Log,
 		surplus:        ratelog.Warning{Message: "endpoint sent bytes that no request asked for"},
 		idle:           map[endpointAddr][]*pooledConn{},
--- a/internal/relay/egress/response.go
+++ b/internal/relay/egress/response.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -75,12 +74,19 @@
 	r.firstByteAt = time.Now()
 	conn.ExpireReadsAt(r.firstByteAt.Add(responseTimeout))
 	for range maxInformational {
-		line, err := peekLine(conn.Reader)
-		if err != nil {
+		peeked, err := conn.PeekHeader(conn.reserveResponse)
+		line := firstLine(peeked.Text)
+		if line == nil {
 			r.err = err
 			return r
 		}
-		header, err := http.ReadResponse(conn.Reader, request)
+		if err == nil && !conn.reserveResponse(peeked.ParsedSize()) {
+			err = netconn.ErrNoMemory
+		}
+		var header *http.Response
+		if err == nil {
+			header, err = http.ReadResponse(conn.Reader, request)
+		}
 		if err != nil {
 			r.header = parseStatusLine(line, request)
 			r.err = err
@@ -89,7 +95,7 @@
 		if header.StatusCode >= http.StatusOK {
 			r.header = header
 			r.body, r.err = readBody(conn, header, batch)
-			r.surplus = r.complete() && conn.Reader.Buffered() > 0
+			r.surplus = r.complete() && conn.Buffered() > 0
 			return r
 		}
 	}
@@ -97,17 +103,13 @@
 	return r
 }
 
-// peekLine returns the next line, with its line feed, without consuming it.
-func peekLine(reader *bufio.Reader) ([]byte, error) {
-	for {
-		buffered, _ := reader.Peek(reader.Buffered()) // cannot fail: these bytes are buffered
-		if i := bytes.IndexByte(buffered, '\n'); i >= 0 {
-			return bytes.Clone(buffered[:i+1]), nil
-		}
-		if _, err := reader.Peek(len(buffered) + 1); err != nil {
-			return nil, err // bufio.ErrBufferFull if the line exceeds the buffer
-		}
+// firstLine returns a copy of the first line of a text, with its line feed, or nil if the text has no whole line.
+func firstLine(text []byte) []byte {
+	i := bytes.IndexByte(text, '\n')
+	if i < 0 {
+		return nil
 	}
+	return bytes.Clone(text[:i+1])
 }
 
 // parseStatusLine parses a status line without the rest of its header. It returns nil if the line is malformed.
@@ -127,27 +129,35 @@
 		return nil, errResponseTooLong
 	}
 	conn.AllowBytes(netconn.MaxWireSize)
-	bounded := io.LimitReader(header.Body, netconn.MaxBodySize+1)
 	var body []byte
 	if batch && header.StatusCode == http.StatusOK {
 		var err error
-		body, err = io.ReadAll(bounded)
+		body, err = netconn.ReadBody(header.Body, header.ContentLength, conn.reserveResponse)
+		if err == nil && !conn.reserveStates(body) {
+			err = netconn.ErrNoMemory
+		}
 		if err != nil {
 			return nil, err
 		}
-		if len(body) > netconn.MaxBodySize {
-			return nil, errResponseTooLong
-		}
-	} else if n, err := io.Copy(io.Discard, bounded); err != nil || n > netconn.MaxBodySize {
-		return nil, cmp.Or(err, errResponseTooLong)
+	} else if err := discardBody(header.Body); err != nil {
+		return nil, err
 	}
 	endsWithConn := header.ContentLength < 0 && len(header.TransferEncoding) == 0
-	if conn.Reader.Buffered() > 0 || header.Close || endsWithConn {
+	if conn.Buffered() > 0 || header.Close || endsWithConn {
 		return body, errConnNotReusable
 	}
 	return body, nil
 }
 
+// discardBody reads a body that is not needed, up to its end.
+func discardBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, netconn.MaxBodySize+1))
+	if err == nil && n > netconn.MaxBodySize {
+		err = errResponseTooLong
+	}
+	return err
+}
+
 // readFeedback returns a result with the Retry-After and the load report of a response header, which may be nil. It
 // does not set the outcome.
 func (c *Client) readFeedback(header *http.Response) (result Result) {
--- a/internal/relay/execute.go
+++ b/internal/relay/execute.go
@@ -31,6 +31,7 @@
 	for i := range actions {
 		r.prepare(&todo, replies, &actions[i])
 	}
+	todo.calls = r.callsWithMemory(todo.calls)
 	if err := r.recordSends(todo.calls); err != nil {
 		r.sendsUnrecorded.Log(r.log, "calls", len(todo.calls), "err", err)
 		// A send that is not in the journal must not leave the relay: after a restart, the message would be sent
@@ -122,6 +123,7 @@
 		for _, a := range c.attempts {
 			r.deferredEvents = r.attemptEnded(r.deferredEvents, a, egress.Result{Outcome: policy.ConnectFailed})
 		}
+		r.releaseCall(c)
 	}
 	// The policy receives these events in an additional step. Requesting that step does not change timerAt, so the
 	// policy's timer is not lost.
--- a/internal/relay/finished.go
+++ b/internal/relay/finished.go
@@ -18,6 +18,7 @@
 type finishedMessages struct {
 	replies map[string]finishedReply // by trace id
 	order   []string                 // trace ids, in the order in which the messages finished
+	bytes   int64                    // estimated memory
 }
 
 // finishedReply is the answer to a client that submits a finished message again, and until when it is valid.
@@ -49,6 +50,7 @@
 	}
 	if _, known := r.replies[trace]; !known {
 		r.order = append(r.order, trace)
+		r.bytes += finishedMemory(trace)
 	}
 	r.replies[trace] = reply
 }
@@ -90,6 +92,7 @@
 			break
 		}
 		delete(r.replies, trace)
+		r.bytes -= finishedMemory(trace)
 		expired++
 	}
 	r.order = r.order[expired:]
--- a/internal/relay/forwarding.go
+++ b/internal/relay/forwarding.go
@@ -40,6 +40,7 @@
 
 func (e *callFinished) forward(r *Relay) {
 	r.callsInFlight--
+	r.releaseCall(e.call)
 	for i, a := range e.call.attempts {
 		if a.timer != nil {
 			a.timer.Stop()
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -98,6 +98,7 @@
 		_ = r.successor.Close() // nothing was handed over to the earlier process
 	}
 	r.successor = c
+	r.setSuccessorAlive(true)
 	r.sendToSuccessor(hotrestart.Frame{Welcome: true})
 }
 
@@ -105,6 +106,7 @@
 func (r *Relay) clearSuccessor(c *hotrestart.Conn) {
 	if r.successor == c {
 		r.successor = nil
+		r.setSuccessorAlive(false)
 	}
 }
 
@@ -121,6 +123,7 @@
 	if r.successor == nil {
 		return false
 	}
+	r.returnWaitingCalls()
 	state := r.exportState()
 	if err := r.journal.Close(); err != nil {
 		// The successor drops messages of the journal that the state does not list: they have ended.
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -22,6 +22,7 @@
 // openJournal opens the journal, and sets r.recovery to what the journal holds.
 func (r *Relay) openJournal() error {
 	options := r.cfg.Operator.Journal.Options(int64(r.cfg.Limits.DiskMB*1e6) - reservedDiskBytes)
+	options.MaxBodyBytes = maxBodyBytes(options.MaxBodyBytes, r.budget)
 	options.WrapFS = r.cfg.WrapJournalFS
 	deadline := time.Now().Add(journalLockTimeout)
 	for ; ; time.Sleep(journalLockRetryInterval) {
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -30,7 +30,8 @@
 	messagesByTrace map[string]*message // by trace id: the latest message with that id
 	cancelled       []*message          // cancelled messages that may have run, roughly in the order of their deadlines
 	finished        finishedMessages
-	pending         int // number of messages that are not completed
+	finishedBytes   int64 // reserved for finished
+	pending         int   // number of messages that are not completed
 	lastMessageID   policy.MessageID
 	journalFull     ratelog.Warning // logged when the journal cannot store new messages
 }
@@ -89,6 +90,7 @@
 func (r *Relay) expire() {
 	now := time.Now()
 	r.finished.expire(now)
+	r.accountFinished()
 	r.cancelled = slices.DeleteFunc(r.cancelled, func(m *message) bool {
 		if m.resubmittedAs == nil && len(m.UncertainAttempts) > 0 && now.Before(m.Deadline) {
 			return false
@@ -113,7 +115,7 @@
 	if m.inFlight > 0 || !m.completed || r.journal.Tracks(m.Message) {
 		return
 	}
-	delete(r.messages, m.ID)
+	r.untrack(m)
 	if r.messagesByTrace[m.TraceID] == m {
 		delete(r.messagesByTrace, m.TraceID)
 		r.finished.add(m)
@@ -156,26 +158,34 @@
 // effectOf returns the effect of a repeated delivery of a message.
 func (r *Relay) effectOf(m *journal.Message) policy.Effect { return r.termsOf(m).Class.Effect }
 
-// failUnreadable fails a message whose body can no longer be read from the disk.
+// failUnreadable fails a message whose body can no longer be read from the disk. The policy has already counted its
+// next attempt, which is never sent.
 func (r *Relay) failUnreadable(m *message, err error) {
-	r.log.Error("message body unreadable, message failed", "message_id", m.TraceID, "err", err)
-	if m.completed {
+	if !r.failMessage(m, err) {
 		return
 	}
-	r.markCompleted(m)
-	final := journal.FinalAnswer{}
-	r.countResult(m.Message, finalResult(final))
-	r.journal.RecordFinal(m.Message, final)
-	r.queueNotification(m)
-	// The policy has already counted the attempt, which is never sent.
-	cancelled := policy.Event{Kind: policy.MessageCancelled, MessageID: m.ID}
-	notSent := policy.Event{
+	r.deferredEvents = append(r.deferredEvents, policy.Event{
 		Kind:         policy.AttemptFinished,
 		MessageID:    m.ID,
 		Attempt:      m.attemptsStarted,
 		Outcome:      policy.NotSent,
 		MessageEnded: true,
+	})
+}
+
+// failMessage gives a message its final answer because its body cannot be read. It returns false if the message has
+// its result already.
+func (r *Relay) failMessage(m *message, err error) bool {
+	r.log.Error("message body unreadable, message failed", "message_id", m.TraceID, "err", err)
+	if m.completed {
+		return false
 	}
-	r.deferredEvents = append(r.deferredEvents, cancelled, notSent)
+	r.markCompleted(m)
+	final := journal.FinalAnswer{}
+	r.countResult(m.Message, finalResult(final))
+	r.journal.RecordFinal(m.Message, final)
+	r.queueNotification(m)
+	r.deferredEvents = append(r.deferredEvents, policy.Event{Kind: policy.MessageCancelled, MessageID: m.ID})
 	r.requestStepAfter(r.cfg.Tick)
+	return true
 }
--- a/internal/relay/netconfig.go
+++ b/internal/relay/netconfig.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cherrytrestle.example/cherrytrestle/internal/memory"
 	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
 	"cherrytrestle.example/cherrytrestle/internal/relay/ingress"
 )
@@ -14,12 +15,15 @@
 )
 
 // egressConfig returns the configuration of the client that calls endpoints. Its connections and reservedDescriptors
-// together may use three eighths of all file descriptors.
+// together may use three eighths of all file descriptors, and the connections' memory has a bound, too.
 func (r *Relay) egressConfig() egress.Config {
+	byDescriptors := r.cfg.Limits.Sockets*3/8 - reservedDescriptors
+	byMemory := int(r.budget.Limit(memory.EndpointConnections) / egress.ConnSize)
 	return egress.Config{
 		ConnectTimeout: r.cfg.ConnectTimeout,
 		KeepAlive:      r.cfg.KeepAlive,
-		MaxConns:       max(minEndpointConns, r.cfg.Limits.Sockets*3/8-reservedDescriptors),
+		MaxConns:       max(minEndpointConns, min(byDescriptors, byMemory)),
+		Budget:         r.budget,
 		ReportFields:   r.cfg.LoadReportFields,
 		Observer:       newConnObserver(&r.metrics),
 		Log:            r.log,
--- a/internal/relay/netconn/body.go
+++ b/internal/relay/netconn/body.go
@@ -1,6 +1,7 @@
 package netconn
 
 import (
+	"bytes"
 	"errors"
 	"io"
 )
@@ -53,5 +54,5 @@
 	case len(data) > MaxBodySize:
 		return nil, ErrBodyTooLarge
 	}
-	return data, nil
+	return bytes.Clone(data), nil // without the unused part of the buffer, which may be as large
 }
--- a/internal/relay/netconn/header.go
+++ b/internal/relay/netconn/header.go
@@ -35,7 +35,7 @@
 
 // PeekHeader reads up to the end of a header, or up to a line that cannot belong to one, without consuming it. It calls
 // reserve before it allocates memory, and returns ErrNoMemory if reserve returns false. After an error the Header holds
-// what was received, except after ErrReadBudget.
+// what was received.
 func (c *Conn) PeekHeader(reserve func(bytes int) bool) (Header, error) {
 	var scan headerScan
 	for {
@@ -80,9 +80,6 @@
 		}
 	}
 	header := Header{text[:len(text):len(text)], scan.fields}
-	if errors.Is(err, ErrReadBudget) {
-		return Header{}, err
-	}
 	rest, _ := c.Reader.Peek(c.Reader.Buffered()) // cannot fail: these bytes are buffered
 	text = append(text, rest...)
 	c.returned = text
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -87,7 +87,7 @@
 		record.Uncertain = false // the message may run any number of times
 	}
 	m := &message{Message: record, attemptsStarted: record.Attempts}
-	r.messages[m.ID] = m
+	r.trackRestored(m)
 	r.messagesByTrace[m.TraceID] = m
 	r.lastMessageID = max(r.lastMessageID, m.ID)
 	switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,6 +45,8 @@
 	metrics  metrics.Registry
 	budget   *memory.Budget // bounds the memory that peers can make this process hold
 
+	memoryShare memoryShare
+
 	events   chan event
 	loopDone chan struct{}  // closed when the loop has ended
 	drained  chan struct{}  // closed when the relay is stopping and has no message or call left to wait for
@@ -97,9 +99,11 @@
 	r.notifier = notify.NewSender(log, r.agent, r.notificationsConfirmed, r.notificationRetried)
 	r.joinFleet()
 	r.sharedRecorder.Store(r.recorder)
+	r.setPredecessorAlive(false)
 	if cfg.InheritedFD != "" {
 		r.predecessor, err = hotrestart.Dial(r.handOverPath())
 		if err == nil {
+			r.setPredecessorAlive(true)
 			return r, nil // the predecessor owns the journal until it hands over
 		}
 		log.Info("starting from the journal", "err", err)
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -168,11 +168,11 @@
 	}
 	for id, state := range states {
 		if r.messages[id] == nil { // the message has ended, but an attempt is in flight
-			r.messages[id] = &message{
+			r.trackRestored(&message{
 				Message:         &journal.Message{ID: id, TraceID: state.TraceID, Cancelled: true},
 				attemptsStarted: state.AttemptsStarted,
 				completed:       true,
-			}
+			})
 		}
 	}
 	for id, state := range states {
@@ -192,7 +192,7 @@
 		completed:       state.Completed,
 		hasDuplicates:   state.HasDuplicates,
 	}
-	r.messages[m.ID] = m
+	r.trackRestored(m)
 	r.messagesByTrace[m.TraceID] = m
 	r.recorder.Label(m.ID, m.TraceID)
 	switch {
--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -20,6 +20,9 @@
 // envelopeHeader is the name of the header with a message's destination.
 const envelopeHeader = "Envelope"
 
+// shorten returns a part of a text from a client that is short enough for a log and a response.
+func shorten(text string) string { return text[:min(len(text), maxIDSize)] }
+
 // handleRequest answers a client's request.
 func (r *Relay) handleRequest(conn *ingress.Conn, request *http.Request) ingress.Response {
 	switch {
@@ -74,13 +77,15 @@
 	m = &journal.Message{
 		TraceID:        request.Header.Get("X-Trace-Id"),
 		IdempotencyKey: request.Header.Get("Idempotency-Key"),
-		OrderingKey:    request.URL.Query().Get("key"), // an ordered class delivers messages with the same key in order
 		Class:          slices.Index(config.ClassNames, className),
-		ClassName:      className,
 	}
 	if m.Class < 0 {
-		return nil, 0, fmt.Errorf("unknown class %q", className)
+		return nil, 0, fmt.Errorf("unknown class %q", shorten(className))
 	}
+	m.ClassName = config.ClassNames[m.Class]
+	// An ordered class delivers messages with the same key in order. The key is copied, since it may be a part of the
+	// whole request line, which the message must not keep.
+	m.OrderingKey = strings.Clone(request.URL.Query().Get("key"))
 	class := config.Settings.Classes[m.Class]
 	if err := checkIDs(m, request, class); err != nil {
 		return nil, 0, err
@@ -122,7 +127,7 @@
 	name := request.Header.Get("X-Customer")
 	tenant := slices.Index(names, name)
 	if tenant < 0 {
-		return 0, fmt.Errorf("unknown customer %q", name)
+		return 0, fmt.Errorf("unknown customer %q", shorten(name))
 	}
 	return tenant, nil
 }
@@ -146,7 +151,7 @@
 		}
 		destination, err := strconv.Atoi(value)
 		if err != nil || destination < 0 {
-			return 0, fmt.Errorf("bad dest %q", value)
+			return 0, fmt.Errorf("bad dest %q", shorten(value))
 		}
 		return policy.DestinationID(destination), nil
 	}
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -52,6 +52,7 @@
 	}
 	if state == nil {
 		r.closePredecessor()
+		r.setPredecessorAlive(false)
 		r.recoverState()
 		return nil
 	}
@@ -67,6 +68,7 @@
 // submissions and cancellations of its clients.
 func (r *Relay) receiveFromPredecessor() {
 	defer r.post(predecessorGone{})
+	defer r.setPredecessorAlive(false)
 	defer r.closePredecessor()
 	for {
 		f, err := r.predecessor.Receive()
--- /dev/null
+++ b/internal/relay/waitingcalls.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"time"
+
+	"cherrytrestle.example/cherrytrestle/internal/memory"
+	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
+	"cherrytrestle.example/cherrytrestle/policy"
+)
+
+const (
+	// callSize estimates the memory of a call without its messages, in bytes.
+	callSize = 12 << 10
+	// callCopies is how many copies of a message a call holds at most while its request is encoded and written.
+	callCopies = 3
+	// smallCallSize is the memory of a call up to which it counts as small, in bytes.
+	smallCallSize = 64 << 10
+	// largeCallsFraction is the fraction of the memory for calls that large ones may use.
+	largeCallsFraction = 0.75
+	// waitingCallsInterval is the time between two examinations of the calls that wait for memory.
+	waitingCallsInterval = 20 * time.Millisecond
+)
+
+// waitingCallState is the loop's state of calls that wait for memory. Their sends are not in the journal yet, and the
+// bodies of their messages are not loaded.
+type waitingCallState struct {
+	waitingCalls       []*call
+	waitingCallsTimeAt time.Time // when the next step that examines them is due; zero: none is scheduled
+}
+
+// reserveCall reserves memory for a call that has got one more message. If there is none, the call will wait for it.
+func (r *Relay) reserveCall(c *call, bytes int) (reserved bool) {
+	if c.missingMemory == 0 && r.reserveCallMemory(c, int64(bytes)) {
+		c.reservedMemory += int64(bytes)
+		return true
+	}
+	c.missingMemory += int64(bytes)
+	return false
+}
+
+// reserveCallMemory reserves memory for a call. Large calls leave a part of the account to small ones.
+func (r *Relay) reserveCallMemory(c *call, bytes int64) bool {
+	if c.reservedMemory+bytes <= smallCallSize {
+		return r.budget.Reserve(memory.Calls, bytes)
+	}
+	return r.budget.ReserveWithin(memory.Calls, bytes, largeCallsFraction)
+}
+
+// releaseCall releases the memory of a call that has ended.
+func (r *Relay) releaseCall(c *call) {
+	r.budget.Release(memory.Calls, c.reservedMemory)
+	c.reservedMemory = 0
+}
+
+// callsWithMemory returns the calls that may start now: those of calls that have their memory, after those that have
+// waited for it and get it now. The others wait, until their time is over.
+func (r *Relay) callsWithMemory(calls []*call) (ready []*call) {
+	r.returnExpiredCalls()
+	for len(r.waitingCalls) > 0 && r.completeCall(r.waitingCalls[0]) {
+		ready = append(ready, r.waitingCalls[0])
+		r.waitingCalls = r.waitingCalls[1:]
+	}
+	for _, c := range calls {
+		if c.missingMemory == 0 {
+			ready = append(ready, c)
+		} else {
+			r.waitingCalls = append(r.waitingCalls, c)
+		}
+	}
+	r.scheduleWaitingCalls()
+	return ready
+}
+
+// completeCall reserves the memory that a call lacks, and loads the bodies of its messages.
+func (r *Relay) completeCall(c *call) bool {
+	if !r.reserveCallMemory(c, c.missingMemory) {
+		return false
+	}
+	c.reservedMemory += c.missingMemory
+	c.missingMemory = 0
+	for _, a := range c.attempts {
+		if a.message.completed {
+			continue // checkSend leaves the attempt out
+		}
+		body, err := r.journal.Body(a.message.Message)
+		if err != nil {
+			r.failMessage(a.message, err)
+			continue
+		}
+		a.Body = body
+	}
+	return true
+}
+
+// returnExpiredCalls ends the waiting calls whose time is over.
+func (r *Relay) returnExpiredCalls() {
+	now := time.Now()
+	waiting := r.waitingCalls[:0]
+	for _, c := range r.waitingCalls {
+		if now.Before(c.Deadline) && !r.sendingStopped {
+			waiting = append(waiting, c)
+		} else {
+			r.returnWaitingCall(c)
+		}
+	}
+	clear(r.waitingCalls[len(waiting):])
+	r.waitingCalls = waiting
+}
+
+// returnWaitingCalls ends all waiting calls. Their messages were not sent.
+func (r *Relay) returnWaitingCalls() {
+	for _, c := range r.waitingCalls {
+		r.returnWaitingCall(c)
+	}
+	r.waitingCalls = nil
+}
+
+func (r *Relay) returnWaitingCall(c *call) {
+	for _, a := range c.attempts {
+		r.deferredEvents = r.attemptEnded(r.deferredEvents, a, egress.Result{Outcome: policy.NotSent})
+	}
+	r.releaseCall(c)
+	r.requestStepAfter(r.cfg.Tick)
+}
+
+// scheduleWaitingCalls requests a step after waitingCallsInterval if calls wait.
+func (r *Relay) scheduleWaitingCalls() {
+	now := time.Now()
+	if len(r.waitingCalls) == 0 || now.Before(r.waitingCallsTimeAt) {
+		return
+	}
+	r.waitingCallsTimeAt = now.Add(waitingCallsInterval)
+	r.requestStepAfter(waitingCallsInterval)
+}
