--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,8 @@
 	// Clock returns the current time of the clock from which the now of Step is read.
 	Clock func() time.Duration
 	Log   *slog.Logger
+	// MaxStreamBytes bounds the memory that a stream of another member may take, in bytes; 0: 4 MiB.
+	MaxStreamBytes int
 	// RequestStep requests a step from the loop. It must not block.
 	RequestStep func()
 	// Transport carries the node's datagrams and streams. If it is nil, the node opens sockets on Listen.
@@ -124,6 +126,7 @@
 		OnReceive:       m.cfg.RequestStep,
 		SaveIncarnation: func(generation uint64) error { return writeIncarnation(m.cfg, generation) },
 		Transport:       m.cfg.Transport,
+		MaxStreamBytes:  m.cfg.MaxStreamBytes,
 	})
 	m.setNode(node, err)
 	if err != nil {
--- a/internal/fleet/membership/memberlist.go
+++ b/internal/fleet/membership/memberlist.go
@@ -36,11 +36,15 @@
 		}
 		inner = sockets
 	}
-	n.transport = &transport{NodeAwareTransport: inner, addresses: n.cfg.Peers}
+	n.transport = &transport{
+		NodeAwareTransport: inner,
+		addresses:          n.cfg.Peers,
+		inbound:            newInbound(inner, cmp.Or(n.cfg.MaxStreamBytes, defaultMaxStreamBytes)),
+	}
 	config.Transport = n.transport
 	list, err := memberlist.Create(config)
 	if err != nil {
-		return errors.Join(fmt.Errorf("membership: %w", err), inner.Shutdown())
+		return errors.Join(fmt.Errorf("membership: %w", err), n.transport.Shutdown())
 	}
 	n.memberlist = list
 	return nil
@@ -59,6 +63,7 @@
 	config.TCPTimeout = streamTimeout
 	config.PushPullInterval = cmp.Or(n.cfg.syncInterval, gossip.SyncInterval)
 	config.EnableCompression = false
+	config.HandoffQueueDepth = datagramQueueSize
 	config.DeadNodeReclaimTime = nameReclaimTimeout
 	// The delegate's protocol version must stay 0, because memberlist excludes members with a newer version entirely.
 	// With the codec's versions, only single messages are rejected.
--- a/internal/fleet/membership/node.go
+++ b/internal/fleet/membership/node.go
@@ -41,6 +41,8 @@
 	Peers       map[string]string
 	Incarnation loadreport.Incarnation
 	Log         *slog.Logger
+	// MaxStreamBytes bounds the memory that a stream of another member may take, in bytes; 0: 4 MiB.
+	MaxStreamBytes int
 	// SaveIncarnation stores a generation so that it outlasts the process. It is called on a goroutine of the node.
 	SaveIncarnation func(generation uint64) error
 	// OnReceive is called when reports, quota messages or a new incarnation are ready for Received or ReceivedQuota.
--- a/internal/fleet/membership/transport.go
+++ b/internal/fleet/membership/transport.go
@@ -14,10 +14,23 @@
 type transport struct {
 	memberlist.NodeAwareTransport
 	addresses map[string]string
+	inbound   *inbound
 	sentBytes atomic.Uint64
 	streams   atomic.Uint64
 }
 
+// PacketCh returns the datagrams of other members.
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.inbound.packets }
+
+// StreamCh returns the streams of other members.
+func (t *transport) StreamCh() <-chan net.Conn { return t.inbound.streams }
+
+// Shutdown stops the transport.
+func (t *transport) Shutdown() error {
+	t.inbound.stop()
+	return t.NodeAwareTransport.Shutdown()
+}
+
 func (t *transport) resolve(address memberlist.Address) memberlist.Address {
 	if addr, ok := t.addresses[address.Name]; ok {
 		address.Addr = addr
@@ -42,7 +55,8 @@
 	if err := conn.SetDeadline(time.Now().Add(2 * streamTimeout)); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
-	return &countingConn{conn, &t.sentBytes}, nil
+	counted := &countingConn{conn, &t.sentBytes}
+	return &boundedStream{Conn: counted, maxBytes: t.inbound.maxStreamBytes, release: func() {}}, nil
 }
 
 // countingConn counts the bytes written to a connection.
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -24,6 +24,7 @@
 	"the relay's own bound on what a peer may use of its resources": {
 		"netconn.MaxWireSize", "relay.maxIDSize", "ingress.idleTimeout", "ingress.writeTimeout",
 		"ingress.lingerTimeout", "ingress.maxLingerSize", "netconn.MaxHeaderSize", "netconn.readBufferSize",
+		"discovery.maxHeaderSize", "discovery.maxLoggedSize", "discovery.maxTextSize",
 		"discovery.MaxEntries", "discovery.MaxEntrySize", "discovery.ListTimeout", "notify.maxNotificationsPerPost",
 		"notify.maxResponseSize", "egress.responseTimeout", "egress.maxReportedValue", "egress.maxInformational",
 		"egress.maxRetryAfterSeconds", "discovery.fetchIdleTimeout", "egress.maxMessagesPerConn",
@@ -35,6 +36,7 @@
 		"ingress.memoryWait", "ingress.refuseAfter", "ingress.stalledAfter", "ingress.noMemoryRetryAfter",
 	},
 	"the relay's own bound on its work": {
+		"hotrestart.maxGreetingSize",
 		"hotrestart.dialTimeout", "hotrestart.sendTimeout", "hotrestart.maxFrameSize", "hotrestart.headerSize",
 		"hotrestart.maxPathLength", "relay.maxTick",
 		"relay.eventQueueSize", "relay.maxBatchEvents", "egress.recheckAfter", "relay.clockTolerance",
@@ -51,7 +53,7 @@
 		"policy.timerSlack", "policy.minClassWeight", "policy.revisionSize", "policy.strictestMaxAttempts",
 	},
 	"a fraction of a setting": {
-		"relay.heapFraction", "relay.sharedMemoryFraction",
+		"relay.fleetStreamDivisor", "relay.heapFraction", "relay.sharedMemoryFraction",
 		"egress.idleRatio", "backoff.graceRatio", "policy.recoveryLapseRatio", "policy.maxPendingRatio",
 		"policy.maxScopeInFlightRatio", "policy.overQuotaDelayRatio", "policy.missedObjectiveDelayRatio",
 		"policy.minScopeInFlight", "policy.overdueCallsDivisor",
--- a/internal/relay/discovery/client.go
+++ b/internal/relay/discovery/client.go
@@ -17,6 +17,9 @@
 // ErrMoved is the cancellation cause of calls that are in flight when a Client moves to another address.
 var ErrMoved = errors.New("discovery agent moved to another address")
 
+// maxHeaderSize bounds the header of a response of the agent, in bytes.
+const maxHeaderSize = 16 << 10
+
 // Client calls the discovery agent. It is safe for concurrent use. Each call has a connection of its own: responses are
 // matched to requests by their order alone, and a second copy of a response may arrive when the next request is out.
 type Client struct {
@@ -31,10 +34,11 @@
 // NewClient returns a client of the discovery agent at addr.
 func NewClient(addr string) *Client {
 	c := &Client{addr: addr, http: &http.Client{Transport: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
-		DisableCompression: true,
-		DisableKeepAlives:  true,
-		MaxConnsPerHost:    4,
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression:     true,
+		DisableKeepAlives:      true,
+		MaxConnsPerHost:        4,
+		MaxResponseHeaderBytes: maxHeaderSize,
 	}}}
 	c.targetCtx, c.cancelTarget = context.WithCancel(context.Background())
 	return c
--- a/internal/relay/discovery/list_test.go
+++ b/internal/relay/discovery/list_test.go
@@ -125,3 +125,19 @@
 		})
 	}
 }
+
+// TestLongTextsAreRefused guards against entries whose texts take much memory.
+func TestLongTextsAreRefused(t *testing.T) {
+	cell := 1
+	parser := Parser{Zones: []string{"a"}, Kinds: []string{"k"}}
+	for _, size := range []int{maxTextSize, maxTextSize + 1} {
+		for name, record := range map[string]EndpointRecord{
+			"id":   {ID: strings.Repeat("i", size), Addr: "x", Zone: "a", Kind: "k", Cell: &cell, State: "ready"},
+			"addr": {ID: "i", Addr: strings.Repeat("x", size), Zone: "a", Kind: "k", Cell: &cell, State: "ready"},
+		} {
+			if _, _, err := parser.Parse(&record); (err != nil) != (size > maxTextSize) {
+				t.Errorf("%s of %d bytes: %v", name, size, err)
+			}
+		}
+	}
+}
--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -148,7 +148,8 @@
 	endpoint, addr, err := r.parser.Parse(record)
 	e := Entry{Endpoint: catalog.Endpoint{Endpoint: endpoint, Addr: addr}, Err: cmp.Or(decodeErr, err)}
 	if e.Err != nil {
-		e.Text = fmt.Sprintf("%+v", *record)
+		text := fmt.Sprintf("%+v", *record)
+		e.Text = strings.Clone(text[:min(len(text), maxLoggedSize)])
 	}
 	return e
 }
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -75,6 +75,7 @@
 
 // markEndpointsKnown marks the endpoint list as known once the catalog has an endpoint.
 func (r *Relay) markEndpointsKnown() {
+	r.budget.SetEndpointList(r.catalog.Size())
 	if r.catalog.EndpointCount() > 0 {
 		r.listReceived = true
 		r.endpointsKnown.Store(true)
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -7,6 +7,9 @@
 	"cherrytrestle.example/cherrytrestle/policy"
 )
 
+// fleetStreamDivisor is the divisor of the memory limit that gives the bound of one stream of another relay.
+const fleetStreamDivisor = 64
+
 // joinFleet makes this relay a member of its fleet, if the operator's file enables that.
 func (r *Relay) joinFleet() {
 	settings := r.cfg.Operator.Fleet
@@ -25,6 +28,7 @@
 		Clock:            r.now,
 		Log:              r.log,
 		RequestStep:      r.requestStep,
+		MaxStreamBytes:   int(r.cfg.Limits.memoryBytes() / fleetStreamDivisor),
 	})
 	r.recorder.RecordFleet(r.fleet.Agent().Snapshot)
 }
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -72,7 +72,7 @@
 // serveSuccessor serves a process that wants to take over, until that process closes its connection.
 func (r *Relay) serveSuccessor(c *hotrestart.Conn) {
 	defer func() { _ = c.Close() }() // the other process has closed the connection, or is rejected
-	f, err := c.Receive()
+	f, err := c.ReceiveGreeting()
 	if err != nil || f.Hello == nil {
 		return
 	}
--- a/internal/relay/hotrestart/conn.go
+++ b/internal/relay/hotrestart/conn.go
@@ -18,6 +18,8 @@
 const (
 	// maxFrameSize bounds the JSON text of a frame, in bytes. The state of 100,000 messages takes about 40 MB.
 	maxFrameSize = 128 << 20
+	// maxGreetingSize bounds the first frame of a process that connects, in bytes.
+	maxGreetingSize = 4 << 10
 	// sendTimeout bounds the time for writing a frame, so that the sender does not wait for a process that no longer
 	// reads.
 	sendTimeout = time.Second
@@ -130,8 +132,14 @@
 	return err
 }
 
+// ReceiveGreeting waits for the first frame of a process that has connected. It allows no more than such a frame takes.
+func (c *Conn) ReceiveGreeting() (Frame, error) { return c.receive(maxGreetingSize) }
+
 // Receive waits for the next frame. It returns io.EOF if the other end closed the connection between two frames.
-func (c *Conn) Receive() (Frame, error) {
+func (c *Conn) Receive() (Frame, error) { return c.receive(maxFrameSize) }
+
+// receive waits for the next frame, whose text may have up to maxSize bytes.
+func (c *Conn) receive(maxSize uint32) (Frame, error) {
 	var header [headerSize]byte
 	_, err := io.ReadFull(c.conn, header[:])
 	if errors.Is(err, io.EOF) {
@@ -141,9 +149,8 @@
 		return Frame{}, fmt.Errorf("handover: read the length of a frame: %w", err)
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size > maxFrameSize {
-		return Frame{}, fmt.Errorf("handover: receive: %w: %d bytes, want at most %d",
-			errFrameTooLarge, size, maxFrameSize)
+	if size > maxSize {
+		return Frame{}, fmt.Errorf("handover: receive: %w: %d bytes, want at most %d", errFrameTooLarge, size, maxSize)
 	}
 	f, err := c.receiveBody(int(size))
 	if err != nil {
--- a/internal/relay/largelist.go
+++ b/internal/relay/largelist.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/memory"
 	"cherrytrestle.example/cherrytrestle/internal/relay/discovery"
 	"cherrytrestle.example/cherrytrestle/internal/state/catalog"
 	"cherrytrestle.example/cherrytrestle/policy"
@@ -128,7 +129,7 @@
 		}
 		if r.exceedsCatalog(e) {
 			r.snapshotTruncated = true
-			r.catalogFull.Log(r.log, "limit", discovery.MaxEntries)
+			r.catalogFull.Log(r.log, "endpoints", r.catalog.EndpointCount(), "bytes", r.catalog.Size())
 			continue
 		}
 		updates = r.applyEntry(updates, e)
@@ -139,9 +140,12 @@
 // endsService reports whether an entry drains or removes its endpoint.
 func endsService(e *discovery.Entry) bool { return e.Err == nil && !e.InService }
 
-// exceedsCatalog reports whether an entry would add an endpoint to a catalog that already holds discovery.MaxEntries.
+// exceedsCatalog reports whether an entry would add an endpoint to a catalog that already holds discovery.MaxEntries,
+// or as many bytes as the memory limit allows.
 func (r *Relay) exceedsCatalog(e *discovery.Entry) bool {
-	if r.catalog.EndpointCount() < discovery.MaxEntries || e.Err != nil {
+	full := r.catalog.EndpointCount() >= discovery.MaxEntries ||
+		r.catalog.Size() >= r.budget.Limit(memory.EndpointList)
+	if !full || e.Err != nil {
 		return false
 	}
 	_, known := r.catalog.Endpoint(e.ID)
