--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -176,7 +176,7 @@
 			ids = append(ids, a.message.ID)
 		}
 	}
-	if len(sendable) == 0 || r.sendingStopped {
+	if len(sendable) == 0 || r.sendingStopped || !r.stillAt(c) {
 		return nil
 	}
 	now := r.now()
@@ -188,6 +188,16 @@
 	return sendable
 }
 
+// stillAt reports whether the endpoint of a call is listed with the address and the destination for which the call was
+// decided. Another process may have taken over an address that the endpoint has left.
+func (r *Relay) stillAt(c *call) bool {
+	endpoint, listed := r.catalog.Endpoint(c.EndpointID)
+	if !listed || endpoint.Addr != c.Addr {
+		return false
+	}
+	return endpoint.Destination == c.attempts[0].message.Destination
+}
+
 // checkSend has the loop determine which attempts of a delayed call may still be sent. It returns none if the loop
 // has ended.
 func (r *Relay) checkSend(c *call) []*egress.Attempt {
