--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -94,7 +94,7 @@
 	if known == nil {
 		return r.finished.reply(m.TraceID, now)
 	}
-	if known.Cancelled && (known.inFlight == 0 || r.cfg.AllowHedging) {
+	if known.Cancelled && !known.Delivered && (known.inFlight == 0 || r.cfg.AllowHedging) {
 		return ingress.Response{}, false
 	}
 	return r.duplicateReply(known), true
@@ -162,6 +162,8 @@
 // duplicateReply returns the answer to a submission with the id of m: the final answer of m, if it has one.
 func (r *Relay) duplicateReply(m *message) ingress.Response {
 	switch {
+	case m.Delivered:
+		return ingress.Response{Status: http.StatusAccepted}
 	case m.Cancelled: // its call is still in flight, and hedging is not allowed
 		return ingress.Response{Status: http.StatusInternalServerError}
 	case m.Final == nil: // pending or delivered
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -251,7 +251,11 @@
 			r.countResult(m.Message, metrics.Completed)
 		}
 		r.markCompleted(m)
-		r.journal.Remove(m.Message)
+		if delivered {
+			r.recordDelivered(m)
+		} else {
+			r.journal.Remove(m.Message)
+		}
 		events = r.markDelivered(events, m.resubmittedAs)
 	}
 	r.remove(m)
--- a/internal/relay/constants_test.go
+++ b/internal/relay/constants_test.go
@@ -47,6 +47,7 @@
 		"relay.minEndpointConns", "relay.journalLockTimeout", "relay.journalLockRetryInterval",
 		"ingress.evictionRetryInterval", "ingress.maxSparedConns",
 		"ingress.newConnGrace", "ingress.acceptRetryDelay", "ingress.surplusIdleTime", "relay.maxFinishedMessages",
+		"relay.maxKeptDelivered",
 		"ratelog.minInterval", "relay.readBufferSize", "discovery.MaxPartEntries", "discovery.noVersion",
 		"backoff.maxDoublings", "relay.maxEvictions", "relay.evictInterval", "policy.maxQueueScan",
 		"policy.maxFleetSize", "policy.snapshotVersion", "policy.deadlineMargin", "policy.randomStream",
--- a/internal/relay/helpers_test.go
+++ b/internal/relay/helpers_test.go
@@ -158,3 +158,9 @@
 		return ok()
 	})
 }
+
+// isDelivered reports whether a message that was accepted was delivered: it is kept as such, or gone.
+func isDelivered(r *Relay, trace string) bool {
+	m := r.messagesByTrace[trace]
+	return m == nil || m.Delivered
+}
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -32,6 +32,7 @@
 	finished        finishedMessages
 	finishedBytes   int64 // reserved for finished
 	pending         int   // number of messages that are not completed
+	keptDelivered   int   // number of delivered messages in cancelled
 	lastMessageID   policy.MessageID
 	journalFull     ratelog.Warning // logged when the journal cannot store new messages
 }
@@ -78,7 +79,7 @@
 			r.countResult(m.Message, metrics.Completed)
 		}
 		r.markCompleted(m)
-		r.journal.Remove(m.Message)
+		r.recordDelivered(m)
 		r.remove(m)
 	}
 	return events
@@ -95,8 +96,7 @@
 		if m.resubmittedAs == nil && len(m.UncertainAttempts) > 0 && now.Before(m.Deadline) {
 			return false
 		}
-		r.journal.Remove(m.Message)
-		r.remove(m)
+		r.dropKept(m)
 		return true
 	})
 }
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -93,7 +93,7 @@
 	switch {
 	case record.Cancelled:
 		m.completed = true
-		r.cancelled = append(r.cancelled, m)
+		r.keepRecovered(m)
 	case record.Final != nil:
 		m.completed = true
 		r.queueNotification(m)
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -197,7 +197,7 @@
 	r.recorder.Label(m.ID, m.TraceID)
 	switch {
 	case recovered.Cancelled:
-		r.cancelled = append(r.cancelled, m)
+		r.keepRecovered(m)
 	case recovered.Final != nil:
 		r.queueNotification(m)
 	}
--- a/internal/state/journal/encoding.go
+++ b/internal/state/journal/encoding.go
@@ -34,6 +34,8 @@
 	deltaNotRun
 	deltaFinal
 	deltaCancelled
+	// deltaDelivered follows deltaCancelled, which alone makes earlier programs keep the message, too.
+	deltaDelivered
 )
 
 // valueVersion returns the version byte of a value, or 0, which is not a version, if the value is empty.
@@ -223,6 +225,8 @@
 		}
 	case deltaCancelled:
 		m.Cancelled = true
+	case deltaDelivered:
+		m.Delivered = true
 	default:
 		return false
 	}
--- a/internal/state/journal/journal.go
+++ b/internal/state/journal/journal.go
@@ -43,8 +43,9 @@
 	live      map[policy.MessageID]*Message // accepted messages that are not removed, by ID
 	terms     sharedTerms                   // of the messages that were read
 	pending   []pendingRecord
-	scratch   []byte // buffer reused for encoding and for reading values
-	bodyBytes int64  // total size of the bodies in memory
+	replaced  map[*Message]uint64 // keys of the messages that the batch being written replaces
+	scratch   []byte              // buffer reused for encoding and for reading values
+	bodyBytes int64               // total size of the bodies in memory
 
 	// healthKeys, anchorKeys and rulesKeys are the store keys under which endpoint health, anchors of the timeline and
 	// rules for new messages are saved. If there are several, only the value of the last key is used.
--- a/internal/state/journal/message.go
+++ b/internal/state/journal/message.go
@@ -40,6 +40,9 @@
 	// Cancelled reports that the client disconnected before the final answer and no longer waits for one. The message
 	// may have run. The journal keeps its attempts in case the client submits the message again.
 	Cancelled bool `json:"Withdrawn"`
+	// Delivered reports that the message was delivered. It is kept without its body, and as cancelled, in case its
+	// client did not receive the answer and submits it again.
+	Delivered bool `json:"-"`
 	// Uncertain reports that records of this message may have been lost: it may have run on any endpoint.
 	Uncertain bool `json:"Doubtful"`
 
--- a/internal/state/journal/write.go
+++ b/internal/state/journal/write.go
@@ -47,13 +47,11 @@
 // RecordSends records attempts, either all of them or none. It must be called before the first byte of any of them is
 // sent.
 func (j *Journal) RecordSends(sends ...Send) error {
-	batch := j.beginBatch()
-	for i := range sends {
-		send := &sends[i]
-		j.scratch = appendAttempt(append(j.scratch[:0], byte(deltaSend)), &send.Attempt, j.timeline)
-		batch.Append(send.Message.key, j.scratch)
+	err := j.commitSends(sends)
+	if errors.Is(err, ErrFull) { // only delivered messages needed space, and they are removed now
+		err = j.commitSends(sends)
 	}
-	if err := j.commit(batch); err != nil {
+	if err != nil {
 		return err
 	}
 	for _, send := range sends {
@@ -62,6 +60,16 @@
 	return nil
 }
 
+func (j *Journal) commitSends(sends []Send) error {
+	batch := j.beginBatch()
+	for i := range sends {
+		send := &sends[i]
+		j.scratch = appendAttempt(append(j.scratch[:0], byte(deltaSend)), &send.Attempt, j.timeline)
+		batch.Append(send.Message.key, j.scratch)
+	}
+	return j.commit(batch)
+}
+
 // RecordNotRun adds a pending record of an outcome that proves that an attempt never ran. Other outcomes need no
 // record: the attempt stays uncertain after them, as it is without an outcome.
 func (j *Journal) RecordNotRun(m *Message, attempt int) {
@@ -106,17 +114,29 @@
 	if len(j.pending) == 0 {
 		return nil
 	}
-	return j.commit(j.beginBatch())
+	err := j.commit(j.beginBatch())
+	if errors.Is(err, ErrFull) {
+		return nil // without space for delivered messages, their removal was written
+	}
+	return err
 }
 
 // beginBatch returns a batch that begins with all pending records.
 func (j *Journal) beginBatch() *store.Batch {
 	batch := j.store.Begin()
+	clear(j.replaced)
 	for _, record := range j.pending {
 		key := record.message.key
-		if record.kind == deltaRemove {
+		if replacement, replaced := j.replaced[record.message]; replaced {
+			key = replacement
+		}
+		switch record.kind {
+		case deltaRemove:
 			batch.Delete(key)
 			continue
+		case deltaDelivered:
+			j.replaceDelivered(batch, record.message, key)
+			continue
 		}
 		j.scratch = append(j.scratch[:0], byte(record.kind))
 		switch record.kind {
@@ -136,13 +156,14 @@
 	committedBefore := j.store.Stats().CommittedBytes
 	err := j.store.Commit(batch)
 	if errors.Is(err, store.ErrFull) {
+		j.removeDelivered()
 		if pendingErr := j.commitPending(); pendingErr != nil {
 			return fmt.Errorf("journal: %w", errors.Join(ErrFull, pendingErr))
 		}
 		err = ErrFull
 	}
 	if err == nil {
-		j.pending = j.pending[:0]
+		j.pendingWritten()
 	}
 	j.compact(committedBefore)
 	if err != nil {
@@ -159,7 +180,7 @@
 	if err := j.store.Commit(j.beginBatch()); err != nil {
 		return err
 	}
-	j.pending = j.pending[:0]
+	j.pendingWritten()
 	return nil
 }
 
