--- a/internal/relay/submission.go
+++ b/internal/relay/submission.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"cherrytrestle.example/cherrytrestle/internal/relay/ingress"
 	"cherrytrestle.example/cherrytrestle/internal/state/journal"
@@ -111,6 +112,8 @@
 		return errors.New("X-Qos and the path differ")
 	case m.TraceID == "" || longest > maxIDSize:
 		return errors.New("no X-Trace-Id, or an id or key too long")
+	case !utf8.ValidString(m.TraceID) || !utf8.ValidString(m.IdempotencyKey) || !utf8.ValidString(m.OrderingKey):
+		return errors.New("an id or key is not UTF-8") // the JSON of batches and notifications could not name it
 	case len(request.Header["X-Trace-Id"]) > 1 || len(request.Header["Idempotency-Key"]) > 1:
 		return errors.New("more than one id or key")
 	case m.IdempotencyKey == "" && class.Effect == policy.IdempotentByKey:
--- a/internal/relay/submission_test.go
+++ b/internal/relay/submission_test.go
@@ -42,6 +42,12 @@
 		"short length":            {requestText("a", "Length: 4", "Length: 3"), 400},
 		"unknown class":           {requestText("a", "/order", "/other", "Qos: order", "Qos: other"), 400},
 		"no id":                   {requestText(""), 400},
+		"an id that is not UTF-8": {requestText("a\xff"), 400},
+		"a key that is not UTF-8": {requestText("a", "Idempotency-Key: ", "Idempotency-Key: \xff"), 400},
+		"an order not UTF-8":      {requestText("a", "/order", "/order?key=%ff"), 400},
+		"too many fields": {
+			requestText("a", "X-Qos", strings.Repeat("X-More: a\r\n", 100)+"X-Qos"), 431,
+		},
 		"two ids":                 {requestText("a", "X-Qos", "X-Trace-Id: b\r\nX-Qos"), 400},
 		"a deadline in words":     {requestText("a", "5000", "soon"), 400},
 		"time above the deadline": {requestText("a", "5000", "5000000"), 400},
