--- a/cmd/cherrytrestle/hostileclients_test.go
+++ b/cmd/cherrytrestle/hostileclients_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -161,3 +162,51 @@
 	}
 	t.Log(strings.Join(shown, " "))
 }
+
+// busyActs returns what one client does on one connection at full speed, also under ever new names.
+func busyActs() []hostileAct {
+	request := func(n int, path, customer, destination string) string {
+		return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t%d-%d\r\nX-Qos: order\r\nX-Customer: %s\r\n"+
+			"Idempotency-Key: k%d\r\nX-Expires-In-Ms: 5000\r\nEnvelope: dest=%s\r\nContent-Length: 1\r\n\r\nb",
+			path, time.Now().UnixNano(), n, customer, n, destination)
+	}
+	return []hostileAct{
+		{"new ids", inTurn(func(n int) string { return request(n, "order", "acme", "7") })},
+		{"new ordering keys", inTurn(func(n int) string {
+			return request(n, fmt.Sprint("order?key=", n), "acme", "7")
+		})},
+		{"new destinations", inTurn(func(n int) string { return request(n, "order", "acme", fmt.Sprint(n+100)) })},
+		{"new tenants", inTurn(func(n int) string { return request(n, "order", fmt.Sprint("c", n), "7") })},
+		{"new classes", inTurn(func(n int) string { return request(n, fmt.Sprint("o", n), "acme", "7") })},
+		{"long request lines", inTurn(func(n int) string {
+			return request(n, fmt.Sprintf("order?key=%d&pad=%s", n, strings.Repeat("p", 15000)), "acme", "7")
+		})},
+		{"unsound", inTurn(func(int) string { return "noise\r\n\r\n" })},
+	}
+}
+
+// inTurn sends requests one after the other, each once the one before is answered.
+func inTurn(request func(n int) string) func(context.Context, net.Conn) {
+	return func(ctx context.Context, conn net.Conn) {
+		in := bufio.NewReader(conn)
+		for n := 0; ctx.Err() == nil; n++ {
+			writeQuietly(conn, request(n))
+			response, err := http.ReadResponse(in, nil)
+			if err != nil {
+				return
+			}
+			drain(response.Body)
+			if response.Close {
+				return
+			}
+		}
+	}
+}
+
+// TestMemoryStaysBoundedWithOneBusyClient guards against memory that grows with the names in requests, and against a
+// client at full speed that keeps others from their answers.
+func TestMemoryStaysBoundedWithOneBusyClient(t *testing.T) {
+	for _, act := range busyActs() {
+		t.Run(act.name, func(t *testing.T) { testHostileClients(t, act, 1, 96) })
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -75,62 +75,62 @@
 // classResults counts the messages of a class by their result.
 type classResults [resultCount]int64
 
-// LabeledCounter counts events by a label. The zero value is ready to use. The number of labels must be bounded.
-type LabeledCounter struct {
+// labeledValues holds values by a label. The zero value is ready to use.
+type labeledValues struct {
 	mu     sync.Mutex
-	counts map[string]int64
+	values map[string]int64
 }
 
-// Add adds n to the counter of a label. With 0 it adds the label, so that WriteTo includes it.
-func (c *LabeledCounter) Add(label string, n int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.counts == nil {
-		c.counts = map[string]int64{}
+// change replaces the value of a label by the result of a function of it.
+func (v *labeledValues) change(label string, f func(int64) int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.values == nil {
+		v.values = map[string]int64{}
 	}
-	c.counts[label] += n
+	v.values[label] = f(v.values[label])
 }
 
-// Get returns the count of a label.
-func (c *LabeledCounter) Get(label string) int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.counts[label]
+func (v *labeledValues) set(label string, value int64) { v.change(label, func(int64) int64 { return value }) }
+
+func (v *labeledValues) get(label string) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.values[label]
 }
 
-// writeTo writes the counters, ordered by label.
-func (c *LabeledCounter) writeTo(text *strings.Builder, name string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, label := range slices.Sorted(maps.Keys(c.counts)) {
-		writeMetric(text, name+"."+label, c.counts[label], counter)
+// writeTo writes the values as metrics of a kind, ordered by label.
+func (v *labeledValues) writeTo(text *strings.Builder, name, kind string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, label := range slices.Sorted(maps.Keys(v.values)) {
+		writeMetric(text, name+"."+label, v.values[label], kind)
 	}
 }
 
-// LabeledGauge holds levels by a label. The zero value is ready to use. The number of labels must be bounded.
-type LabeledGauge struct {
-	mu     sync.Mutex
-	levels map[string]int64
+// LabeledCounter counts events by a label. The zero value is ready to use. The number of labels must be bounded.
+type LabeledCounter struct{ counts labeledValues }
+
+// Add adds n to the counter of a label. With 0 it adds the label, so that WriteTo includes it.
+func (c *LabeledCounter) Add(label string, n int64) {
+	c.counts.change(label, func(count int64) int64 { return count + n })
 }
 
+// Set sets the counter of a label to a total that is counted elsewhere.
+func (c *LabeledCounter) Set(label string, total int64) { c.counts.set(label, total) }
+
+// Get returns the count of a label.
+func (c *LabeledCounter) Get(label string) int64 { return c.counts.get(label) }
+
+func (c *LabeledCounter) writeTo(text *strings.Builder, name string) { c.counts.writeTo(text, name, counter) }
+
+// LabeledGauge holds levels by a label. The zero value is ready to use. The number of labels must be bounded.
+type LabeledGauge struct{ levels labeledValues }
+
 // Set sets the level of a label.
-func (g *LabeledGauge) Set(label string, level int64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.levels == nil {
-		g.levels = map[string]int64{}
-	}
-	g.levels[label] = level
-}
+func (g *LabeledGauge) Set(label string, level int64) { g.levels.set(label, level) }
 
-// writeTo writes the levels, ordered by label.
-func (g *LabeledGauge) writeTo(text *strings.Builder, name string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, label := range slices.Sorted(maps.Keys(g.levels)) {
-		writeMetric(text, name+"."+label, g.levels[label], gauge)
-	}
-}
+func (g *LabeledGauge) writeTo(text *strings.Builder, name string) { g.levels.writeTo(text, name, gauge) }
 
 // RegisterClass adds the counters of a class, so that WriteTo includes them before the first message of the class ends.
 func (r *Registry) RegisterClass(name string) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -89,7 +89,6 @@
 	r.metrics.GCCycles.Store(usage.GCCycles)
 	for _, account := range memory.Accounts() {
 		r.metrics.MemoryReserved.Set(account.String(), r.budget.Used(account))
-		refused := r.budget.Refused(account)
-		r.metrics.MemoryRefused.Add(account.String(), refused-r.metrics.MemoryRefused.Get(account.String()))
+		r.metrics.MemoryRefused.Set(account.String(), r.budget.Refused(account))
 	}
 }
