--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -91,7 +91,9 @@
 	v.values[label] = f(v.values[label])
 }
 
-func (v *labeledValues) set(label string, value int64) { v.change(label, func(int64) int64 { return value }) }
+func (v *labeledValues) set(label string, value int64) {
+	v.change(label, func(int64) int64 { return value })
+}
 
 func (v *labeledValues) get(label string) int64 {
 	v.mu.Lock()
@@ -122,7 +124,9 @@
 // Get returns the count of a label.
 func (c *LabeledCounter) Get(label string) int64 { return c.counts.get(label) }
 
-func (c *LabeledCounter) writeTo(text *strings.Builder, name string) { c.counts.writeTo(text, name, counter) }
+func (c *LabeledCounter) writeTo(text *strings.Builder, name string) {
+	c.counts.writeTo(text, name, counter)
+}
 
 // LabeledGauge holds levels by a label. The zero value is ready to use. The number of labels must be bounded.
 type LabeledGauge struct{ levels labeledValues }
@@ -130,7 +134,9 @@
 // Set sets the level of a label.
 func (g *LabeledGauge) Set(label string, level int64) { g.levels.set(label, level) }
 
-func (g *LabeledGauge) writeTo(text *strings.Builder, name string) { g.levels.writeTo(text, name, gauge) }
+func (g *LabeledGauge) writeTo(text *strings.Builder, name string) {
+	g.levels.writeTo(text, name, gauge)
+}
 
 // RegisterClass adds the counters of a class, so that WriteTo includes them before the first message of the class ends.
 func (r *Registry) RegisterClass(name string) {
--- a/internal/relay/ingress/exchange.go
+++ b/internal/relay/ingress/exchange.go
@@ -108,22 +108,26 @@
 	if response.Status == 0 {
 		return false // the client has left, or the server has closed the connection
 	}
-	if response.isClientError() || c.bodyFailed {
-		if complete && !c.bodyFailed {
-			// The whole body is buffered, so discarding it neither blocks nor fails.
-			_, _ = io.Copy(io.Discard, request.Body)
-		}
-		if !complete || c.bodyFailed || c.stream.Buffered() > 0 {
-			return s.reject(c, response)
-		}
+	if (response.isClientError() || c.bodyFailed) && !c.skipBody(request, complete) {
+		return s.reject(c, response)
 	}
-	closing, err := s.writeResponse(c, response, request.Close)
+	closing, err := s.writeResponse(c, response, request.Close || s.wasRefused(c))
 	if closing && err == nil {
 		c.endReason = CloseByResponse
 	}
 	return err == nil && !closing
 }
 
+// skipBody discards the body of a rejected request if it is known to be buffered as a whole. It reports whether the
+// next bytes on the connection begin a new request.
+func (c *Conn) skipBody(request *http.Request, complete bool) bool {
+	if !complete || c.bodyFailed {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, request.Body) // neither blocks nor fails
+	return c.stream.Buffered() == 0
+}
+
 // requestBody asks the client to send the body of its request, if the client waits for that.
 func (c *Conn) requestBody(request *http.Request) {
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
--- a/internal/relay/ingress/requestmemory.go
+++ b/internal/relay/ingress/requestmemory.go
@@ -59,6 +59,7 @@
 		return !c.dropped // granted just now
 	}
 	s.memoryWaiters = slices.Delete(s.memoryWaiters, i, i+1)
+	s.grantMemory() // others that need less may have waited behind this one
 	return false
 }
 
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -80,8 +80,10 @@
 	for _, check := range s.sendChecks {
 		check.reply <- r.sendableAttempts(check.call)
 	}
-	for _, request := range s.metricsRequests {
+	if len(s.metricsRequests) > 0 {
 		r.updateGauges()
+	}
+	for _, request := range s.metricsRequests {
 		close(request.done)
 	}
 	if s.handOver != nil {
