Capacity test: the backlog is delivered before the destination moves

Trace: the recovered calls connect to the original address while the test moves the endpoint; at the check before the request is written the list names the new address, so they are not written to the one that was left, and the backlog arrives at the new address. Change: the test waits for the backlog there before it moves the endpoint; what it asks for is the same.

--- a/cmd/capacity/relay_test.go
+++ b/cmd/capacity/relay_test.go
@@ -48,6 +48,12 @@
 	if memory, err := r.peakMemory(); err != nil || memory < 1<<20 {
 		t.Errorf("peak memory %g bytes, want at least 1 MiB; error %v", memory, err)
 	}
+	// Before the move: a call that waits for its connection does not go to an address that the endpoint has left.
+	for deadline := time.Now().Add(startupTimeout); original.calls.Load() < 1; time.Sleep(readyInterval) {
+		if time.Now().After(deadline) {
+			t.Fatal("no message of the backlog was delivered")
+		}
+	}
 	client := &http.Client{Transport: &http.Transport{}, Timeout: submitTimeout}
 	t.Cleanup(client.CloseIdleConnections)
 	took, rejected, err := r.measureMove(t.Context(), client, moving, alternate, "move")
@@ -57,11 +63,6 @@
 	if cpu, err := r.cpuDuring(func() error { return sleep(t.Context(), time.Millisecond) }); err != nil || cpu < 0 {
 		t.Errorf("processor time %v, error %v", cpu, err)
 	}
-	for deadline := time.Now().Add(startupTimeout); original.calls.Load() < 1; time.Sleep(readyInterval) {
-		if time.Now().After(deadline) {
-			t.Fatal("no message of the backlog was delivered")
-		}
-	}
 }
 
 // If the relay's binary does not exist, startRelay returns an error that is no timeout.
