A failed accept keeps no memory reserved

Found on reading the change again: makeRoom reserved a connection's memory also after a failed accept, when there is no connection, so that with each such failure (descriptors used up) fewer clients could connect, in the end none. Change: the reservation is a step of its own, made for accepted connections. Measured: TestFailedAcceptReservesNothing failed before (not released within 10 s) and passes; ingress, netconn and egress pass with -race.

--- a/internal/relay/ingress/eviction.go
+++ b/internal/relay/ingress/eviction.go
@@ -21,9 +21,8 @@
 	maxSparedConns = 8
 )
 
-// makeRoom waits until another connection may be added, has its memory reserved, and closes one if necessary. With
-// forced set, it closes one even below the limit, unless responses are awaited on all connections. pressed reports that
-// a connection was closed.
+// makeRoom waits until another connection may be added, and closes one if necessary. With forced set, it closes one
+// even below the limit, unless responses are awaited on all connections. pressed reports that there was no room.
 func (s *Server) makeRoom(forced bool) (pressed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -37,6 +36,15 @@
 		forced = false
 		now = time.Now()
 	}
+	s.closeSurplus(now)
+	return pressed
+}
+
+// reserveConn waits until the memory of another connection is reserved, and closes connections if necessary. pressed
+// reports that there was not enough memory.
+func (s *Server) reserveConn() (pressed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for !s.budget.Reserve(memory.ClientConnections, connSize) {
 		pressed = true
 		if s.ending > 0 {
@@ -46,7 +54,6 @@
 			s.wait()
 		}
 	}
-	s.closeSurplus(now)
 	return pressed
 }
 
--- a/internal/relay/ingress/requestmemory_test.go
+++ b/internal/relay/ingress/requestmemory_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -91,3 +92,18 @@
 		}
 	}
 }
+
+// TestFailedAcceptReservesNothing guards against memory that stays reserved for connections that were never accepted.
+func TestFailedAcceptReservesNothing(t *testing.T) {
+	listener := &failingListener{Listener: nettest.Listen(t), failures: []syscall.Errno{syscall.EMFILE, syscall.EMFILE}}
+	s, budget := newBudgetServer()
+	t.Cleanup(func() {
+		nettest.Close(listener)
+		s.Close(time.Now())
+	})
+	conn := nettest.Dial(t, listener.Addr().String(), postText)
+	go s.Serve(listener)
+	nettest.ReadResponse(t, bufio.NewReader(conn))
+	nettest.Close(conn)
+	nettest.Eventually(t, "all memory is released", func() bool { return budget.Used(memory.ClientConnections) == 0 })
+}
--- a/internal/relay/ingress/server.go
+++ b/internal/relay/ingress/server.go
@@ -96,6 +96,7 @@
 			continue
 		}
 		pressed := s.makeRoom(false)
+		pressed = s.reserveConn() || pressed
 		s.observer.ConnOpened()
 		c := s.newConn(accepted)
 		if s.add(c) {
