Served connections outlast new ones, also before their answer is read

Causes, both of: a connection counted as answered only after its response was written, so that the next one could be answered before and was kept beyond the bound; and while the requests of all new connections waited to be read, which spares them, the idle connection of a served client was closed in their place. Change: a connection counts as answered from the decision on its response; new connections rank below idle ones of served clients, and sparing one never closes a served one: the server waits until a request is read. Tests are as they were.

--- a/internal/relay/ingress/eviction.go
+++ b/internal/relay/ingress/eviction.go
@@ -115,7 +115,8 @@
 	rankStalled                            // a request has been incomplete for stalledAfter, or was rejected
 	rankUnused                             // idle for surplusIdleTime
 	rankIncomplete                         // a first request was read in part
-	rankIdle                               // idle, or new
+	rankNew                                // no request has begun yet
+	rankIdle                               // idle for a short time
 	rankServed                             // a request was read in part, after others that were answered
 	rankHandling                           // a response is awaited; never closed
 )
@@ -127,7 +128,7 @@
 		if age > newConnGrace {
 			return rankSilent
 		}
-		return rankIdle
+		return rankNew
 	case phaseIdle:
 		if age > surplusIdleTime {
 			return rankUnused
@@ -159,13 +160,13 @@
 }
 
 // evict closes the connection with the lowest rank, and of those the one that has been longest in its phase. It spares
-// connections on which bytes have just arrived: these may complete a request, and the client would lose it. It returns
-// false if it closed none. The caller holds s.mu.
+// connections on which bytes have just arrived: these may complete a request, and the client would lose it. They are
+// not spared at the expense of a client that is served. It returns false if it closed none. The caller holds s.mu.
 func (s *Server) evict(now time.Time) bool {
 	spared := map[*Conn]bool{}
 	for len(spared) < maxSparedConns {
 		c := s.evictionCandidate(now, spared)
-		if c == nil {
+		if c == nil || len(spared) > 0 && c.evictionRank(now) >= rankIdle {
 			return false
 		}
 		if c.phase == phaseLingering || c.nothingPending() {
--- a/internal/relay/ingress/exchange.go
+++ b/internal/relay/ingress/exchange.go
@@ -218,7 +218,7 @@
 		s.observer.RequestRejected(response.Status)
 		s.badRequests.Log(s.log, "from", c.stream.RemoteAddr(), "status", response.Status, "text", response.Text)
 	}
-	closing = s.endsAfterResponse(c) || last
+	closing = s.endsAfterResponse(c, response) || last
 	text, err := encodeResponse(response, closing)
 	if err != nil {
 		return closing, err
--- a/internal/relay/ingress/server.go
+++ b/internal/relay/ingress/server.go
@@ -149,10 +149,9 @@
 	c.phase = p
 	c.phaseSince = time.Now()
 	switch p {
-	case phaseLingering:
-		s.changed.Signal()
+	case phaseReading, phaseLingering:
+		s.changed.Signal() // the connection may make room now
 	case phaseIdle:
-		c.answered = true
 		s.changed.Signal()
 		return !c.dropped && !s.keepAliveOff
 	}
@@ -162,10 +161,12 @@
 // endsAfterResponse reports whether connections are closed after their next response. The number of connections that
 // all clients together can open is limited, too. If the server kept many connections open, clients that send one
 // request and stay connected would prevent other clients from connecting long before the server reaches its own limit.
-func (s *Server) endsAfterResponse(c *Conn) bool {
+func (s *Server) endsAfterResponse(c *Conn, response Response) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keepAliveOff || s.crowded(c)
+	crowded := s.crowded(c)
+	c.answered = c.answered || !response.isClientError()
+	return s.keepAliveOff || crowded
 }
 
 // DisableKeepAlive makes the server close connections after their next response. Idle connections stay open,
