A closed connection that waited for memory reads no further

Found on reading the change again: a request that waits for memory is let go without a reservation when its connection is closed, and went on as if it had one, so that a buffer could be allocated without a reservation until the next read failed. Change: it ends there. No test shows it: the moment lies between two steps under one mutex. Measured: tests of ingress pass.

--- a/internal/relay/ingress/requestmemory.go
+++ b/internal/relay/ingress/requestmemory.go
@@ -48,7 +48,7 @@
 	defer timeout.Stop()
 	select {
 	case <-waiter.granted:
-		return true
+		return !s.wasDropped(c)
 	case <-c.stream.Abandoned():
 	case <-timeout.C:
 	}
@@ -63,6 +63,13 @@
 	return false
 }
 
+// wasDropped reports whether c was closed, so that no memory was reserved for it when it waited.
+func (s *Server) wasDropped(c *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.dropped
+}
+
 // reserveOrWait reserves memory, or returns a waiter for it.
 func (s *Server) reserveOrWait(c *Conn, bytes int64) *memoryWaiter {
 	s.mu.Lock()
