Errors of list entries keep no long texts, and a long address keeps its id

And since an entry whose address was too long lost its id, too, so that a full list would have removed the endpoint that it names, instead of leaving it as it was. Change: all texts of an entry have up to 512 bytes, and only an id that is too long itself is dropped. Measured: the four new cases of TestLongTextsAreRefused failed before (errors of 2,064 to 2,075 bytes; no id); discovery and relay pass.

--- a/internal/relay/discovery/list.go
+++ b/internal/relay/discovery/list.go
@@ -13,11 +13,11 @@
 var (
 	errNoID      = errors.New("entry has no \"id\"")
 	errNoAddress = errors.New("entry has no \"addr\" or no \"cell\"")
-	errTextSize  = fmt.Errorf("\"id\" or \"addr\" of an entry is over %d bytes", maxTextSize)
+	errTextSize  = fmt.Errorf("a text of an entry is over %d bytes", maxTextSize)
 )
 
 const (
-	// maxTextSize bounds the ID and the address of an entry, in bytes each.
+	// maxTextSize bounds each text of an entry, in bytes. Entries and their errors keep these texts.
 	maxTextSize = 512
 	// maxLoggedSize bounds the text of an unreadable entry for the log, in bytes.
 	maxLoggedSize = 1024
@@ -57,9 +57,12 @@
 // Parse returns the endpoint of a record and its address, which is empty for a removed endpoint. The endpoint has the
 // record's ID even if Parse returns an error, except an ID that is too long.
 func (p *Parser) Parse(record *EndpointRecord) (endpoint policy.Endpoint, addr string, err error) {
-	if len(record.ID) > maxTextSize || len(record.Addr) > maxTextSize {
+	if len(record.ID) > maxTextSize {
 		return policy.Endpoint{}, "", errTextSize
 	}
+	if max(len(record.Addr), len(record.Zone), len(record.Kind), len(record.State)) > maxTextSize {
+		return policy.Endpoint{ID: record.ID}, "", errTextSize
+	}
 	endpoint = policy.Endpoint{
 		ID:     record.ID,
 		Zone:   slices.Index(p.Zones, record.Zone),
--- a/internal/relay/discovery/list_test.go
+++ b/internal/relay/discovery/list_test.go
@@ -140,4 +140,16 @@
 			}
 		}
 	}
+	long := strings.Repeat("x", 4*maxTextSize)
+	for name, record := range map[string]EndpointRecord{
+		"addr":  {ID: "i", Addr: long, Zone: "a", Kind: "k", Cell: &cell, State: "ready"},
+		"zone":  {ID: "i", Addr: "x", Zone: long, Kind: "k", Cell: &cell, State: "ready"},
+		"kind":  {ID: "i", Addr: "x", Zone: "a", Kind: long, Cell: &cell, State: "ready"},
+		"state": {ID: "i", Addr: "x", Zone: "a", Kind: "k", Cell: &cell, State: long},
+	} {
+		endpoint, _, err := parser.Parse(&record)
+		if err == nil || len(err.Error()) > maxTextSize || endpoint.ID != "i" {
+			t.Errorf("long %s: endpoint %q, error of %d bytes", name, endpoint.ID, len(fmt.Sprint(err)))
+		}
+	}
 }
