--- a/review/_standin2/kit.go
+++ b/review/_standin2/kit.go
@@ -57,6 +57,7 @@
 	host  *host
 	id    string
 	key   string
+	size  int // of the body, in bytes
 }
 
 type notice struct {
@@ -260,8 +261,11 @@
 	if err != nil {
 		return
 	}
-	type item struct{ ID, Key, Body string }
-	items := []item{{ID: r.Header.Get("X-Trace-Id"), Key: r.Header.Get("Idempotency-Key")}}
+	type item struct {
+		ID, Key string
+		Body    []byte
+	}
+	items := []item{{ID: r.Header.Get("X-Trace-Id"), Key: r.Header.Get("Idempotency-Key"), Body: body}}
 	bundle := strings.HasSuffix(r.URL.Path, "/bundle")
 	if bundle {
 		items = nil
@@ -281,9 +285,9 @@
 	for _, i := range items {
 		h.w.mu.Lock()
 		first = min(first, len(h.w.calls))
-		h.w.calls = append(h.w.calls, runCall{at: time.Now(), host: h, id: i.ID, key: i.Key})
+		h.w.calls = append(h.w.calls, runCall{at: time.Now(), host: h, id: i.ID, key: i.Key, size: len(i.Body)})
 		h.w.mu.Unlock()
-		h.w.add("host %s of destination %d: call with %s, to be answered %d after %v", h.ID, h.Cell, i.ID, does.status, does.after)
+		h.w.add("host %s of destination %d: call with %s and %d bytes, to be answered %d after %v", h.ID, h.Cell, i.ID, len(i.Body), does.status, does.after)
 	}
 	ended := func() {
 		now := time.Now()
