Review case 7: messages that are taken on under an id whose client left are lost

Change: review/7 has a bad client hand in a message with the id of an open request and go, while calls wait for memory. The relay then answers the open request 202 as a duplicate of a message that it has removed.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the deploy file's build, and review/build-2.sh"
 	exit 2
 fi
-exec bin/review-2 -case forgottenlist -record review/7/record.txt
+exec bin/review-2 -case copiedid -record review/7/record.txt
--- a/review/_standin2/emptybody.go
+++ b/review/_standin2/emptybody.go
@@ -67,7 +67,7 @@
 			for i := 0; time.Now().Before(end); i++ {
 				id, dest := fmt.Sprintf("c%d-%d", c, i), rng.Intn(destinations)
 				if rng.Intn(2) == 0 && trouble {
-					w.handInAndLeave(listen, id, dest, bodySize)
+					w.handInAndLeave(listen, id, dest, bodySize, 16*time.Second)
 				} else {
 					w.add("client: %s for destination %d with %d bytes: %s", id, dest, bodySize, w.handIn(listen, id, dest, bodySize))
 				}
@@ -91,14 +91,14 @@
 }
 
 // handInAndLeave hands a message in on a new connection and closes it before the answer.
-func (w *world) handInAndLeave(addr, id string, dest, size int) {
+func (w *world) handInAndLeave(addr, id string, dest, size int, expires time.Duration) {
 	conn, err := net.DialTimeout("tcp", addr, clientPatience)
 	if err != nil {
 		return
 	}
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "POST /order-message HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: order-message\r\nX-Customer: acme\r\n"+
-		"X-Expires-In-Ms: 16000\r\nIdempotency-Key: k%s\r\nEnvelope: dest=%d\r\nContent-Length: %d\r\n\r\n", id, id, dest, size)
+		"X-Expires-In-Ms: %d\r\nIdempotency-Key: k%s\r\nEnvelope: dest=%d\r\nContent-Length: %d\r\n\r\n", id, expires.Milliseconds(), id, dest, size)
 	text.Write(make([]byte, size))
 	_ = conn.SetDeadline(time.Now().Add(clientPatience))
 	_, err = conn.Write(text.Bytes())
