--- a/review/_standin2/kit.go
+++ b/review/_standin2/kit.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -466,14 +467,16 @@
 	return fmt.Errorf("relay at %s not ready within %v", addr, within)
 }
 
-// freeAddr returns a loopback address that is free now.
+// freeAddr returns a loopback address that is free now. Its port is below those that systems give to outgoing connections, so
+// that none of these takes it while a relay that listens there is restarted.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.Intn(18000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // class is a class of message in the settings.
