Review case 8: a close counts only if no reset follows it

Need: a request that comes after a close, or lies unread at it, is answered by a reset; the case rested on the time alone.

Change: review/8 looks for a reset for 20 ms behind the end of the connection, and counts such a request as closed unread.

--- a/review/_standin2/crowd.go
+++ b/review/_standin2/crowd.go
@@ -27,6 +27,8 @@
 	// openFor is how long a connection must have stayed open after the last byte of its request was written. On loopback
 	// the request has long arrived by then, so a close that is no reset shows that the relay had read all of it.
 	openFor = 20 * time.Millisecond
+	// resetWait is how long after the end of a connection a client looks for a reset, which bytes that were not read cause.
+	resetWait = 20 * time.Millisecond
 )
 
 // crowd plays a hard day: half the memory and descriptors, a new connection for every message, and crowds that connect
@@ -160,6 +162,28 @@
 	case open < openFor:
 		return "closed at once"
 	}
+	time.Sleep(resetWait)
+	if pendingError(conn) != 0 {
+		return "reset behind the end: closed unread"
+	}
 	w.add("client: %s with %d bytes written whole, connection closed with no answer %d ms later", id, size, open.Milliseconds())
 	return closedUnanswered
 }
+
+// pendingError returns the error that a connection has met, 0 if none.
+func pendingError(conn net.Conn) (number int) {
+	socket, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return -1
+	}
+	number = -1
+	err = socket.Control(func(fd uintptr) {
+		if n, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR); err == nil {
+			number = n
+		}
+	})
+	if err != nil {
+		return -1
+	}
+	return number
+}
