--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -4,9 +4,15 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
+	"syscall"
+	"time"
 )
 
+// timeLimit is how long a case may run. Then it ends, and counts as one that could not run.
+const timeLimit = 115 * time.Second
+
 // Exit codes of a case.
 const (
 	held   = 0
@@ -30,6 +36,9 @@
 		return failed
 	}
 	defer file.Close()
+	signal.Ignore(syscall.SIGPIPE) // a reader of the output that goes away ends nothing
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	runtime.LockOSThread() // the relays get SIGKILL if the thread that started them ends
 	dir, err := os.MkdirTemp("", "case")
 	if err != nil {
@@ -38,6 +47,17 @@
 	}
 	defer os.RemoveAll(dir)
 	w := newWorld(file, dir)
+	go func() { // told to end, or too long: everything that was started ends with the case
+		select {
+		case got := <-ends:
+			fmt.Println("could not run:", got)
+		case <-time.After(timeLimit):
+			fmt.Println("could not run: over the time limit")
+		}
+		w.stopAll()
+		_ = os.RemoveAll(dir)
+		os.Exit(failed)
+	}()
 	found, err := cases[name](w, trouble)
 	w.stopAll()
 	if logs, err := os.ReadFile(dir + "/n1.log"); err == nil {
