--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -61,7 +62,8 @@
 	found, err := cases[name](w, trouble)
 	w.stopAll()
 	if logs, err := os.ReadFile(dir + "/n1.log"); err == nil {
-		fmt.Fprintf(file, "\nthe relay's log:\n%s\n", logs[:min(len(logs), 64<<10)])
+		text := strings.ReplaceAll(string(logs), dir, "DIR") // the temporary folder
+		fmt.Fprintf(file, "\nthe relay's log:\n%s\n", text[:min(len(text), 64<<10)])
 	}
 	if err != nil {
 		w.add("could not run: %v", err)
