Debug log: calls that waited, what is written, and answers to known ids

Change: at level debug, 'message accepted' has the bytes of the body; new lines are 'message cancelled', 'call resumed with memory', 'call written' (bytes, delay since the decision, whether it was checked again) and 'submission of a known message'.

Tests of internal/relay pass.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -33,6 +33,7 @@
 			continue
 		}
 		if reply, duplicate := r.replyToDuplicate(s.message, known, now); duplicate {
+			r.logDuplicate(s.message.TraceID, known, reply.Status)
 			s.reply <- reply
 			continue
 		}
--- a/internal/relay/egress/call.go
+++ b/internal/relay/egress/call.go
@@ -48,6 +48,15 @@
 	return last.Deadline
 }
 
+// traceIDs returns the trace IDs of the call's messages.
+func (c *Call) traceIDs() []string {
+	ids := make([]string, len(c.Attempts))
+	for i, a := range c.Attempts {
+		ids[i] = a.TraceID
+	}
+	return ids
+}
+
 // Body returns the body of the call's request: the encoded batch of its messages, or the body of its only message.
 func (c *Call) Body() []byte {
 	if c.Batch {
--- a/internal/relay/egress/client.go
+++ b/internal/relay/egress/client.go
@@ -78,7 +78,8 @@
 	// While the connection was opened or the journal was slow to write, the endpoint may have begun to drain or sent a
 	// Retry-After, and messages may have received their final answers or reached their deadlines.
 	sendable := *call
-	if dialed || time.Since(call.SentAt) > recheckAfter {
+	checked := dialed || time.Since(call.SentAt) > recheckAfter
+	if checked {
 		sendable.Attempts = check()
 	}
 	results := sameResults(call, Result{Outcome: policy.NotSent})
@@ -99,6 +100,7 @@
 		return results
 	}
 	conn.usage.add(&sendable, closing)
+	c.logRequest(&sendable, conn, checked)
 	for i, result := range c.exchange(ctx, request, &sendable, conn) {
 		results[slices.Index(call.Attempts, sendable.Attempts[i])] = result
 	}
@@ -195,22 +197,32 @@
 	c.logResponse(call, conn, read, written)
 }
 
+// logRequest logs what is about to be written for a call, for the level debug: which messages, how long after the
+// decision on the call, and whether it was checked again after that decision.
+func (c *Client) logRequest(call *Call, conn *pooledConn, checked bool) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	bodyBytes := 0
+	for _, a := range call.Attempts {
+		bodyBytes += len(a.Body)
+	}
+	c.log.Debug("call written", "endpoint", call.EndpointID, "conn", conn.id, "call", conn.usage.calls,
+		"messages", call.traceIDs(), "body_bytes", bodyBytes, "delay", time.Since(call.SentAt), "checked", checked)
+}
+
 // logResponse logs how a call ended, for the level debug: which messages it carried, on which connection, as which call
 // of that connection, and what was read.
 func (c *Client) logResponse(call *Call, conn *pooledConn, read *response, written bool) {
 	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
-	var ids []string
-	for _, a := range call.Attempts {
-		ids = append(ids, a.TraceID)
-	}
 	status := 0
 	if read.header != nil {
 		status = read.header.StatusCode
 	}
-	c.log.Debug("call ended", "endpoint", call.EndpointID, "conn", conn.id, "call", conn.usage.calls, "messages", ids,
-		"written", written, "status", status, "err", read.err)
+	c.log.Debug("call ended", "endpoint", call.EndpointID, "conn", conn.id, "call", conn.usage.calls,
+		"messages", call.traceIDs(), "written", written, "status", status, "err", read.err)
 }
 
 // isConnFailure reports whether a response could not be read because the connection ended, failed or timed out, and
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -52,6 +52,7 @@
 	if m == nil || m.hasDuplicates || m.completed {
 		return events
 	}
+	r.logCancelled(m)
 	r.markCompleted(m)
 	r.release(m)
 	return append(events, policy.Event{Kind: policy.MessageCancelled, MessageID: id})
--- a/internal/relay/observer.go
+++ b/internal/relay/observer.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"strconv"
+	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/metrics"
 	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
@@ -87,7 +88,41 @@
 func (r *Relay) logAccepted(m *journal.Message) {
 	if r.debugEnabled() {
 		r.log.Debug("message accepted", "message", m.TraceID, "class", m.ClassName, "destination", m.Destination,
-			"deadline", m.Deadline)
+			"body_bytes", m.Size(), "deadline", m.Deadline)
+	}
+}
+
+// logCancelled logs that a message ended because its client left before the answer.
+func (r *Relay) logCancelled(m *message) {
+	if r.debugEnabled() {
+		r.log.Debug("message cancelled", "message", m.TraceID, "in_flight", m.inFlight,
+			"uncertain_attempts", len(m.UncertainAttempts))
+	}
+}
+
+// logDuplicate logs the answer to a submission under the id of an earlier message, and the state of that message. known
+// is nil if the message is finished.
+func (r *Relay) logDuplicate(trace string, known *message, status int) {
+	switch {
+	case !r.debugEnabled():
+	case known == nil:
+		r.log.Debug("submission of a finished message", "message", trace, "status", status)
+	default:
+		r.log.Debug("submission of a known message", "message", trace, "status", status, "completed", known.completed,
+			"cancelled", known.Cancelled, "delivered", known.Delivered, "final", known.Final != nil,
+			"in_flight", known.inFlight)
+	}
+}
+
+// logCallResumed logs that a call that waited for memory has got it.
+func (r *Relay) logCallResumed(c *call) {
+	if !r.debugEnabled() {
+		return
+	}
+	for _, a := range c.attempts {
+		r.log.Debug("call resumed with memory", "message", a.message.TraceID, "endpoint", c.EndpointID,
+			"waited", time.Since(c.SentAt), "completed", a.message.completed, "body_bytes", len(a.Body),
+			"accepted_bytes", a.message.Size())
 	}
 }
 
--- a/internal/relay/waitingcalls.go
+++ b/internal/relay/waitingcalls.go
@@ -89,6 +89,7 @@
 		}
 		a.Body = body
 	}
+	r.logCallResumed(c)
 	return true
 }
 
