Calls that waited for memory are checked again before they are made

Cause: a call that waited was made as decided. The body of a message that had ended was not loaded, since a later check was expected to leave it out, which runs only 10 ms after the decision or with a new connection.

Change: when a call gets its memory, its attempts are checked as those of a slow connection are, those that may no longer be sent are returned before they are recorded, and an unreadable body leaves its message out. A call to an endpoint that is suspect by then is returned. It works because nothing is recorded or written any more that was not allowed in the same step.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -61,13 +61,13 @@
 	return c
 }
 
-// outgoing returns the attempts in the form that package egress uses.
-func (c *call) outgoing() []*egress.Attempt {
-	attempts := make([]*egress.Attempt, len(c.attempts))
-	for i, a := range c.attempts {
-		attempts[i] = &a.Attempt
+// outgoing returns attempts in the form that package egress uses.
+func outgoing(attempts []*attempt) []*egress.Attempt {
+	converted := make([]*egress.Attempt, len(attempts))
+	for i, a := range attempts {
+		converted[i] = &a.Attempt
 	}
-	return attempts
+	return converted
 }
 
 // addToCalls adds an attempt of a message to a call to the action's endpoint, and returns the calls. Sends of one
@@ -116,14 +116,23 @@
 	})
 	m.attemptsStarted++
 	m.inFlight++
-	// With hedging, a call lasts until the latest timeout of its attempts. Without hedging it ends at the earliest
-	// timeout: a message may be sent again after its timeout, and must not have two attempts in flight.
-	if len(c.attempts) == 1 || deadline.After(c.Deadline) == r.cfg.AllowHedging {
-		c.Deadline = deadline
-	}
+	c.Deadline = r.callDeadline(c.attempts)
 	return calls
 }
 
+// callDeadline returns the deadline of a call with these attempts. With hedging, a call lasts until the latest timeout
+// of its attempts. Without hedging it ends at the earliest timeout: a message may be sent again after its timeout, and
+// must not have two attempts in flight.
+func (r *Relay) callDeadline(attempts []*attempt) time.Time {
+	deadline := attempts[0].Deadline
+	for _, a := range attempts[1:] {
+		if a.Deadline.After(deadline) == r.cfg.AllowHedging {
+			deadline = a.Deadline
+		}
+	}
+	return deadline
+}
+
 // findCall returns the last call to the endpoint that has room for one more message; nil if there is none. A batch
 // stays within the maximum body size: the endpoint would reject a larger one with all its messages, although it would
 // accept each of them alone.
@@ -156,7 +165,7 @@
 			a.timer = time.AfterFunc(time.Until(a.Deadline), func() { r.post(attemptTimeout{a}) })
 		}
 	}
-	c.Attempts = c.outgoing()
+	c.Attempts = outgoing(c.attempts)
 	r.calls.Add(1)
 	go func() {
 		defer r.calls.Done()
@@ -165,54 +174,6 @@
 	}()
 }
 
-// sendableAttempts returns the attempts of a delayed call that may still be sent; none if the policy no longer allows
-// the call. It omits messages that received their final answer during the delay, and attempts that have timed out:
-// establishing a connection can take longer than the timeout of an attempt.
-func (r *Relay) sendableAttempts(c *call) (sendable []*egress.Attempt) {
-	var ids []policy.MessageID
-	for _, a := range c.attempts {
-		if !a.finished && !a.message.completed && time.Now().Before(a.Deadline) {
-			sendable = append(sendable, &a.Attempt)
-			ids = append(ids, a.message.ID)
-		}
-	}
-	if len(sendable) == 0 || r.sendingStopped || !r.stillAt(c) {
-		return nil
-	}
-	now := r.now()
-	allowed := r.engine.StillAllowed(c.EndpointID, ids, now)
-	r.recorder.SendChecked(now, c.EndpointID, ids, allowed)
-	if !allowed {
-		return nil
-	}
-	return sendable
-}
-
-// stillAt reports whether the endpoint of a call is listed with the address and the destination for which the call was
-// decided. Another process may have taken over an address that the endpoint has left.
-func (r *Relay) stillAt(c *call) bool {
-	endpoint, listed := r.catalog.Endpoint(c.EndpointID)
-	if !listed || endpoint.Addr != c.Addr {
-		return false
-	}
-	return endpoint.Destination == c.attempts[0].message.Destination
-}
-
-// checkSend has the loop determine which attempts of a delayed call may still be sent. It returns none if the loop
-// has ended.
-func (r *Relay) checkSend(c *call) []*egress.Attempt {
-	reply := make(chan []*egress.Attempt, 1)
-	if !r.post(sendCheck{c, reply}) {
-		return nil
-	}
-	select {
-	case sendable := <-reply:
-		return sendable
-	case <-r.loopDone:
-		return nil
-	}
-}
-
 // callEnded handles the results of a call, and appends the events for the policy.
 func (r *Relay) callEnded(events []policy.Event, e *callFinished) []policy.Event {
 	r.callsInFlight--
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -104,7 +104,7 @@
 	sent := 0
 	for _, c := range calls {
 		sent += len(c.attempts)
-		body := (&egress.Call{Attempts: c.outgoing()}).Body()
+		body := (&egress.Call{Attempts: outgoing(c.attempts)}).Body()
 		if len(c.attempts) > 1 && (len(body) > netconn.MaxBodySize || len(body) > c.size) {
 			t.Errorf("a batch of %d messages has %d bytes, counted as %d", len(c.attempts), len(body), c.size)
 		}
--- a/internal/relay/observer.go
+++ b/internal/relay/observer.go
@@ -121,8 +121,7 @@
 	}
 	for _, a := range c.attempts {
 		r.log.Debug("call resumed with memory", "message", a.message.TraceID, "endpoint", c.EndpointID,
-			"waited", time.Since(c.SentAt), "completed", a.message.completed, "body_bytes", len(a.Body),
-			"accepted_bytes", a.message.Size())
+			"waited", time.Since(c.SentAt), "body_bytes", len(a.Body))
 	}
 }
 
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -78,7 +78,7 @@
 // answerRequests replies to requests about the state after this step, and hands over if that is requested.
 func (r *Relay) answerRequests(s *stepState) {
 	for _, check := range s.sendChecks {
-		check.reply <- r.sendableAttempts(check.call)
+		check.reply <- outgoing(r.sendableAttempts(check.call))
 	}
 	if len(s.metricsRequests) > 0 {
 		r.updateGauges()
--- a/internal/relay/waitingcalls.go
+++ b/internal/relay/waitingcalls.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/memory"
@@ -56,9 +57,12 @@
 // waited for it and get it now. The others wait, until their time is over.
 func (r *Relay) callsWithMemory(calls []*call) (ready []*call) {
 	r.returnExpiredCalls()
-	for len(r.waitingCalls) > 0 && r.completeCall(r.waitingCalls[0]) {
-		ready = append(ready, r.waitingCalls[0])
+	for len(r.waitingCalls) > 0 && r.reserveMissing(r.waitingCalls[0]) {
+		c := r.waitingCalls[0]
 		r.waitingCalls = r.waitingCalls[1:]
+		if r.resumeCall(c) {
+			ready = append(ready, c)
+		}
 	}
 	for _, c := range calls {
 		if c.missingMemory == 0 {
@@ -71,26 +75,65 @@
 	return ready
 }
 
-// completeCall reserves the memory that a call lacks, and loads the bodies of its messages.
-func (r *Relay) completeCall(c *call) bool {
+// reserveMissing reserves the memory that a call lacks.
+func (r *Relay) reserveMissing(c *call) bool {
 	if !r.reserveCallMemory(c, c.missingMemory) {
 		return false
 	}
 	c.reservedMemory += c.missingMemory
 	c.missingMemory = 0
-	for _, a := range c.attempts {
-		if a.message.completed {
-			continue // checkSend leaves the attempt out
-		}
+	return true
+}
+
+// resumeCall prepares a call that has waited and has its memory now. What the decision on the call rested on may have
+// changed meanwhile, so the attempts that may no longer be sent are returned. resumeCall returns false if that leaves
+// none.
+func (r *Relay) resumeCall(c *call) (ready bool) {
+	r.keepAttempts(c, r.resumableAttempts(c))
+	r.keepAttempts(c, r.loadBodies(c.attempts))
+	if len(c.attempts) == 0 {
+		r.releaseCall(c)
+		return false
+	}
+	r.logCallResumed(c)
+	c.SentAt = time.Now()
+	c.Deadline = r.callDeadline(c.attempts)
+	return true
+}
+
+// resumableAttempts returns the attempts of a call that may be sent after the wait. A call to a suspect endpoint may
+// not: its place in the recovery budget has passed, or it never had one, and all calls that have waited would reach the
+// endpoint at once.
+func (r *Relay) resumableAttempts(c *call) []*attempt {
+	if r.engine.Suspect(c.EndpointID) {
+		return nil
+	}
+	return r.sendableAttempts(c)
+}
+
+// loadBodies loads the bodies of attempts, and returns the attempts whose bodies could be read. The messages of the
+// others fail.
+func (r *Relay) loadBodies(attempts []*attempt) (loaded []*attempt) {
+	for _, a := range attempts {
 		body, err := r.journal.Body(a.message.Message)
 		if err != nil {
 			r.failMessage(a.message, err)
 			continue
 		}
 		a.Body = body
+		loaded = append(loaded, a)
 	}
-	r.logCallResumed(c)
-	return true
+	return loaded
+}
+
+// keepAttempts reduces a call that was not made to some of its attempts, and returns the others.
+func (r *Relay) keepAttempts(c *call, kept []*attempt) {
+	for _, a := range c.attempts {
+		if !slices.Contains(kept, a) {
+			r.returnAttempt(a)
+		}
+	}
+	c.attempts = kept
 }
 
 // returnExpiredCalls ends the waiting calls whose time is over.
@@ -116,11 +159,15 @@
 	r.waitingCalls = nil
 }
 
+// returnWaitingCall ends a waiting call.
 func (r *Relay) returnWaitingCall(c *call) {
-	for _, a := range c.attempts {
-		r.deferredEvents = r.attemptEnded(r.deferredEvents, a, egress.Result{Outcome: policy.NotSent})
-	}
+	r.keepAttempts(c, nil)
 	r.releaseCall(c)
+}
+
+// returnAttempt ends an attempt that was not sent. The policy is told in an additional step.
+func (r *Relay) returnAttempt(a *attempt) {
+	r.deferredEvents = r.attemptEnded(r.deferredEvents, a, egress.Result{Outcome: policy.NotSent})
 	r.requestStepAfter(r.cfg.Tick)
 }
 
--- a/policy/inspect.go
+++ b/policy/inspect.go
@@ -107,6 +107,16 @@
 	return cause, until
 }
 
+// Suspect reports whether an endpoint may be coming back from an outage, as of the last step: it is ejected, or it
+// takes calls from the recovery budget only. It is false for an endpoint that the engine does not have.
+func (e *Engine) Suspect(endpointID string) bool {
+	ep := e.endpoints[endpointID]
+	if ep == nil {
+		return false
+	}
+	return ep.ejected || ep.warmingUp && !e.isWarm(ep)
+}
+
 // EndpointView is the state of an endpoint and of its limit scope. Rates are in calls a second.
 type EndpointView struct {
 	Endpoint
--- a/policy/inspect_test.go
+++ b/policy/inspect_test.go
@@ -115,3 +115,36 @@
 		t.Errorf("inspecting the Engine changed it; views: %v", views)
 	}
 }
+
+// An endpoint is suspect from its failures on until its warm-up is over, and while it is ejected.
+func TestSuspect(t *testing.T) {
+	settings := blockerSettings()
+	settings.WarmUpDuration = 10 * time.Second
+	engine, err := New(settings, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := Event{Kind: EndpointSnapshot, Endpoints: []Endpoint{{ID: "r", InService: true, Weight: 50}}}
+	checked := func(outcome Outcome) Event {
+		return Event{Kind: HealthChecked, Endpoint: "r", Outcome: outcome, Latency: time.Second}
+	}
+	for _, step := range []struct {
+		at      time.Duration
+		events  []Event
+		suspect bool
+	}{
+		{1 * time.Second, []Event{listed}, false},
+		{2 * time.Second, []Event{checked(ConnectFailed), checked(ConnectFailed), checked(ConnectFailed)}, true},
+		{6 * time.Second, []Event{checked(OK)}, true},
+		{15 * time.Second, nil, true},
+		{17 * time.Second, nil, false},
+	} {
+		engine.Step(step.at, step.events)
+		if suspect := engine.Suspect("r"); suspect != step.suspect {
+			t.Errorf("at %v: suspect %v, want %v", step.at, suspect, step.suspect)
+		}
+	}
+	if engine.Suspect("unknown") {
+		t.Error("an unknown endpoint is suspect")
+	}
+}
