One result for each ended message; ids of cancelled, waiting messages are new

Cause: five fields described how a message ended. One whose client left while its call waited for memory was completed, had no flag, and its waiting attempt kept it known; the answer to a duplicate took that for 'pending or delivered'.

The relay numbers the attempts as the policy does after a resubmission or a take-over. It works because a 202 is now given only for a message that is pending or was delivered.

TestFinishedMessagesAreBounded names the result that its messages had by default.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -32,7 +32,7 @@
 			waiting = append(waiting, s)
 			continue
 		}
-		if reply, duplicate := r.replyToDuplicate(s.message, known, now); duplicate {
+		if reply, duplicate := r.replyToDuplicate(s.message.TraceID, known, now); duplicate {
 			r.logDuplicate(s.message.TraceID, known, reply.Status)
 			s.reply <- reply
 			continue
@@ -84,23 +84,6 @@
 	}
 }
 
-// replyToDuplicate returns the answer to a submission whose id belongs to the message known or to a recently finished
-// message. duplicate is false if the submission counts as a new message. A cancelled message may be submitted again,
-// unless its call is still in flight and hedging is not allowed.
-func (r *Relay) replyToDuplicate(
-	m *journal.Message,
-	known *message,
-	now time.Time,
-) (reply ingress.Response, duplicate bool) {
-	if known == nil {
-		return r.finished.reply(m.TraceID, now)
-	}
-	if known.Cancelled && !known.Delivered && (known.inFlight == 0 || r.cfg.AllowHedging) {
-		return ingress.Response{}, false
-	}
-	return r.duplicateReply(known), true
-}
-
 // admit reports whether a new message can be accepted, and reserves its memory. Its destination must be in the
 // endpoint list, once there is one, and the number of pending messages and their memory must be below their limits.
 // If not, reply rejects the message.
@@ -127,7 +110,7 @@
 	if previous != nil {
 		m.Attempts = previous.Attempts
 		m.UncertainAttempts = slices.Clone(previous.UncertainAttempts)
-		m.attemptsStarted = previous.attemptsStarted
+		m.attemptsStarted = previous.Attempts // the policy counts only attempts that were made
 		if m.Attempts > 0 {
 			terms := policy.StricterTerms(r.termsOf(previous.Message), *m.Terms)
 			m.Terms = &terms
@@ -159,25 +142,3 @@
 		}
 	}
 }
-
-// duplicateReply returns the answer to a submission with the id of m: the final answer of m, if it has one.
-func (r *Relay) duplicateReply(m *message) ingress.Response {
-	switch {
-	case m.Delivered:
-		return ingress.Response{Status: http.StatusAccepted}
-	case m.Cancelled: // its call is still in flight, and hedging is not allowed
-		return ingress.Response{Status: http.StatusInternalServerError}
-	case m.Final == nil: // pending or delivered
-		m.hasDuplicates = true
-		return ingress.Response{Status: http.StatusAccepted}
-	}
-	return finalAnswer(*m.Final)
-}
-
-// finalAnswer returns the answer to the client of a message that was not delivered.
-func finalAnswer(f journal.FinalAnswer) ingress.Response {
-	if f.Retryable {
-		return ingress.Response{Status: http.StatusServiceUnavailable, RetryAfter: f.RetryAfter}
-	}
-	return ingress.Response{Status: http.StatusInternalServerError}
-}
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -104,7 +104,7 @@
 	submitAll(r, first)
 	submitAll(r, newSubmission("m1", 7, 5*time.Second))
 	r.step([]event{cancelEvent{first.message.ID}})
-	if m := r.messages[first.message.ID]; m == nil || m.completed {
+	if m := r.messages[first.message.ID]; m == nil || m.completed() {
 		t.Errorf("the message was cancelled: %+v", m)
 	}
 }
@@ -154,7 +154,7 @@
 			r = restartRelay(t, r)
 		}
 		again := r.messagesByTrace["m1"]
-		if again == nil || again.completed || again.ID == m.ID {
+		if again == nil || again.completed() || again.ID == m.ID {
 			t.Fatalf("restart %d: message %+v, want a pending one with a new id", restart, again)
 		}
 		e := r.recoveredEvent(again).Recovered
--- a/internal/relay/bodies_test.go
+++ b/internal/relay/bodies_test.go
@@ -54,7 +54,7 @@
 		t.Error("a message with an unreadable body was added to a call")
 	}
 	notifications := r.notifier.Pending()
-	if len(notifications) != 1 || notifications[0].Status != "undeliverable" || r.pending != 0 || !m.completed {
+	if len(notifications) != 1 || notifications[0].Status != "undeliverable" || r.pending != 0 || !m.completed() {
 		t.Errorf("notifications %+v, %d pending, want one undeliverable and none pending", notifications, r.pending)
 	}
 	if a := submitAll(r, newSubmission("m2", 7, 5*time.Second))[0]; a.Status != 202 {
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -207,17 +207,17 @@
 	case policy.Overloaded, policy.ConnectFailed, policy.NotSent:
 		r.journal.RecordNotRun(m.Message, a.number)
 	}
-	if delivered || result.MessageEnded {
-		if delivered && !m.completed {
+	switch {
+	case delivered:
+		if !m.completed() {
 			r.countResult(m.Message, metrics.Completed)
 		}
-		r.markCompleted(m)
-		if delivered {
-			r.recordDelivered(m)
-		} else {
-			r.journal.Remove(m.Message)
-		}
+		r.markCompleted(m, resultDelivered)
+		r.recordDelivered(m)
 		events = r.markDelivered(events, m.resubmittedAs)
+	case result.MessageEnded && !m.completed():
+		r.markCompleted(m, resultCancelled)
+		r.release(m)
 	}
 	r.remove(m)
 	if m.awaitingPredecessor {
--- a/internal/relay/execute.go
+++ b/internal/relay/execute.go
@@ -80,18 +80,19 @@
 // this step receives the final answer as its response; a message of an earlier step gets a final notification.
 func (r *Relay) prepareFinalAnswer(todo *execution, replies responses, a *policy.Action) {
 	m := r.messages[a.MessageID]
-	if m == nil || m.completed {
+	if m == nil || m.completed() {
 		return
 	}
-	r.markCompleted(m)
 	final := journal.FinalAnswer{Retryable: a.Kind == policy.Reject, RetryAfter: a.Delay}
 	r.countResult(m.Message, finalResult(final))
 	r.logFinal(m.Message, final)
 	if _, waiting := replies[a.MessageID]; waiting {
 		replies[a.MessageID] = finalAnswer(final)
+		r.markCompleted(m, resultCancelled)
 		r.release(m)
 		return
 	}
+	r.markCompleted(m, resultFailed)
 	r.journal.RecordFinal(m.Message, final)
 	todo.failed = append(todo.failed, m)
 }
--- a/internal/relay/finished.go
+++ b/internal/relay/finished.go
@@ -29,16 +29,20 @@
 
 // add stores the answer to a finished message, unless it is safe to accept the message as a new one.
 func (r *finishedMessages) add(m *message) {
+	if len(m.UncertainAttempts) == 0 {
+		return // it never ran, so it may be submitted as a new message
+	}
 	reply := finishedReply{until: m.Deadline}
-	switch {
-	case len(m.UncertainAttempts) == 0: // it never ran, so it may be submitted as a new message
-		return
-	case m.Final == nil:
-		reply.answer.Status = http.StatusAccepted // delivered, perhaps after its client had cancelled it
-	case m.Final.Retryable:
-		return // the client was asked to submit it again
-	default:
+	switch m.result {
+	case resultDelivered:
+		reply.answer.Status = http.StatusAccepted // perhaps after its client had left
+	case resultFailed:
+		if m.Final.Retryable {
+			return // the client was asked to submit it again
+		}
 		reply.answer = finalAnswer(*m.Final)
+	case resultPending, resultCancelled:
+		return // nobody was promised anything
 	}
 	r.put(m.TraceID, reply)
 }
--- a/internal/relay/finished_test.go
+++ b/internal/relay/finished_test.go
@@ -97,7 +97,7 @@
 // checkKeptDelivered checks that a delivered message is kept without its body, for this process and a later one.
 func checkKeptDelivered(t *testing.T, r *Relay, m *message) {
 	t.Helper()
-	if r.messages[m.ID] != m || !m.Delivered || !m.completed || m.Size() != 0 || !r.journal.Tracks(m.Message) {
+	if r.messages[m.ID] != m || !m.Delivered || !m.completed() || m.Size() != 0 || !r.journal.Tracks(m.Message) {
 		t.Fatalf("the delivered message is not kept: %+v", m)
 	}
 }
@@ -111,7 +111,7 @@
 			TraceID:           fmt.Sprint(i),
 			Deadline:          now.Add(time.Hour),
 			UncertainAttempts: []journal.Attempt{{}},
-		}})
+		}, result: resultDelivered})
 		r.expire(now)
 	}
 	_, last := r.replies[fmt.Sprint(3*maxFinishedMessages-1)]
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -42,7 +42,7 @@
 	events := []policy.Event{snapshot}
 	var actions []policy.Action
 	for _, m := range r.messagesInOrder() {
-		if m.completed {
+		if m.completed() {
 			continue
 		}
 		events = append(events, r.recoveredEvent(m))
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -153,7 +153,7 @@
 		LargeList:        r.largeList.Load(),
 		LastID:           r.lastMessageID,
 		PendingEvents:    r.deferredEvents,
-		FinishedMessages: r.finished.export(),
+		FinishedMessages: r.exportFinished(),
 	}
 	r.exportEndpoints(s)
 	for _, m := range r.messagesInOrder() {
@@ -170,6 +170,17 @@
 	return s
 }
 
+// exportFinished returns the messages whose answers only the memory of this process has. They include messages that are
+// no longer in the journal, but have an attempt in flight.
+func (r *Relay) exportFinished() []hotrestart.FinishedMessage {
+	for _, m := range r.messagesInOrder() {
+		if m.completed() && !r.journal.Tracks(m.Message) && r.messagesByTrace[m.TraceID] == m {
+			r.finished.add(m)
+		}
+	}
+	return r.finished.export()
+}
+
 // exportEndpoints adds the endpoint list to a state. Of a long list it adds only the endpoints that the policy holds.
 func (r *Relay) exportEndpoints(s *hotrestart.State) {
 	if s.LargeList {
@@ -199,7 +210,7 @@
 		ID:              m.ID,
 		TraceID:         m.TraceID,
 		AttemptsStarted: m.attemptsStarted,
-		Completed:       m.completed,
+		Completed:       m.completed(),
 		HasDuplicates:   m.hasDuplicates,
 	}
 	if m.resubmittedAs != nil {
--- a/internal/relay/helpers_test.go
+++ b/internal/relay/helpers_test.go
@@ -73,7 +73,13 @@
 // newTestRelay returns a relay whose loop does not run: the test runs the steps itself.
 func newTestRelay(t *testing.T) *Relay {
 	t.Helper()
-	r, err := New(newTestConfig(t), discardLog(), io.Discard)
+	return newTestRelayWith(t, newTestConfig(t))
+}
+
+// newTestRelayWith returns a relay with a configuration, whose loop does not run.
+func newTestRelayWith(t *testing.T, cfg Config) *Relay {
+	t.Helper()
+	r, err := New(cfg, discardLog(), io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -14,9 +14,9 @@
 // message is a message that is not finished: it is pending, an attempt is in flight, or the journal still holds it.
 type message struct {
 	*journal.Message
-	attemptsStarted int  // attempts that the policy has started; also the number of the next one
-	inFlight        int  // attempts without an outcome
-	completed       bool // the message has its result: the policy takes no more decisions on it
+	attemptsStarted int // attempts that the policy has started; also the number of the next one
+	inFlight        int // attempts without an outcome
+	result          messageResult
 
 	accepting           bool     // the message was registered in this step, which may still reject it
 	hasDuplicates       bool     // another submission shares the answer, so the message can no longer be cancelled
@@ -49,11 +49,11 @@
 // again, as a new one.
 func (r *Relay) cancel(events []policy.Event, id policy.MessageID) []policy.Event {
 	m := r.messages[id]
-	if m == nil || m.hasDuplicates || m.completed {
+	if m == nil || m.hasDuplicates || m.completed() {
 		return events
 	}
 	r.logCancelled(m)
-	r.markCompleted(m)
+	r.markCompleted(m, resultCancelled)
 	r.release(m)
 	return append(events, policy.Event{Kind: policy.MessageCancelled, MessageID: id})
 }
@@ -75,11 +75,11 @@
 // be nil.
 func (r *Relay) markDelivered(events []policy.Event, m *message) []policy.Event {
 	for ; m != nil; m = m.resubmittedAs {
-		if !m.completed {
+		if !m.completed() {
 			events = append(events, policy.Event{Kind: policy.MessageCancelled, MessageID: m.ID})
 			r.countResult(m.Message, metrics.Completed)
 		}
-		r.markCompleted(m)
+		r.markCompleted(m, resultDelivered)
 		r.recordDelivered(m)
 		r.remove(m)
 	}
@@ -102,18 +102,10 @@
 	})
 }
 
-// markCompleted records that a message has its result, so that it no longer counts as pending.
-func (r *Relay) markCompleted(m *message) {
-	if !m.completed {
-		m.completed = true
-		r.pending--
-	}
-}
-
 // remove deletes a message, unless it has no result yet, an attempt is in flight, or the journal still holds it. The
 // answer to the message is kept in finishedMessages, if its client may need it again.
 func (r *Relay) remove(m *message) {
-	if m.inFlight > 0 || !m.completed || r.journal.Tracks(m.Message) {
+	if m.inFlight > 0 || !m.completed() || r.journal.Tracks(m.Message) {
 		return
 	}
 	r.untrack(m)
@@ -123,10 +115,11 @@
 	}
 }
 
-// allFinished reports whether all remaining messages are cancelled ones without an attempt in flight.
+// allFinished reports whether all remaining messages are cancelled or delivered ones without an attempt in flight.
 func (r *Relay) allFinished() bool {
 	for _, m := range r.messages {
-		if m.inFlight > 0 || !m.Cancelled {
+		ended := m.result == resultCancelled || m.result == resultDelivered
+		if m.inFlight > 0 || !ended {
 			return false
 		}
 	}
@@ -178,10 +171,10 @@
 // its result already.
 func (r *Relay) failMessage(m *message, err error) bool {
 	r.log.Error("message body unreadable, message failed", "message_id", m.TraceID, "err", err)
-	if m.completed {
+	if m.completed() {
 		return false
 	}
-	r.markCompleted(m)
+	r.markCompleted(m, resultFailed)
 	final := journal.FinalAnswer{}
 	r.countResult(m.Message, finalResult(final))
 	r.journal.RecordFinal(m.Message, final)
--- a/internal/relay/recoveredterms_test.go
+++ b/internal/relay/recoveredterms_test.go
@@ -108,7 +108,8 @@
 				t.Error("a message that may have run was sent again")
 			}
 			m := r.messagesByTrace["waiting"]
-			if m == nil || m.completed || r.termsOf(m.Message) != want || *r.recoveredEvent(m).Recovered.Terms != want {
+			if m == nil || m.completed() ||
+				r.termsOf(m.Message) != want || *r.recoveredEvent(m).Recovered.Terms != want {
 				t.Errorf("message %+v, want one with the terms %+v", m, want)
 			}
 		})
--- a/internal/relay/recovery.go
+++ b/internal/relay/recovery.go
@@ -37,7 +37,7 @@
 	}
 	events = append(events, r.recoveredHealth(found)...)
 	for _, record := range found.Messages {
-		if m := r.recoverMessage(record); !m.completed {
+		if m := r.recoverMessage(record); !m.completed() {
 			events = append(events, r.recoveredEvent(m))
 		}
 	}
@@ -86,20 +86,18 @@
 	if record.Uncertain && r.effectOf(record) == policy.Idempotent {
 		record.Uncertain = false // the message may run any number of times
 	}
-	m := &message{Message: record, attemptsStarted: record.Attempts}
+	m := &message{Message: record, attemptsStarted: record.Attempts, result: recordedResult(record)}
 	r.trackRestored(m)
 	r.messagesByTrace[m.TraceID] = m
 	r.lastMessageID = max(r.lastMessageID, m.ID)
 	switch {
 	case record.Cancelled:
-		m.completed = true
 		r.keepRecovered(m)
 	case record.Final != nil:
-		m.completed = true
 		r.queueNotification(m)
 	case record.Uncertain:
 		// Attempts of the message may be missing from the journal: one more attempt could make the message run twice.
-		m.completed = true
+		m.result = resultFailed
 		r.journal.RecordFinal(record, journal.FinalAnswer{})
 		r.countResult(record, metrics.Failed)
 		r.queueNotification(m)
@@ -156,6 +154,13 @@
 	return e
 }
 
+// resumedEvent returns the policy's event for a message of the predecessor that this process's policy does not have.
+// The policy counts only attempts that were made, and so does the relay from then on.
+func (r *Relay) resumedEvent(m *message) policy.Event {
+	m.attemptsStarted = m.Attempts
+	return r.recoveredEvent(m)
+}
+
 // timeSinceRun returns how long ago an attempt of a message was sent, to be compared with the deduplication window of
 // its class. If that is unknown, the result is outside the window.
 func timeSinceRun(class policy.Class, a journal.Attempt) time.Duration {
--- a/internal/relay/recovery_test.go
+++ b/internal/relay/recovery_test.go
@@ -53,7 +53,7 @@
 	if !failed["m100"] || !failed["m109"] || failed["m299"] {
 		t.Errorf("notifications %+v", again.notifier.Pending())
 	}
-	if m := again.messagesByTrace["m299"]; again.pending < 10 || m == nil || m.completed {
+	if m := again.messagesByTrace["m299"]; again.pending < 10 || m == nil || m.completed() {
 		t.Errorf("%d pending: messages that were accepted after the damaged place must continue", again.pending)
 	}
 }
@@ -96,7 +96,7 @@
 		r.recoverState()
 		notifications := r.notifier.Pending()
 		failed := len(notifications) == 1 && notifications[0].TraceID == "ran"
-		if failed != (setBack > 0) || r.messages[2] == nil || r.messages[2].completed {
+		if failed != (setBack > 0) || r.messages[2] == nil || r.messages[2].completed() {
 			t.Errorf("clock set back by %v: notifications %+v", setBack, notifications)
 		}
 		r.calls.Wait()
@@ -168,7 +168,7 @@
 		r.recoverState()
 		notifications := r.notifier.Pending()
 		failed := len(notifications) == 1 && notifications[0].TraceID == "m1"
-		if !failed || r.messages[2] == nil || r.messages[2].completed {
+		if !failed || r.messages[2] == nil || r.messages[2].completed() {
 			t.Errorf("clock step %v: notifications %+v", clockStep, notifications)
 		}
 		r.calls.Wait()
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -65,12 +65,12 @@
 // Messages with attempts in flight at the predecessor are passed once these attempts have outcomes.
 func (r *Relay) recoverMessages(events []policy.Event) []policy.Event {
 	for _, m := range r.messagesInOrder() {
-		if m.completed {
+		if m.completed() {
 			continue
 		}
 		m.awaitingPredecessor = m.inFlight > 0
 		if !m.awaitingPredecessor {
-			events = append(events, r.recoveredEvent(m))
+			events = append(events, r.resumedEvent(m))
 		}
 	}
 	return events
@@ -171,7 +171,7 @@
 			r.trackRestored(&message{
 				Message:         &journal.Message{ID: id, TraceID: state.TraceID, Cancelled: true},
 				attemptsStarted: state.AttemptsStarted,
-				completed:       true,
+				result:          resultCancelled,
 			})
 		}
 	}
@@ -189,9 +189,12 @@
 	m := &message{
 		Message:         recovered,
 		attemptsStarted: state.AttemptsStarted,
-		completed:       state.Completed,
+		result:          recordedResult(recovered),
 		hasDuplicates:   state.HasDuplicates,
 	}
+	if state.Completed && !m.completed() {
+		m.result = resultCancelled // the predecessor decides nothing more on it, and does not say why
+	}
 	r.trackRestored(m)
 	r.messagesByTrace[m.TraceID] = m
 	r.recorder.Label(m.ID, m.TraceID)
@@ -201,7 +204,7 @@
 	case recovered.Final != nil:
 		r.queueNotification(m)
 	}
-	if !m.completed {
+	if !m.completed() {
 		r.pending++
 	}
 }
--- a/internal/relay/sendcheck.go
+++ b/internal/relay/sendcheck.go
@@ -17,7 +17,7 @@
 func (r *Relay) sendableAttempts(c *call) (sendable []*attempt) {
 	now := time.Now()
 	for _, a := range c.attempts {
-		if !a.finished && !a.message.completed && now.Before(a.Deadline) {
+		if !a.finished && !a.message.completed() && now.Before(a.Deadline) {
 			sendable = append(sendable, a)
 		}
 	}
--- a/internal/relay/staledecision_test.go
+++ b/internal/relay/staledecision_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -149,16 +148,7 @@
 func TestWaitingBatchLeavesOutEndedMessages(t *testing.T) {
 	cfg := newTestConfig(t)
 	cfg.Operator.Journal.MaxBodiesMB = 1.0 / (1 << 20) // one byte: bodies are read from disk
-	r, err := New(cfg, discardLog(), io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.callCtx = t.Context()
-	r.recoverState()
-	t.Cleanup(func() {
-		r.egress.Close()
-		r.calls.Wait()
-	})
+	r := newTestRelayWith(t, cfg)
 	release := occupyCallMemory(r)
 	messages := submitWaiting(t, r, "platform", "sound", "cancelled", "unreadable")
 	corruptBody(t, cfg.StateDir, 3)
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -166,9 +166,9 @@
 		LimitReport: res.LimitReport,
 	})
 	m := a.message
-	if m.completed || m.inFlight > 0 {
+	if m.completed() || m.inFlight > 0 {
 		return events
 	}
 	m.awaitingPredecessor = false
-	return append(events, r.recoveredEvent(m))
+	return append(events, r.resumedEvent(m))
 }
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -115,7 +115,7 @@
 		t.Errorf("%d attempts at the predecessor; rejected: %+v", len(r.predecessorAttempts), r.messages[rejected])
 	}
 	m := r.messages[abandoned]
-	if m == nil || m.completed || m.inFlight != 0 || len(m.UncertainAttempts) != 1 {
+	if m == nil || m.completed() || m.inFlight != 0 || len(m.UncertainAttempts) != 1 {
 		t.Errorf("message whose attempt has no outcome: %+v", m)
 	}
 }
--- a/internal/relay/waitingcalls.go
+++ b/internal/relay/waitingcalls.go
@@ -151,6 +151,21 @@
 	r.waitingCalls = waiting
 }
 
+// withdrawWaitingAttempts returns the attempts of a message in waiting calls, since the message has ended.
+func (r *Relay) withdrawWaitingAttempts(m *message) {
+	if m.inFlight == 0 {
+		return
+	}
+	r.waitingCalls = slices.DeleteFunc(r.waitingCalls, func(c *call) bool {
+		r.keepAttempts(c, slices.DeleteFunc(slices.Clone(c.attempts), func(a *attempt) bool { return a.message == m }))
+		if len(c.attempts) > 0 {
+			return false
+		}
+		r.releaseCall(c)
+		return true
+	})
+}
+
 // returnWaitingCalls ends all waiting calls. Their messages were not sent.
 func (r *Relay) returnWaitingCalls() {
 	for _, c := range r.waitingCalls {
