A process that takes over passes on the messages that the handed-over policy lacks

What callers saw: nothing yet; a message that was answered 202 had no attempt and no notice after two hot restarts in a row, the first from another build, the second before the first process's calls had ended.

Cause: the second process keeps such messages from its policy until their outcomes come, and the third took the policy's state that it was handed for a complete one.

Change: the third process asks its policy for each pending message (Engine.HasMessage), and treats those that it lacks as the second did. The frames are unchanged. The random test of known ids also plays take-overs, timeouts, reloads, drains and calls of several messages.

--- a/internal/relay/knownid_test.go
+++ b/internal/relay/knownid_test.go
@@ -1,13 +1,17 @@
 package relay
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
+	"cherrytrestle.example/cherrytrestle/internal/relay/hotrestart"
 	"cherrytrestle.example/cherrytrestle/policy"
 )
 
@@ -41,9 +45,12 @@
 // TestIDOfCancelledWaitingMessageIsNew guards against an answer of 202 for a message that is never sent: the id was
 // handed in before by a client that left while the call of its message waited for memory.
 func TestIDOfCancelledWaitingMessageIsNew(t *testing.T) {
-	for _, sameStep := range []bool{false, true} {
-		t.Run(fmt.Sprint("in one step: ", sameStep), func(t *testing.T) {
-			r := newTestRelay(t)
+	for i := range 4 {
+		sameStep, hedging := i%2 == 0, i < 2
+		t.Run(fmt.Sprintf("in one step: %v, hedging: %v", sameStep, hedging), func(t *testing.T) {
+			cfg := newTestConfig(t)
+			cfg.AllowHedging = hedging
+			r := newTestRelayWith(t, cfg)
 			release := occupyCallMemory(r)
 			first := submitWaiting(t, r, "gateway", "m1")[0]
 			again := newSubmission("m1", 7, 8*time.Second)
@@ -144,14 +151,16 @@
 	t         *testing.T
 	r         *Relay
 	rng       *rand.Rand
-	class     string
+	class     string          // of the messages
+	kind      string          // of the endpoint
+	ordered   bool            // the messages of an id have an ordering key
 	release   func()          // of the memory for calls; nil: there is memory
 	leaving   []cancelEvent   // of clients that left; the relay learns of it in a later step
 	owed      map[string]bool // ids with a client that stayed and was answered 202, without a delivery or notice since
 	delivered map[string]bool
 	noticed   map[policy.MessageID]bool
-	ran       map[string]bool   // ids with an attempt that may have run
-	seen      map[*attempt]bool // attempts that were checked when they began
+	ran       map[string]bool // ids with an attempt that may have run
+	seen      map[*call]bool  // calls that were checked when they began
 }
 
 // submit submits one or two messages under an id in one step, together with cancellations. Some clients leave.
@@ -162,7 +171,9 @@
 		submission := newSubmission(id, 7, 8*time.Second)
 		submission.message.Body = []byte(waitingBody)
 		submission.message.ClassName = w.class
-		submission.message.OrderingKey = id
+		if w.ordered {
+			submission.message.OrderingKey = id
+		}
 		submissions = append(submissions, submission)
 		batch = append(batch, submission)
 	}
@@ -194,22 +205,11 @@
 	w.r.step(batch)
 	out := map[string]int{}
 	for c := range w.r.activeCalls {
+		w.checkNewCall(c)
 		for _, a := range c.attempts {
-			id := a.message.TraceID
 			if !a.finished {
-				out[id]++
-			}
-			if w.seen[a] {
-				continue
-			}
-			w.seen[a] = true
-			if string(a.Body) != waitingBody {
-				w.t.Errorf("%s was sent with the body %q", id, a.Body)
+				out[a.message.TraceID]++
 			}
-			if w.ran[id] && w.class == "pay" {
-				w.t.Errorf("%s was sent again, although it may have run", id)
-			}
-			w.ran[id] = true
 		}
 	}
 	for id, n := range out {
@@ -220,6 +220,27 @@
 	w.settle()
 }
 
+// checkNewCall checks a call, unless an earlier step began it.
+func (w *knownIDWorld) checkNewCall(c *call) {
+	if w.seen[c] {
+		return
+	}
+	w.seen[c] = true
+	if allowed := w.r.activeConfig.Settings.DestinationKind(c.Kind).BatchSize(); len(c.attempts) > allowed {
+		w.t.Errorf("a call has %d messages, want at most %d", len(c.attempts), allowed)
+	}
+	for _, a := range c.attempts {
+		id := a.message.TraceID
+		if string(a.Body) != waitingBody {
+			w.t.Errorf("%s was sent with the body %q", id, a.Body)
+		}
+		if w.ran[id] && w.class == "pay" {
+			w.t.Errorf("%s was sent again, although it may have run", id)
+		}
+		w.ran[id] = true
+	}
+}
+
 // settle removes the ids that have a notice from those that are owed.
 func (w *knownIDWorld) settle() {
 	for _, n := range w.r.notifier.Pending() {
@@ -236,26 +257,64 @@
 	{Outcome: policy.Reset},
 	{Outcome: policy.Error},
 	{Outcome: policy.Overloaded},
+	{Outcome: policy.Overloaded, RetryAfter: 300 * time.Millisecond},
 	{Outcome: policy.ConnectFailed},
 	{Outcome: policy.NotSent},
 	{Outcome: policy.NotSent, MessageEnded: true},
 }
 
-// endAttempt ends a call in flight, or an attempt of the predecessor.
-func (w *knownIDWorld) endAttempt(result egress.Result) {
-	for c := range w.r.activeCalls {
-		w.noteResult(c.attempts[0], result)
-		w.step(append(w.takeLeaving(), &callFinished{c, []egress.Result{result}})...)
+// endCall ends a call in flight, or an attempt of the predecessor. draw returns the result of each attempt.
+func (w *knownIDWorld) endCall(draw func() egress.Result) {
+	if calls := w.callsInFlight(); len(calls) > 0 {
+		c := calls[0]
+		results := make([]egress.Result, len(c.attempts))
+		for i, a := range c.attempts {
+			results[i] = draw()
+			w.noteResult(a, results[i])
+		}
+		w.step(append(w.takeLeaving(), &callFinished{c, results})...)
 		return
 	}
-	for key, a := range w.r.predecessorAttempts {
-		w.noteResult(a, result)
-		outcome := outcomeOf(result.Outcome, key.messageID, 0)
+	keys := slices.SortedFunc(maps.Keys(w.r.predecessorAttempts), compareAttempts)
+	if len(keys) > 0 {
+		key := keys[0]
+		result := draw()
+		w.noteResult(w.r.predecessorAttempts[key], result)
+		outcome := outcomeOf(result.Outcome, key.messageID, result.RetryAfter)
 		outcome.Number = key.number
 		outcome.MessageEnded = result.MessageEnded
 		w.step(append(w.takeLeaving(), outcome)...)
+	}
+}
+
+// callsInFlight returns the calls in flight, in the order of the messages that they carry.
+func (w *knownIDWorld) callsInFlight() []*call {
+	byMessage := func(a, b *call) int { return cmp.Compare(a.attempts[0].message.ID, b.attempts[0].message.ID) }
+	return slices.SortedFunc(maps.Keys(w.r.activeCalls), byMessage)
+}
+
+// timeOut ends an attempt whose call goes on.
+func (w *knownIDWorld) timeOut() {
+	for _, c := range w.callsInFlight() {
+		a := c.attempts[w.rng.IntN(len(c.attempts))]
+		if w.r.cfg.AllowHedging && !a.finished {
+			w.step(append(w.takeLeaving(), attemptTimeout{a})...)
+			return
+		}
+	}
+}
+
+// changeRules changes the endpoint, or how many messages a call may have.
+func (w *knownIDWorld) changeRules() {
+	if w.rng.IntN(2) == 0 {
+		state := []string{"ready", "ready", "draining"}[w.rng.IntN(3)]
+		w.step(append(w.takeLeaving(), listChange(entryText("127.0.0.1:1", w.kind, state)))...)
 		return
 	}
+	cfg := w.r.activeConfig
+	cfg.Settings.DestinationKinds = slices.Clone(cfg.Settings.DestinationKinds)
+	cfg.Settings.DestinationKinds[0].MaxBatch = 1 + w.rng.IntN(3)
+	w.step(append(w.takeLeaving(), configChange{config: cfg})...)
 }
 
 // noteResult records what the result of an attempt means for its id.
@@ -286,26 +345,40 @@
 	}
 }
 
-// replaceProcess continues with a process that recovers from the journal. Clients of the earlier one are gone.
+// replaceProcess continues with a process that recovers from the journal, or that takes over. Clients of a process that
+// was killed are gone.
 func (w *knownIDWorld) replaceProcess() {
 	w.setMemory(true)
-	w.leaving = nil
-	w.r = restartRelay(w.t, w.r)
+	if w.rng.IntN(2) == 0 {
+		w.leaving = nil
+		w.r = restartRelay(w.t, w.r)
+		return
+	}
+	w.r.returnWaitingCalls()
+	edit := func(*hotrestart.State) {}
+	if w.rng.IntN(2) == 0 {
+		edit = unreadableSnapshot
+	}
+	w.r = successorOf(w.t, w.r, edit)
 }
 
 // act does one of the things that can happen.
 func (w *knownIDWorld) act() {
-	switch w.rng.IntN(8) {
+	switch w.rng.IntN(12) {
 	case 0, 1, 2:
-		w.submit(fmt.Sprint("id", w.rng.IntN(2)))
-	case 3:
+		w.submit(fmt.Sprint("id", w.rng.IntN(3)))
+	case 3, 4:
 		w.setMemory(w.rng.IntN(2) == 0)
-	case 4, 5:
-		w.endAttempt(outcomes[w.rng.IntN(len(outcomes))])
-	case 6:
-		w.r.started = w.r.started.Add(-time.Duration(w.rng.IntN(1000)) * time.Millisecond)
-		w.step(w.takeLeaving()...)
+	case 5, 6:
+		w.endCall(func() egress.Result { return outcomes[w.rng.IntN(len(outcomes))] })
 	case 7:
+		w.timeOut()
+	case 8:
+		w.changeRules()
+	case 9, 10:
+		w.r.started = w.r.started.Add(-time.Duration(w.rng.IntN(2000)) * time.Millisecond)
+		w.step(w.takeLeaving()...)
+	case 11:
 		if w.rng.IntN(3) == 0 {
 			w.replaceProcess()
 			w.step()
@@ -316,11 +389,12 @@
 // finish lets all messages end, and checks that the relay owes nothing.
 func (w *knownIDWorld) finish() {
 	w.setMemory(true)
+	w.step(listChange(entryText("127.0.0.1:1", w.kind, "ready")))
 	for range 30 {
 		w.r.started = w.r.started.Add(-500 * time.Millisecond)
 		w.step()
 		for len(w.r.activeCalls)+len(w.r.predecessorAttempts) > 0 {
-			w.endAttempt(egress.Result{Outcome: policy.OK})
+			w.endCall(func() egress.Result { return egress.Result{Outcome: policy.OK} })
 		}
 	}
 	for id := range w.owed {
@@ -345,13 +419,16 @@
 				r:         newTestRelayWith(t, cfg),
 				rng:       rng,
 				class:     cfg.ClassNames[rng.IntN(2)],
+				kind:      []string{"gateway", "platform"}[rng.IntN(2)],
+				ordered:   rng.IntN(2) == 0,
 				owed:      map[string]bool{},
 				delivered: map[string]bool{},
 				noticed:   map[policy.MessageID]bool{},
 				ran:       map[string]bool{},
-				seen:      map[*attempt]bool{},
+				seen:      map[*call]bool{},
 			}
-			for range 40 {
+			w.step(listChange(entryText("127.0.0.1:1", w.kind, "ready")))
+			for range 80 {
 				w.act()
 			}
 			w.finish()
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -36,8 +36,9 @@
 	events := s.PendingEvents
 	if !restored {
 		r.continueFrom(s.Config)
-		events = r.recoverMessages(append([]policy.Event{snapshot}, health...))
+		events = append([]policy.Event{snapshot}, health...)
 	}
+	events = r.recoverMessages(events)
 	r.restoreFleet(snapshot)
 	r.log.Info("state of the predecessor taken over",
 		"messages", len(r.messages), "held", r.pending, "out", len(r.predecessorAttempts), "state", restored)
@@ -61,11 +62,12 @@
 	return true
 }
 
-// recoverMessages appends the events that pass the messages to a policy which starts without its earlier state.
-// Messages with attempts in flight at the predecessor are passed once these attempts have outcomes.
+// recoverMessages appends the events that pass messages to the policy that it does not have: all, if it starts without
+// its earlier state, or those that the predecessor had not passed to its own yet. Messages with attempts in flight at
+// the predecessor are passed once these attempts have outcomes.
 func (r *Relay) recoverMessages(events []policy.Event) []policy.Event {
 	for _, m := range r.messagesInOrder() {
-		if m.completed() {
+		if m.completed() || r.engine.HasMessage(m.ID) {
 			continue
 		}
 		m.awaitingPredecessor = m.inFlight > 0
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -173,3 +173,24 @@
 		t.Errorf("%d pending, messages %v", r.pending, r.messages)
 	}
 }
+
+// TestSecondTakeOverKnowsMessagesOfTheFirst guards against messages that are lost by two hot restarts in a row: the
+// second process cannot read the policy's state and waits for outcomes of the first one before it tells its policy of
+// their messages, and hands over meanwhile.
+func TestSecondTakeOverKnowsMessagesOfTheFirst(t *testing.T) {
+	second, ids := takeOverThreeAttempts(t, unreadableSnapshot)
+	third := successorOf(t, second, func(*hotrestart.State) {})
+	third.step([]event{outcomeOf(policy.Overloaded, ids[0], 0), outcomeOf(policy.Reset, ids[1], 0)})
+	third.step([]event{predecessorGone{}})
+	for _, id := range ids {
+		if m := third.messages[id]; m == nil || m.completed() || !third.engine.HasMessage(id) {
+			t.Errorf("message %d is not known to the policy: %+v", id, m)
+		}
+	}
+	for range 20 { // past the deadlines of all messages
+		advance(third, time.Second)
+	}
+	if third.pending != 0 {
+		t.Errorf("%d messages have no result after their deadlines", third.pending)
+	}
+}
--- a/policy/inspect.go
+++ b/policy/inspect.go
@@ -107,6 +107,9 @@
 	return cause, until
 }
 
+// HasMessage reports whether the engine has a message: it has no final answer yet, or an attempt in flight.
+func (e *Engine) HasMessage(id MessageID) bool { return e.messages[id] != nil }
+
 // Suspect reports whether an endpoint may be coming back from an outage, as of the last step: it is ejected, or it
 // takes calls from the recovery budget only. It is false for an endpoint that the engine does not have.
 func (e *Engine) Suspect(endpointID string) bool {
