Test of known ids: a notice of the step that answers 202 ends what is owed

The relay is right: the notice is sent, and it ends what the 202 promised.

Change: the test counts a notice of the same step. It still expects a delivery or a notice for each 202.

--- a/internal/relay/knownid_test.go
+++ b/internal/relay/knownid_test.go
@@ -148,19 +148,20 @@
 // knownIDWorld submits messages under a few ids to a relay, with clients that leave, calls that wait for memory and
 // every outcome of an attempt, and knows what the relay owes.
 type knownIDWorld struct {
-	t         *testing.T
-	r         *Relay
-	rng       *rand.Rand
-	class     string          // of the messages
-	kind      string          // of the endpoint
-	ordered   bool            // the messages of an id have an ordering key
-	release   func()          // of the memory for calls; nil: there is memory
-	leaving   []cancelEvent   // of clients that left; the relay learns of it in a later step
-	owed      map[string]bool // ids with a client that stayed and was answered 202, without a delivery or notice since
-	delivered map[string]bool
-	noticed   map[policy.MessageID]bool
-	ran       map[string]bool // ids with an attempt that may have run
-	seen      map[*call]bool  // calls that were checked when they began
+	t          *testing.T
+	r          *Relay
+	rng        *rand.Rand
+	class      string          // of the messages
+	kind       string          // of the endpoint
+	ordered    bool            // the messages of an id have an ordering key
+	release    func()          // of the memory for calls; nil: there is memory
+	leaving    []cancelEvent   // of clients that left; the relay learns of it in a later step
+	owed       map[string]bool // ids with a client that stayed and was answered 202, without a delivery or notice since
+	delivered  map[string]bool
+	noticed    map[policy.MessageID]bool
+	noticedNow map[string]bool // ids with a notice since the last step
+	ran        map[string]bool // ids with an attempt that may have run
+	seen       map[*call]bool  // calls that were checked when they began
 }
 
 // submit submits one or two messages under an id in one step, together with cancellations. Some clients leave.
@@ -183,11 +184,10 @@
 		switch left := w.rng.IntN(2) == 0; {
 		case left && submission.message.ID != 0:
 			w.leaving = append(w.leaving, cancelEvent{submission.message.ID})
-		case !left && answer.Status == http.StatusAccepted && !w.delivered[id]:
+		case !left && answer.Status == http.StatusAccepted && !w.delivered[id] && !w.noticedNow[id]:
 			w.owed[id] = true
 		}
 	}
-	w.settle()
 }
 
 // takeLeaving returns the cancellations that the relay learns of now.
@@ -241,11 +241,13 @@
 	}
 }
 
-// settle removes the ids that have a notice from those that are owed.
+// settle removes the ids that have a new notice from those that are owed.
 func (w *knownIDWorld) settle() {
+	w.noticedNow = map[string]bool{}
 	for _, n := range w.r.notifier.Pending() {
 		if !w.noticed[n.MessageID] {
 			delete(w.owed, n.TraceID)
+			w.noticedNow[n.TraceID] = true
 		}
 		w.noticed[n.MessageID] = true
 	}
