--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -135,7 +135,7 @@
 		}
 		s.reply <- unavailableResponse
 	}
-	for _, m := range r.cancelled {
+	for _, m := range r.kept {
 		if m.resubmittedAs != nil && r.messages[m.resubmittedAs.ID] == nil {
 			m.resubmittedAs = nil
 			r.messagesByTrace[m.TraceID] = m
--- a/internal/relay/bodies_test.go
+++ b/internal/relay/bodies_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -15,19 +14,9 @@
 // Bodies beyond the memory limit are read from the journal when they are sent. A message whose body cannot be read
 // fails with a notification, and the relay goes on accepting messages.
 func TestBodiesAreReadFromDisk(t *testing.T) {
-	cfg := newTestRelay(t).cfg
-	cfg.StateDir = t.TempDir()
+	cfg := newTestConfig(t)
 	cfg.Operator.Journal.MaxBodiesMB = 1.0 / (1 << 20) // one byte
-	r, err := New(cfg, discardLog(), io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.callCtx = t.Context()
-	r.recoverState()
-	t.Cleanup(func() {
-		r.egress.Close()
-		r.calls.Wait()
-	})
+	r := newTestRelayWith(t, cfg)
 	in := newSubmission("m1", 7, 5*time.Second)
 	in.message.Body = []byte("a body on disk")
 	submitAll(r, in)
@@ -40,15 +29,7 @@
 			t.Errorf("sent body %q", c.attempts[0].Body)
 		}
 	}
-	paths, _ := filepath.Glob(filepath.Join(journal.Folder(cfg.StateDir), "*.seg"))
-	data, err := os.ReadFile(paths[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	data[bytes.Index(data, []byte("body on disk"))] ^= 1
-	if err := os.WriteFile(paths[0], data, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	corruptBody(t, cfg.StateDir, "body on disk", 1)
 	send := policy.Action{Kind: policy.Send, MessageID: m.ID, Endpoint: "s-1", TimeoutAt: time.Minute}
 	if calls := r.addToCalls(nil, m, &send); len(calls) != 0 {
 		t.Error("a message with an unreadable body was added to a call")
@@ -61,3 +42,24 @@
 		t.Errorf("next submission: answer %+v, want status 202", a)
 	}
 }
+
+// corruptBody changes a byte of the nth body with a text in the journal of a folder, from 1 on.
+func corruptBody(t *testing.T, folder, text string, n int) {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(journal.Folder(folder), "*.seg"))
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no segments: %v", err)
+	}
+	data, err := os.ReadFile(paths[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := 0
+	for range n {
+		at += bytes.Index(data[at:], []byte(text)) + 1
+	}
+	data[at] ^= 1
+	if err := os.WriteFile(paths[0], data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -18,7 +18,6 @@
 	"cherrytrestle.example/cherrytrestle/internal/relay/notify"
 	"cherrytrestle.example/cherrytrestle/internal/state/catalog"
 	"cherrytrestle.example/cherrytrestle/internal/state/journal"
-	"cherrytrestle.example/cherrytrestle/internal/state/store"
 	"cherrytrestle.example/cherrytrestle/internal/testkit/nettest"
 	"cherrytrestle.example/cherrytrestle/policy"
 )
@@ -161,22 +160,18 @@
 	const endpoint = `{"id":"s-9","addr":"127.0.0.1:1","zone":"a","kind":"platform","cell":9,` +
 		`"state":"ready","weight":50}`
 	r.cfg.Known.Entries = entriesOf(r, endpoint)
-	r.recovery = &journal.Recovery{Store: &store.Recovery{}}
+	var messages []*journal.Message
 	for i, left := range []time.Duration{10 * time.Second, 500 * time.Millisecond, 10 * time.Second} {
-		m := &journal.Message{
+		messages = append(messages, &journal.Message{
 			ID:             policy.MessageID(i + 1),
 			TraceID:        fmt.Sprint("m", i),
 			IdempotencyKey: "k",
 			Terms:          firstTerms(&r.cfg),
 			Destination:    9,
 			Deadline:       time.Now().Add(left),
-		}
-		if err := r.journal.Accept(m); err != nil {
-			t.Fatal(err)
-		}
-		r.recovery.Messages = append(r.recovery.Messages, m)
+		})
 	}
-	r.recoverState()
+	recoverAccepted(t, r, messages...)
 	runLoop(t, r)
 	<-dialed
 	nettest.Eventually(t, "message m1 has failed at its deadline", func() bool {
@@ -214,12 +209,7 @@
 		Attempts:          1,
 		UncertainAttempts: []journal.Attempt{{Endpoint: "s-1", ZoneName: "a", SentAt: ends.Add(-window)}},
 	}
-	if err := r.journal.Accept(m); err != nil {
-		t.Fatal(err)
-	}
-	// The message is recovered, as from an earlier process.
-	r.recovery = &journal.Recovery{Messages: []*journal.Message{m}, Store: &store.Recovery{}}
-	r.recoverState()
+	recoverAccepted(t, r, m)
 	runLoop(t, r)
 	<-dialed
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
--- a/internal/relay/delivered.go
+++ b/internal/relay/delivered.go
@@ -24,8 +24,8 @@
 		return
 	}
 	r.journal.RecordDelivered(m.Message)
-	if !slices.Contains(r.cancelled, m) {
-		r.cancelled = append(r.cancelled, m)
+	if !slices.Contains(r.kept, m) {
+		r.kept = append(r.kept, m)
 	}
 	r.keptDelivered++
 	if r.keptDelivered > maxKeptDelivered {
@@ -35,12 +35,12 @@
 
 // dropOldestDelivered removes the delivered message that has been kept longest.
 func (r *Relay) dropOldestDelivered() {
-	i := slices.IndexFunc(r.cancelled, func(m *message) bool { return m.Delivered })
+	i := slices.IndexFunc(r.kept, func(m *message) bool { return m.Delivered })
 	if i < 0 {
 		return
 	}
-	m := r.cancelled[i]
-	r.cancelled = slices.Delete(r.cancelled, i, i+1)
+	m := r.kept[i]
+	r.kept = slices.Delete(r.kept, i, i+1)
 	r.dropKept(m)
 }
 
@@ -58,5 +58,5 @@
 	if m.Delivered {
 		r.keptDelivered++
 	}
-	r.cancelled = append(r.cancelled, m)
+	r.kept = append(r.kept, m)
 }
--- a/internal/relay/helpers_test.go
+++ b/internal/relay/helpers_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"cherrytrestle.example/cherrytrestle/internal/relay/discovery"
+	"cherrytrestle.example/cherrytrestle/internal/state/journal"
+	"cherrytrestle.example/cherrytrestle/internal/state/store"
 	"cherrytrestle.example/cherrytrestle/internal/testkit/nettest"
 	"cherrytrestle.example/cherrytrestle/policy"
 )
@@ -94,6 +96,16 @@
 	return r
 }
 
+// recoverAccepted has a relay recover messages, as from an earlier process that accepted them.
+func recoverAccepted(t *testing.T, r *Relay, messages ...*journal.Message) {
+	t.Helper()
+	if err := r.journal.Accept(messages...); err != nil {
+		t.Fatal(err)
+	}
+	r.recovery = &journal.Recovery{Messages: messages, Store: &store.Recovery{}}
+	r.recoverState()
+}
+
 // serveClients serves clients at a new address until the test ends.
 func serveClients(t *testing.T, r *Relay) (addr string) {
 	t.Helper()
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -28,11 +28,11 @@
 type messageState struct {
 	messages        map[policy.MessageID]*message
 	messagesByTrace map[string]*message // by trace id: the latest message with that id
-	cancelled       []*message          // cancelled messages that may have run, roughly in the order of their deadlines
+	kept            []*message          // cancelled or delivered messages that may have run, roughly by deadline
 	finished        finishedMessages
 	finishedBytes   int64 // reserved for finished
 	pending         int   // number of messages that are not completed
-	keptDelivered   int   // number of delivered messages in cancelled
+	keptDelivered   int   // number of delivered messages in kept
 	lastMessageID   policy.MessageID
 	journalFull     ratelog.Warning // logged when the journal cannot store new messages
 }
@@ -68,7 +68,7 @@
 		return
 	}
 	r.journal.RecordCancelled(m.Message)
-	r.cancelled = append(r.cancelled, m)
+	r.kept = append(r.kept, m)
 }
 
 // markDelivered ends a message that turned out to be delivered, and the messages as which it was submitted again. m may
@@ -93,7 +93,7 @@
 	now := time.Now()
 	r.finished.expire(now)
 	r.accountFinished()
-	r.cancelled = slices.DeleteFunc(r.cancelled, func(m *message) bool {
+	r.kept = slices.DeleteFunc(r.kept, func(m *message) bool {
 		if m.resubmittedAs == nil && len(m.UncertainAttempts) > 0 && now.Before(m.Deadline) {
 			return false
 		}
--- a/internal/relay/movedendpoint_test.go
+++ b/internal/relay/movedendpoint_test.go
@@ -12,7 +12,6 @@
 	"cherrytrestle.example/cherrytrestle/internal/relay/discovery"
 	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
 	"cherrytrestle.example/cherrytrestle/internal/state/journal"
-	"cherrytrestle.example/cherrytrestle/internal/state/store"
 	"cherrytrestle.example/cherrytrestle/internal/testkit/nettest"
 )
 
@@ -49,11 +48,7 @@
 		ID: 1, TraceID: "m", IdempotencyKey: "k", Terms: firstTerms(&r.cfg), Destination: 9,
 		Deadline: time.Now().Add(10 * time.Second),
 	}
-	if err := r.journal.Accept(m); err != nil {
-		t.Fatal(err)
-	}
-	r.recovery = &journal.Recovery{Messages: []*journal.Message{m}, Store: &store.Recovery{}}
-	r.recoverState()
+	recoverAccepted(t, r, m)
 	runLoop(t, r)
 	<-dialed
 	applied := make(chan bool, 1)
--- a/internal/relay/staledecision_test.go
+++ b/internal/relay/staledecision_test.go
@@ -1,10 +1,7 @@
 package relay
 
 import (
-	"bytes"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -151,7 +148,7 @@
 	r := newTestRelayWith(t, cfg)
 	release := occupyCallMemory(r)
 	messages := submitWaiting(t, r, "platform", "sound", "cancelled", "unreadable")
-	corruptBody(t, cfg.StateDir, 3)
+	corruptBody(t, cfg.StateDir, waitingBody, 3)
 	release()
 	r.step([]event{cancelEvent{messages[1].ID}})
 	if bodies := sentBodies(r); len(bodies) != 1 || bodies["sound"] != waitingBody {
@@ -167,27 +164,6 @@
 	}
 }
 
-// corruptBody changes a byte of the nth body in the journal of a folder, from 1 on.
-func corruptBody(t *testing.T, folder string, n int) {
-	t.Helper()
-	paths, err := filepath.Glob(filepath.Join(journal.Folder(folder), "*.seg"))
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no segments: %v", err)
-	}
-	data, err := os.ReadFile(paths[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	at := 0
-	for range n {
-		at += bytes.Index(data[at:], []byte(waitingBody)) + 1
-	}
-	data[at] ^= 1
-	if err := os.WriteFile(paths[0], data, 0o600); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // TestCancelledWaitingCallFailsNoOther guards against a write of the journal that names a message whose removal is
 // written already: it failed, and with it all calls of its step.
 func TestCancelledWaitingCallFailsNoOther(t *testing.T) {
