An attempt that waits for memory ends at its own timeout, alone

In a call of several messages that waits for memory, an attempt that timed out stayed in flight until the latest timeout of the call; without hedging the first timeout returned the attempts of all its messages, and cost each one of them.

Change: in each step the waiting attempts that have timed out are returned, each alone; the ends of messages, of sending and of the process use the same function. An attempt that is returned was not sent, so no message has two attempts out.

Seen failing before: TestWaitingAttemptsEndAlone, both cases. Measured: internal/relay passes.

--- a/internal/relay/staledecision_test.go
+++ b/internal/relay/staledecision_test.go
@@ -164,6 +164,36 @@
 	}
 }
 
+// TestWaitingAttemptsEndAlone guards against a message that takes others with it while their call waits: at its timeout
+// only its own attempt ends, whether or not a message may have two attempts in flight, and the others are sent later.
+func TestWaitingAttemptsEndAlone(t *testing.T) {
+	for _, hedging := range []bool{false, true} {
+		t.Run(fmt.Sprint("hedging: ", hedging), func(t *testing.T) {
+			cfg := newTestConfig(t)
+			cfg.AllowHedging = hedging
+			r := newTestRelayWith(t, cfg)
+			release := occupyCallMemory(r)
+			messages := submitWaiting(t, r, "platform", "m1", "m2", "m3")
+			for _, a := range r.waitingCalls[0].attempts {
+				if a.message == messages[1] {
+					a.Deadline = time.Now()
+				}
+			}
+			r.waitingCalls[0].Deadline = r.callDeadline(r.waitingCalls[0].attempts)
+			r.step(nil)
+			if messages[1].inFlight != 0 || messages[0].inFlight != 1 || messages[2].inFlight != 1 {
+				t.Errorf("%d, %d and %d attempts in flight, want none of the second message alone",
+					messages[0].inFlight, messages[1].inFlight, messages[2].inFlight)
+			}
+			release()
+			stepUntil(t, r, "the others are sent", func() bool { return len(sentBodies(r)) >= 2 })
+			if bodies := sentBodies(r); bodies["m1"] != waitingBody || bodies["m3"] != waitingBody {
+				t.Errorf("sent %q, want the bodies of m1 and m3", bodies)
+			}
+		})
+	}
+}
+
 // TestCancelledWaitingCallFailsNoOther guards against a write of the journal that names a message whose removal is
 // written already: it failed, and with it all calls of its step.
 func TestCancelledWaitingCallFailsNoOther(t *testing.T) {
--- a/internal/relay/waitingcalls.go
+++ b/internal/relay/waitingcalls.go
@@ -54,9 +54,9 @@
 }
 
 // callsWithMemory returns the calls that may start now: those of calls that have their memory, after those that have
-// waited for it and get it now. The others wait, until their time is over.
+// waited for it and get it now. The others wait, until the time of their attempts is over.
 func (r *Relay) callsWithMemory(calls []*call) (ready []*call) {
-	r.returnExpiredCalls()
+	r.returnExpiredAttempts()
 	for len(r.waitingCalls) > 0 && r.reserveMissing(r.waitingCalls[0]) {
 		c := r.waitingCalls[0]
 		r.waitingCalls = r.waitingCalls[1:]
@@ -136,48 +136,40 @@
 	c.attempts = kept
 }
 
-// returnExpiredCalls ends the waiting calls whose time is over.
-func (r *Relay) returnExpiredCalls() {
+// returnExpiredAttempts returns the waiting attempts that have timed out, or all of them once nothing may be sent.
+func (r *Relay) returnExpiredAttempts() {
 	now := time.Now()
-	waiting := r.waitingCalls[:0]
-	for _, c := range r.waitingCalls {
-		if now.Before(c.Deadline) && !r.sendingStopped {
-			waiting = append(waiting, c)
-		} else {
-			r.returnWaitingCall(c)
-		}
-	}
-	clear(r.waitingCalls[len(waiting):])
-	r.waitingCalls = waiting
+	r.keepWaitingAttempts(func(a *attempt) bool { return now.Before(a.Deadline) && !r.sendingStopped })
 }
 
 // withdrawWaitingAttempts returns the attempts of a message in waiting calls, since the message has ended.
 func (r *Relay) withdrawWaitingAttempts(m *message) {
-	if m.inFlight == 0 {
-		return
+	if m.inFlight > 0 {
+		r.keepWaitingAttempts(func(a *attempt) bool { return a.message != m })
 	}
+}
+
+// keepWaitingAttempts returns the attempts in waiting calls that are not to be kept, and ends the calls that have none
+// left.
+func (r *Relay) keepWaitingAttempts(keep func(*attempt) bool) {
 	r.waitingCalls = slices.DeleteFunc(r.waitingCalls, func(c *call) bool {
-		r.keepAttempts(c, slices.DeleteFunc(slices.Clone(c.attempts), func(a *attempt) bool { return a.message == m }))
-		if len(c.attempts) > 0 {
-			return false
+		var kept []*attempt
+		for _, a := range c.attempts {
+			if keep(a) {
+				kept = append(kept, a)
+			}
 		}
-		r.releaseCall(c)
-		return true
+		r.keepAttempts(c, kept)
+		if len(kept) == 0 {
+			r.releaseCall(c)
+		}
+		return len(kept) == 0
 	})
 }
 
 // returnWaitingCalls ends all waiting calls. Their messages were not sent.
 func (r *Relay) returnWaitingCalls() {
-	for _, c := range r.waitingCalls {
-		r.returnWaitingCall(c)
-	}
-	r.waitingCalls = nil
-}
-
-// returnWaitingCall ends a waiting call.
-func (r *Relay) returnWaitingCall(c *call) {
-	r.keepAttempts(c, nil)
-	r.releaseCall(c)
+	r.keepWaitingAttempts(func(*attempt) bool { return false })
 }
 
 // returnAttempt ends an attempt that was not sent. The policy is told in an additional step.
