A call within the recovery budget outlasts a short wait for memory

Need: since every call to a suspect endpoint that waited for memory was returned, its trial calls too. Under a lasting shortage such an endpoint would hardly be tried again, and each return costs its message an attempt.

Calls from before the suspicion are returned as before.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -15,8 +15,9 @@
 // call is a call to an endpoint, with the state that the loop keeps for it.
 type call struct {
 	egress.Call
-	zone int // zone of the endpoint
-	size int // upper bound of the body size of a batch, in bytes
+	zone      int  // zone of the endpoint
+	size      int  // upper bound of the body size of a batch, in bytes
+	toSuspect bool // the endpoint was suspect at the decision, so that the recovery budget allowed the call
 
 	reservedMemory int64 // in bytes
 	missingMemory  int64 // in bytes; above 0, the call waits for it, and the bodies of its messages are not loaded
@@ -89,6 +90,7 @@
 			Batch:      maxBatch > 1 && size <= netconn.MaxBodySize,
 			SentAt:     time.Now(),
 		}, endpoint.Zone)
+		c.toSuspect = r.engine.Suspect(a.Endpoint)
 	}
 	var body []byte
 	if r.reserveCall(c, memorySize) {
--- a/internal/relay/observer.go
+++ b/internal/relay/observer.go
@@ -108,8 +108,8 @@
 	case known == nil:
 		r.log.Debug("submission of a finished message", "message", trace, "status", status)
 	default:
-		r.log.Debug("submission of a known message", "message", trace, "status", status, "result", known.result,
-			"in_flight", known.inFlight)
+		r.log.Debug("submission of a known message", "message", trace, "status", status,
+			"result", known.result.String(), "in_flight", known.inFlight)
 	}
 }
 
--- a/internal/relay/staledecision_test.go
+++ b/internal/relay/staledecision_test.go
@@ -140,6 +140,37 @@
 	}
 }
 
+// TestWaitingCallKeepsItsPlaceInTheRecoveryBudget guards against an endpoint that is never tried again while calls wait
+// for memory: a call that was decided within the recovery budget is made after a short wait, and returned after a
+// longer one.
+func TestWaitingCallKeepsItsPlaceInTheRecoveryBudget(t *testing.T) {
+	for _, c := range []struct {
+		waited time.Duration
+		sent   int
+	}{{0, 1}, {time.Hour, 0}} {
+		t.Run(c.waited.String(), func(t *testing.T) {
+			r := newTestRelay(t)
+			failed := policy.Event{
+				Kind: policy.HealthChecked, Endpoint: "s-1", Outcome: policy.ConnectFailed, Latency: time.Second,
+			}
+			r.step([]event{policyEvents(failed, failed, failed, failed)})
+			release := occupyCallMemory(r)
+			submitAll(r, newSubmission("m1", 7, 15*time.Second))
+			for i := 0; i < 20 && len(r.waitingCalls) == 0; i++ {
+				advance(r, 500*time.Millisecond)
+			}
+			if len(r.waitingCalls) != 1 || !r.engine.Suspect("s-1") {
+				t.Fatalf("%d calls wait, want one to the suspect endpoint", len(r.waitingCalls))
+			}
+			r.waitingCalls[0].SentAt = time.Now().Add(-c.waited)
+			release()
+			if r.step(nil); len(r.activeCalls) != c.sent {
+				t.Errorf("%d calls in flight, want %d", len(r.activeCalls), c.sent)
+			}
+		})
+	}
+}
+
 // TestWaitingBatchLeavesOutEndedMessages guards against items without their bodies in a call with several messages: one
 // message is cancelled while the call waits, and the body of another can no longer be read.
 func TestWaitingBatchLeavesOutEndedMessages(t *testing.T) {
--- a/internal/relay/waitingcalls.go
+++ b/internal/relay/waitingcalls.go
@@ -101,16 +101,20 @@
 	return true
 }
 
-// resumableAttempts returns the attempts of a call that may be sent after the wait. A call to a suspect endpoint may
-// not: its place in the recovery budget has passed, or it never had one, and all calls that have waited would reach the
-// endpoint at once.
+// resumableAttempts returns the attempts of a call that may be sent after the wait. All calls that have waited may
+// reach an endpoint at once, so a suspect one gets only those within the recovery budget.
 func (r *Relay) resumableAttempts(c *call) []*attempt {
-	if r.engine.Suspect(c.EndpointID) {
+	if r.engine.Suspect(c.EndpointID) && !r.withinRecoveryBudget(c) {
 		return nil
 	}
 	return r.sendableAttempts(c)
 }
 
+// withinRecoveryBudget reports whether the recovery budget allowed a call, and the call has not lapsed since.
+func (r *Relay) withinRecoveryBudget(c *call) bool {
+	return c.toSuspect && time.Since(c.SentAt) <= r.engine.RecoveryLapse()
+}
+
 // loadBodies loads the bodies of attempts, and returns the attempts whose bodies could be read. The messages of the
 // others fail.
 func (r *Relay) loadBodies(attempts []*attempt) (loaded []*attempt) {
--- a/policy/inspect.go
+++ b/policy/inspect.go
@@ -120,6 +120,11 @@
 	return ep.ejected || ep.warmingUp && !e.isWarm(ep)
 }
 
+// RecoveryLapse returns the time after which a call that the recovery budget allowed, and that was not made, lapses.
+func (e *Engine) RecoveryLapse() time.Duration {
+	return time.Duration(recoveryLapseRatio * float64(e.settings.OverloadWindow))
+}
+
 // EndpointView is the state of an endpoint and of its limit scope. Rates are in calls a second.
 type EndpointView struct {
 	Endpoint
