Waiting calls: one function leaves attempts out, and it allocates nothing

Need: resumeCall and keepWaitingAttempts each made a list of the attempts to keep, in every step while calls wait, and keepAttempts looked each attempt up in it.

Change: keepAttempts takes the condition and filters in place; both use it. Behaviour is as before.

--- a/internal/relay/waitingcalls.go
+++ b/internal/relay/waitingcalls.go
@@ -89,8 +89,8 @@
 // changed meanwhile, so the attempts that may no longer be sent are returned. resumeCall returns false if that leaves
 // none.
 func (r *Relay) resumeCall(c *call) (ready bool) {
-	r.keepAttempts(c, r.resumableAttempts(c))
-	r.keepAttempts(c, r.loadBodies(c.attempts))
+	resumable := r.resumableAttempts(c)
+	r.keepAttempts(c, func(a *attempt) bool { return slices.Contains(resumable, a) && r.loadBody(a) })
 	if len(c.attempts) == 0 {
 		r.releaseCall(c)
 		return false
@@ -115,29 +115,26 @@
 	return c.toSuspect && time.Since(c.SentAt) <= r.engine.RecoveryLapse()
 }
 
-// loadBodies loads the bodies of attempts, and returns the attempts whose bodies could be read. The messages of the
-// others fail.
-func (r *Relay) loadBodies(attempts []*attempt) (loaded []*attempt) {
-	for _, a := range attempts {
-		body, err := r.journal.Body(a.message.Message)
-		if err != nil {
-			r.failMessage(a.message, err)
-			continue
-		}
-		a.Body = body
-		loaded = append(loaded, a)
+// loadBody loads the body of an attempt. If it cannot be read, its message fails.
+func (r *Relay) loadBody(a *attempt) (loaded bool) {
+	body, err := r.journal.Body(a.message.Message)
+	if err != nil {
+		r.failMessage(a.message, err)
+		return false
 	}
-	return loaded
+	a.Body = body
+	return true
 }
 
-// keepAttempts reduces a call that was not made to some of its attempts, and returns the others.
-func (r *Relay) keepAttempts(c *call, kept []*attempt) {
-	for _, a := range c.attempts {
-		if !slices.Contains(kept, a) {
-			r.returnAttempt(a)
+// keepAttempts reduces a call that was not made to the attempts that are to be kept, and returns the others.
+func (r *Relay) keepAttempts(c *call, keep func(*attempt) bool) {
+	c.attempts = slices.DeleteFunc(c.attempts, func(a *attempt) bool {
+		if keep(a) {
+			return false
 		}
-	}
-	c.attempts = kept
+		r.returnAttempt(a)
+		return true
+	})
 }
 
 // returnExpiredAttempts returns the waiting attempts that have timed out, or all of them once nothing may be sent.
@@ -157,17 +154,12 @@
 // left.
 func (r *Relay) keepWaitingAttempts(keep func(*attempt) bool) {
 	r.waitingCalls = slices.DeleteFunc(r.waitingCalls, func(c *call) bool {
-		var kept []*attempt
-		for _, a := range c.attempts {
-			if keep(a) {
-				kept = append(kept, a)
-			}
-		}
-		r.keepAttempts(c, kept)
-		if len(kept) == 0 {
-			r.releaseCall(c)
+		r.keepAttempts(c, keep)
+		if len(c.attempts) > 0 {
+			return false
 		}
-		return len(kept) == 0
+		r.releaseCall(c)
+		return true
 	})
 }
 
