--- a/internal/relay/knownidworld_test.go
+++ b/internal/relay/knownidworld_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -159,10 +158,16 @@
 	}
 }
 
-// callsInFlight returns the calls in flight, in the order of the messages that they carry.
+// callsInFlight returns the calls in flight, in the order of their first attempts.
 func (w *knownIDWorld) callsInFlight() []*call {
-	byMessage := func(a, b *call) int { return cmp.Compare(a.attempts[0].message.ID, b.attempts[0].message.ID) }
-	return slices.SortedFunc(maps.Keys(w.r.activeCalls), byMessage)
+	return slices.SortedFunc(maps.Keys(w.r.activeCalls), func(a, b *call) int {
+		return compareAttempts(firstAttempt(a), firstAttempt(b))
+	})
+}
+
+// firstAttempt identifies the first attempt of a call.
+func firstAttempt(c *call) attemptKey {
+	return attemptKey{c.attempts[0].message.ID, c.attempts[0].number}
 }
 
 // timeOut ends an attempt whose call goes on.
--- a/internal/relay/takeover_test.go
+++ b/internal/relay/takeover_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cherrytrestle.example/cherrytrestle/internal/relay/egress"
 	"cherrytrestle.example/cherrytrestle/internal/relay/hotrestart"
 	"cherrytrestle.example/cherrytrestle/policy"
 )
@@ -194,3 +195,25 @@
 		t.Errorf("%d messages have no result after their deadlines", third.pending)
 	}
 }
+
+// TestTakeOverKnowsDeliveredIDs guards against a second delivery of a message that is no longer in the journal: an
+// attempt that had timed out delivered it, and its retry is in flight when the process hands over.
+func TestTakeOverKnowsDeliveredIDs(t *testing.T) {
+	cfg := newTestConfig(t)
+	cfg.Settings.Classes[0].Effect = policy.Idempotent // the journal does not keep the ids of such messages
+	old := newTestRelayWith(t, cfg)
+	submitAll(old, newSubmission("m1", 7, 8*time.Second))
+	first := onlyCall(t, old)
+	old.step([]event{attemptTimeout{first.attempts[0]}})
+	for i := 0; i < 20 && len(old.activeCalls) < 2; i++ {
+		advance(old, 200*time.Millisecond)
+	}
+	endCall(old, first, egress.Result{Outcome: policy.OK})
+	if m := old.messagesByTrace["m1"]; m == nil || m.inFlight != 1 || old.journal.Tracks(m.Message) {
+		t.Fatalf("message %+v, want one that the journal does not have, with an attempt in flight", m)
+	}
+	r := successorOf(t, old, func(*hotrestart.State) {})
+	if a := submitAll(r, newSubmission("m1", 7, 8*time.Second))[0]; a.Status != http.StatusAccepted || r.pending != 0 {
+		t.Errorf("answer %+v, %d pending, want status 202 and no new message", a, r.pending)
+	}
+}
